--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+# Every target sets up what it needs in $(VENV); a fresh machine has Python 3.11 and pip.
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+PACKAGES := schema core entry cli
+export PYTHONPATH := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src:)$(CURDIR)
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: help setup demo test lint format generate generated-check measure clean
+
+help:
+	@echo "make demo     start stand-ins, entries and a load on loopback, and check every answer"
+	@echo "make test     run all tests"
+	@echo "make lint     check format and lint"
+	@echo "make measure  replay all recorded traces and write the table of measures"
+	@echo "make generate write the generated code again from the schema"
+
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt $(foreach p,$(PACKAGES),-e packages/$(p))
+	@touch $@
+
+setup: $(VENV)/.installed
+
+demo: setup
+	$(BIN)/python -m tests.demo.demo
+
+test: setup
+	$(BIN)/python tools/run_tests.py
+
+lint: setup
+	$(BIN)/black --check --quiet packages tests tools || { echo "black: run 'make format'"; exit 1; }
+	$(BIN)/ruff check packages tests tools
+
+format: setup
+	$(BIN)/black --quiet packages tests tools
+	$(BIN)/ruff check --fix packages tests tools
+
+generate: setup
+	PYTHON=$(abspath $(BIN)/python) tools/generate
+
+generated-check: generate
+	git diff --exit-code -- packages/schema/src/ibiscart_schema/generated
+
+measure: setup
+	$(BIN)/python -m ibiscart_cli.main measure traces --output docs/measures
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/cli/src/ibiscart_cli/__init__.py
@@ -0,0 +1,6 @@
+"""
+ibiscart_cli
+~~~~~~~~~~~~
+
+Command line for operators and callers.
+"""
--- /dev/null
+++ b/packages/cli/src/ibiscart_cli/commands/__init__.py
@@ -0,0 +1,6 @@
+"""
+ibiscart_cli.commands
+~~~~~~~~~~~~~~~~~~~~~
+
+Groups of commands.
+"""
--- /dev/null
+++ b/packages/core/src/ibiscart_core/ledger.py
@@ -0,0 +1,404 @@
+"""
+ibiscart_core.ledger
+~~~~~~~~~~~~~~~~~~~~
+
+State of a region, built by applying the journal's records in sequence.
+"""
+
+from collections import deque
+
+from ibiscart_core.contract import Account, Reservation, ReservationKey
+from ibiscart_core.estimate import Estimates
+from ibiscart_core.job import Job, JobKey, Member
+from ibiscart_core.worker import Worker
+from ibiscart_schema.generated.journal_pb2 import (
+    JOB_COMPLETED,
+    JOB_STATE_ENDED,
+    JOB_STATE_PLACED,
+    JOB_STATE_QUEUED,
+    JOB_STATE_RUNNING,
+    JOB_STATE_STOPPING,
+    MEMBER_COMPLETED,
+    MEMBER_FAILED,
+    ReservationSet,
+    SharesGranted,
+    Snapshot,
+    WorkerFailure,
+)
+
+__all__ = ["Ledger", "SequenceError"]
+
+ENDED_JOBS_KEPT = 20_000
+ENDED_KEPT_US = 24 * 3600 * 1_000_000
+WORKER_FAILURES_KEPT = 16
+
+
+class SequenceError(ValueError):
+    """A record does not follow the applied ones."""
+
+
+class Ledger:
+    """Contracts, workers, reservations, jobs and share grants of one region.
+
+    Applying the same records always builds the same state. ``accounts``, ``workers`` and
+    ``jobs`` map names, ids and job keys to their objects; ``active`` holds the jobs that
+    hold places.
+    """
+
+    def __init__(self, region):
+        self.region = region
+        self.sequence = 0
+        self.time_us = 0
+        self.accounts = {}
+        self.workers = {}
+        self.jobs = {}
+        self.active = {}
+        self.reservations = {}
+        self.estimates = Estimates()
+        self.share_epoch = 0
+        self.share_entries = ()
+        self.removed_versions = {}
+        self._ended = deque()
+
+    @property
+    def queued_jobs(self):
+        """Number of queued jobs over all client accounts."""
+        return sum(len(account.queued) for account in self.accounts.values())
+
+    def apply(self, record):
+        """Applies the next ``Record``; raises ``SequenceError`` when it is not the next."""
+        if record.sequence != self.sequence + 1:
+            raise SequenceError(f"record {record.sequence} does not follow {self.sequence}")
+        for event in record.events:
+            self.apply_event(event, record.time_us)
+        self.seal(record.sequence, record.time_us)
+
+    def apply_event(self, event, time_us):
+        """Applies one event of the record that comes next, decided at ``time_us``."""
+        kind = event.WhichOneof("kind")
+        getattr(self, f"_apply_{kind}")(getattr(event, kind), time_us)
+
+    def seal(self, sequence, time_us):
+        """Ends the record with the given sequence."""
+        self.sequence = sequence
+        self.time_us = max(self.time_us, time_us)
+        self._forget_ended()
+
+    def job(self, key_message):
+        """Returns the job that a ``JobKey`` message names, or None."""
+        return self.jobs.get(JobKey.from_message(key_message))
+
+    # contracts and reservations
+
+    def _apply_contract_changed(self, event, time_us):
+        contract = event.contract
+        account = self.accounts.get(contract.account)
+        if account is None:
+            self.accounts[contract.account] = account = Account(contract)
+        else:
+            account.set_contract(contract)
+        self.removed_versions.pop(contract.account, None)
+        wanted = set(account.reservation_keys())
+        for reservation in list(account.reservations.values()):
+            if reservation.key not in wanted:
+                self._drop_reservation(account, reservation)
+        for key in account.reservation_keys():
+            shape = account.guarantees[key.guarantee].shape
+            reservation = self.reservations.get(key)
+            if reservation is None:
+                self._add_reservation(account, Reservation(key, shape))
+            elif reservation.shape != shape:
+                self._drop_reservation(account, reservation)
+                self._add_reservation(account, Reservation(key, shape))
+
+    def _apply_contract_removed(self, event, time_us):
+        account = self.accounts.pop(event.account, None)
+        if account is None:
+            return
+        self.removed_versions[event.account] = account.version
+        for reservation in list(account.reservations.values()):
+            self._drop_reservation(account, reservation)
+
+    def _apply_reservation_set(self, event, time_us):
+        reservation = self.reservations.get(ReservationKey.from_message(event.key))
+        if reservation is None:
+            return
+        if reservation.job is None:
+            self._count_reserved(reservation, -1)
+        reservation.workers = tuple(event.workers)
+        if reservation.job is None:
+            self._count_reserved(reservation, 1)
+
+    def _add_reservation(self, account, reservation):
+        self.reservations[reservation.key] = reservation
+        account.reservations[(reservation.key.guarantee, reservation.key.index)] = reservation
+
+    def _drop_reservation(self, account, reservation):
+        if reservation.job is None:
+            self._count_reserved(reservation, -1)
+        else:
+            # the job keeps its places as burst work
+            job = self.jobs[reservation.job]
+            job.reservation = None
+            self._count_burst(account, job, 1)
+        del self.reservations[reservation.key]
+        del account.reservations[(reservation.key.guarantee, reservation.key.index)]
+
+    def _count_reserved(self, reservation, sign):
+        member = reservation.shape.member
+        for worker_id in reservation.workers:
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                worker.reserved = worker.reserved + member if sign > 0 else worker.reserved - member
+
+    def _count_burst(self, account, job, sign):
+        account.burst_accelerators += sign * job.shape.accelerators
+        account.burst_cpu_millis += sign * job.shape.total.cpu_millis
+
+    # workers
+
+    def _apply_worker_registered(self, event, time_us):
+        worker = Worker.from_message(event.worker)
+        known = self.workers.get(worker.id)
+        if known is None:
+            self.workers[worker.id] = worker
+            return
+        known.address = worker.address
+        known.capacity = worker.capacity
+        known.data_centre = worker.data_centre
+        known.rack = worker.rack
+
+    def _apply_worker_state_changed(self, event, time_us):
+        worker = self.workers.get(event.worker_id)
+        if worker is None:
+            return
+        if event.retry_at_us and event.retry_at_us != worker.retry_at_us:
+            worker.quarantines += 1
+            worker.failures = []
+        worker.state = event.state
+        worker.cause = event.cause
+        worker.retry_at_us = event.retry_at_us
+
+    # jobs
+
+    def _apply_job_submitted(self, event, time_us):
+        job = Job(event.spec, time_us)
+        account = self.accounts[job.key.account]
+        job.contract_version = account.version
+        job.reason = "queued"
+        job.decided_sequence = self.sequence + 1
+        self.jobs[job.key] = job
+        account.queued[job.key] = job
+
+    def _apply_job_placed(self, event, time_us):
+        job = self.job(event.job)
+        account = self.accounts[job.key.account]
+        account.queued.pop(job.key)
+        account.active[job.key] = job
+        self.active[job.key] = job
+        job.state = JOB_STATE_PLACED
+        job.placed_us = time_us
+        job.released_us = 0
+        job.reason = event.reason
+        job.contract_version = account.version
+        job.decided_sequence = self.sequence + 1
+        job.members = [Member(worker_id) for worker_id in event.workers]
+        for rank, worker_id in enumerate(event.workers):
+            self.workers[worker_id].add_member((job.key, job.attempt, rank), job.shape.member)
+        if event.HasField("reservation"):
+            reservation = self.reservations[ReservationKey.from_message(event.reservation)]
+            self._count_reserved(reservation, -1)
+            reservation.job = job.key
+            job.reservation = reservation.key
+        else:
+            self._count_burst(account, job, 1)
+
+    def _apply_job_released(self, event, time_us):
+        job = self.job(event.job)
+        job.state = JOB_STATE_RUNNING
+        job.released_us = time_us
+        job.ever_released = True
+        job.reason = "running"
+        job.decided_sequence = self.sequence + 1
+
+    def _apply_job_stopping(self, event, time_us):
+        job = self.job(event.job)
+        job.state = JOB_STATE_STOPPING
+        job.stop_cause = event.cause
+        job.preempted_by = (
+            JobKey.from_message(event.preempted_by) if event.HasField("preempted_by") else None
+        )
+        job.decided_sequence = self.sequence + 1
+
+    def _apply_member_ended(self, event, time_us):
+        job = self.job(event.job)
+        if job is None or event.attempt != job.attempt or event.rank >= len(job.members):
+            return
+        member = job.members[event.rank]
+        if member.ended:
+            return
+        member.ended = True
+        member.outcome = event.outcome
+        job.saved_seconds = max(job.saved_seconds, event.saved_seconds)
+        worker = self.workers.get(member.worker_id)
+        if worker is None:
+            return
+        worker.remove_member((job.key, job.attempt, event.rank))
+        if event.outcome == MEMBER_FAILED:
+            worker.failures.append(
+                WorkerFailure(job=event.job, kind=job.spec.kind, time_us=time_us)
+            )
+            del worker.failures[:-WORKER_FAILURES_KEPT]
+            job.failed_workers.append(worker.id)
+        elif event.outcome == MEMBER_COMPLETED:
+            worker.failures = []
+            worker.quarantines = 0
+
+    def _apply_job_requeued(self, event, time_us):
+        job = self.job(event.job)
+        account = self._release_places(job)
+        job.state = JOB_STATE_QUEUED
+        job.attempt = event.attempt
+        job.failures += event.failed
+        job.reason = event.reason
+        job.not_before_us = event.not_before_us
+        job.members = []
+        job.placed_us = 0
+        job.released_us = 0
+        job.decided_sequence = self.sequence + 1
+        account.queued[job.key] = job
+
+    def _apply_job_ended(self, event, time_us):
+        job = self.job(event.job)
+        if job.state == JOB_STATE_QUEUED:
+            self.accounts[job.key.account].queued.pop(job.key)
+        else:
+            self._release_places(job)
+        if event.outcome == JOB_COMPLETED:
+            seconds = (time_us - job.released_us) / 1e6 + job.saved_seconds
+            self.estimates.observe(job.key.account, job.spec.kind, seconds)
+        job.state = JOB_STATE_ENDED
+        job.outcome = event.outcome
+        job.ran = event.ran
+        job.reason = event.reason
+        job.ended_us = time_us
+        job.decided_sequence = self.sequence + 1
+        self._ended.append(job.key)
+
+    def _release_places(self, job):
+        account = self.accounts[job.key.account]
+        for rank, member in enumerate(job.members):
+            worker = self.workers.get(member.worker_id)
+            if worker is not None:
+                worker.remove_member((job.key, job.attempt, rank))
+        account.active.pop(job.key, None)
+        self.active.pop(job.key, None)
+        if job.reservation is None:
+            self._count_burst(account, job, -1)
+        else:
+            reservation = self.reservations[job.reservation]
+            reservation.job = None
+            self._count_reserved(reservation, 1)
+            job.reservation = None
+        return account
+
+    def _forget_ended(self):
+        while self._ended and (
+            len(self._ended) > ENDED_JOBS_KEPT
+            or self.jobs[self._ended[0]].ended_us < self.time_us - ENDED_KEPT_US
+        ):
+            del self.jobs[self._ended.popleft()]
+
+    # shares
+
+    def _apply_shares_granted(self, event, time_us):
+        self.share_epoch = event.epoch
+        self.share_entries = tuple(event.entries)
+
+    # snapshots
+
+    def snapshot(self):
+        """Returns the whole state as a ``Snapshot`` message."""
+        message = Snapshot(
+            region=self.region,
+            sequence=self.sequence,
+            time_us=self.time_us,
+            contracts=[account.contract for account in self.accounts.values()],
+            workers=[worker.snapshot() for worker in self.workers.values()],
+            jobs=[job.snapshot() for job in self._jobs_in_order()],
+            shares=SharesGranted(epoch=self.share_epoch, entries=self.share_entries),
+            estimates=self.estimates.snapshot(),
+            removed_versions=self.removed_versions,
+        )
+        for reservation in self.reservations.values():
+            item = ReservationSet(workers=reservation.workers)
+            reservation.key.fill(item.key)
+            message.reservations.append(item)
+        return message
+
+    @classmethod
+    def from_snapshot(cls, message):
+        """Builds the state that a ``Snapshot`` message holds."""
+        ledger = cls(message.region)
+        for contract in message.contracts:
+            ledger._restore_contract(contract)
+        for item in message.workers:
+            ledger._restore_worker(item)
+        for item in message.reservations:
+            ledger._apply_reservation_set(item, 0)
+        for item in message.jobs:
+            ledger._restore_job(Job.from_snapshot(item))
+        ledger.share_epoch = message.shares.epoch
+        ledger.share_entries = tuple(message.shares.entries)
+        ledger.estimates = Estimates.from_snapshot(message.estimates)
+        ledger.removed_versions = dict(message.removed_versions)
+        ledger.sequence = message.sequence
+        ledger.time_us = message.time_us
+        return ledger
+
+    def _jobs_in_order(self):
+        # queue order and the order of ended jobs are part of the state
+        for account in self.accounts.values():
+            yield from account.queued.values()
+        yield from self.active.values()
+        yield from (self.jobs[key] for key in self._ended)
+
+    def _restore_contract(self, contract):
+        copy = type(contract)()
+        copy.CopyFrom(contract)
+        self.accounts[copy.account] = account = Account(copy)
+        for key in account.reservation_keys():
+            self._add_reservation(
+                account, Reservation(key, account.guarantees[key.guarantee].shape)
+            )
+
+    def _restore_worker(self, item):
+        worker = Worker.from_message(item.info)
+        worker.state = item.state
+        worker.cause = item.cause
+        worker.retry_at_us = item.retry_at_us
+        worker.quarantines = item.quarantines
+        worker.failures = list(item.failures)
+        self.workers[worker.id] = worker
+
+    def _restore_job(self, job):
+        self.jobs[job.key] = job
+        if job.state == JOB_STATE_ENDED:
+            self._ended.append(job.key)
+            return
+        account = self.accounts[job.key.account]
+        if job.state == JOB_STATE_QUEUED:
+            account.queued[job.key] = job
+            return
+        account.active[job.key] = job
+        self.active[job.key] = job
+        for rank, member in enumerate(job.members):
+            if not member.ended:
+                worker = self.workers[member.worker_id]
+                worker.add_member((job.key, job.attempt, rank), job.shape.member)
+        if job.reservation is None:
+            self._count_burst(account, job, 1)
+        else:
+            reservation = self.reservations[job.reservation]
+            self._count_reserved(reservation, -1)
+            reservation.job = job.key
--- /dev/null
+++ b/packages/core/src/ibiscart_core/lifecycle.py
@@ -0,0 +1,178 @@
+"""
+ibiscart_core.lifecycle
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Transitions of jobs: release, stop, preemption, cancellation, requeueing and end.
+"""
+
+from ibiscart_schema.generated.journal_pb2 import (
+    JOB_CANCELLED,
+    JOB_COMPLETED,
+    JOB_FAILED,
+    JOB_STATE_PLACED,
+    JOB_STATE_QUEUED,
+    JOB_STATE_RUNNING,
+    JOB_STATE_STOPPING,
+    JOB_UNKNOWN,
+    MEMBER_COMPLETED,
+    MEMBER_FAILED,
+    STOP_CANCELLED,
+    STOP_MEMBER_FAILED,
+    STOP_PREEMPTED,
+    STOP_START_FAILED,
+    STOP_WORKER_LOST,
+)
+from ibiscart_schema.generated.types_pb2 import RAN_MAYBE, RAN_NO, RAN_YES
+
+__all__ = ["Lifecycle"]
+
+STOP_REASONS = {
+    STOP_CANCELLED: "cancelled",
+    STOP_PREEMPTED: "preempted",
+    STOP_MEMBER_FAILED: "member_failed",
+    STOP_WORKER_LOST: "worker_lost",
+    STOP_START_FAILED: "start_failed",
+}
+# a start that fails before any release costs nothing but time, so it may be tried often
+START_ATTEMPTS = 20
+FIRST_BACKOFF_SECONDS = 1
+LONGEST_BACKOFF_SECONDS = 60
+
+
+class Lifecycle:
+    """Emits the events of job transitions into a ``Batch``."""
+
+    def __init__(self, batch, attempts):
+        self._batch = batch
+        self._attempts = attempts
+
+    def release(self, job, attempt):
+        """Lets a fully held gang run; ignores reports about other attempts."""
+        if job.state == JOB_STATE_PLACED and job.attempt == attempt:
+            self._batch.emit(job_released={"job": job.key.to_message(), "attempt": attempt})
+
+    def fail_start(self, job, attempt):
+        """Stops a gang that could not be started."""
+        if job.state == JOB_STATE_PLACED and job.attempt == attempt:
+            self.stop(job, STOP_START_FAILED)
+
+    def stop(self, job, cause, preempted_by=None):
+        """Starts to stop all members; the job goes on once all have ended."""
+        stopping = {"job": job.key.to_message(), "attempt": job.attempt, "cause": cause}
+        if preempted_by is not None:
+            stopping["preempted_by"] = preempted_by.to_message()
+        self._batch.emit(job_stopping=stopping)
+        self._settle(job)
+
+    def cancel(self, job):
+        """Cancels a job in any state; does nothing when it has ended."""
+        if job.state == JOB_STATE_QUEUED:
+            self._end(job, JOB_CANCELLED, _ran(job), "cancelled")
+            return
+        stopping = job.state == JOB_STATE_STOPPING and job.stop_cause == STOP_CANCELLED
+        if not job.ended and not stopping:
+            self.stop(job, STOP_CANCELLED)
+
+    def stop_jobs_on(self, worker):
+        """Stops every gang with a member on a lost worker."""
+        for key in sorted({m[0] for m in worker.members}, key=lambda k: k.sort_key()):
+            job = self._batch.ledger.jobs[key]
+            if job.state in (JOB_STATE_PLACED, JOB_STATE_RUNNING):
+                self.stop(job, STOP_WORKER_LOST)
+
+    def preempt_over_limit(self, account):
+        """Preempts burst work until the account keeps its burst limits; returns the jobs."""
+        contract = account.contract
+        held_accelerators = account.burst_accelerators
+        held_cpu = account.burst_cpu_millis
+        preempted = []
+        running = [j for j in account.active.values() if j.preemptible]
+        for job in sorted(running, key=lambda j: (-j.released_us, j.key.sort_key())):
+            if (
+                held_accelerators <= contract.burst_accelerators
+                and held_cpu <= contract.burst_cpu_millis
+            ):
+                break
+            held_accelerators -= job.shape.accelerators
+            held_cpu -= job.shape.total.cpu_millis
+            if job.state in (JOB_STATE_PLACED, JOB_STATE_RUNNING):
+                preempted.append(job)
+        for job in preempted:
+            self.stop(job, STOP_PREEMPTED)
+        return preempted
+
+    def end_member(self, job, ended):
+        """Records a member's end; returns False when it was known or is out of date."""
+        if ended.attempt != job.attempt or ended.rank >= len(job.members):
+            return False
+        if job.members[ended.rank].ended:
+            return False
+        self._batch.emit(member_ended=ended)
+        if job.state == JOB_STATE_PLACED:
+            self.stop(job, STOP_START_FAILED)
+        elif job.state == JOB_STATE_RUNNING and ended.outcome != MEMBER_COMPLETED:
+            cause = STOP_MEMBER_FAILED if ended.outcome == MEMBER_FAILED else STOP_WORKER_LOST
+            self.stop(job, cause)
+        else:
+            self._settle(job)
+        return True
+
+    def _settle(self, job):
+        if job.open_members:
+            return
+        outcomes = {member.outcome for member in job.members}
+        if job.released and outcomes == {MEMBER_COMPLETED}:
+            self._end(job, JOB_COMPLETED, RAN_YES, "completed")
+        elif job.state == JOB_STATE_STOPPING:
+            self._settle_stopped(job, outcomes)
+
+    def _settle_stopped(self, job, outcomes):
+        reason = STOP_REASONS[job.stop_cause]
+        if job.stop_cause == STOP_CANCELLED:
+            self._end(job, JOB_CANCELLED, _ran(job), reason)
+        elif not job.released:
+            self._retry_start(job, reason)
+        elif not job.spec.repeatable:
+            failed = MEMBER_FAILED in outcomes
+            outcome = JOB_FAILED if failed else JOB_UNKNOWN
+            self._end(job, outcome, RAN_YES if failed else RAN_MAYBE, reason)
+        elif job.stop_cause == STOP_PREEMPTED:
+            self._requeue(job, reason, failed=False)
+        elif job.failures + 1 < self._attempts:
+            self._requeue(job, reason, failed=True)
+        else:
+            self._end(job, JOB_FAILED, RAN_YES, f"{reason}_{self._attempts}_times")
+
+    def _retry_start(self, job, reason):
+        if job.attempt < START_ATTEMPTS or job.stop_cause == STOP_PREEMPTED:
+            self._requeue(job, reason, failed=False)
+        else:
+            self._end(job, JOB_FAILED, _ran(job), reason)
+
+    def _requeue(self, job, reason, failed):
+        backoff = 0
+        if job.stop_cause != STOP_PREEMPTED:
+            backoff = min(FIRST_BACKOFF_SECONDS * 2**job.failures, LONGEST_BACKOFF_SECONDS)
+        self._batch.emit(
+            job_requeued={
+                "job": job.key.to_message(),
+                "attempt": job.attempt + 1,
+                "reason": reason,
+                "not_before_us": self._batch.now_us + backoff * 1_000_000,
+                "failed": failed,
+            }
+        )
+
+    def _end(self, job, outcome, ran, reason):
+        self._batch.emit(
+            job_ended={
+                "job": job.key.to_message(),
+                "outcome": outcome,
+                "ran": ran,
+                "reason": reason,
+            }
+        )
+
+
+def _ran(job):
+    return RAN_MAYBE if job.ever_released else RAN_NO
--- /dev/null
+++ b/packages/core/src/ibiscart_core/policies/__init__.py
@@ -0,0 +1,6 @@
+"""
+ibiscart_core.policies
+~~~~~~~~~~~~~~~~~~~~~~
+
+Variants of the scheduling policy.
+"""
--- /dev/null
+++ b/packages/core/src/ibiscart_core/resource.py
@@ -0,0 +1,86 @@
+"""
+ibiscart_core.resource
+~~~~~~~~~~~~~~~~~~~~~~
+
+Amounts of accelerators, processors and memory.
+"""
+
+from ibiscart_schema.generated.types_pb2 import Resources as ResourcesMessage
+
+__all__ = ["Resources"]
+
+
+class Resources:
+    """Accelerators, processors in millicores and memory in MB; immutable by convention.
+
+    Amounts may be negative for a worker whose places are committed twice while displaced
+    work is still stopping.
+    """
+
+    __slots__ = ("accelerators", "cpu_millis", "memory_mb")
+
+    def __init__(self, accelerators=0, cpu_millis=0, memory_mb=0):
+        self.accelerators = accelerators
+        self.cpu_millis = cpu_millis
+        self.memory_mb = memory_mb
+
+    def __add__(self, other):
+        return Resources(
+            self.accelerators + other.accelerators,
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+        )
+
+    def __sub__(self, other):
+        return Resources(
+            self.accelerators - other.accelerators,
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+        )
+
+    def __eq__(self, other):
+        return isinstance(other, Resources) and self._key() == other._key()
+
+    def __hash__(self):
+        return hash(self._key())
+
+    def __repr__(self):
+        return f"Resources{self._key()}"
+
+    @classmethod
+    def from_message(cls, message):
+        """Builds the amounts from a ``Resources`` message."""
+        return cls(message.accelerators, message.cpu_millis, message.memory_mb)
+
+    def to_message(self):
+        """Returns the amounts as a ``Resources`` message."""
+        return ResourcesMessage(
+            accelerators=self.accelerators, cpu_millis=self.cpu_millis, memory_mb=self.memory_mb
+        )
+
+    def covers(self, other):
+        """Tells whether every amount is at least that of ``other``."""
+        return (
+            self.accelerators >= other.accelerators
+            and self.cpu_millis >= other.cpu_millis
+            and self.memory_mb >= other.memory_mb
+        )
+
+    def times_within(self, other):
+        """Returns how many times this amount fits into ``other``, at most 1024."""
+        times = 1024
+        for need, have in zip(self._key(), other._key(), strict=True):
+            if have < 0:
+                return 0
+            if need > 0:
+                times = min(times, have // need)
+        return times
+
+    def scaled(self, factor):
+        """Returns the amounts multiplied by the whole number ``factor``."""
+        return Resources(
+            self.accelerators * factor, self.cpu_millis * factor, self.memory_mb * factor
+        )
+
+    def _key(self):
+        return (self.accelerators, self.cpu_millis, self.memory_mb)
--- /dev/null
+++ b/packages/core/src/ibiscart_core/scheduler.py
@@ -0,0 +1,309 @@
+"""
+ibiscart_core.scheduler
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Turns commands into events and replies, and runs the policy after each batch.
+"""
+
+from ibiscart_core.admission import check_submission
+from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_core.health import quarantine_seconds, should_quarantine
+from ibiscart_core.job import JobKey
+from ibiscart_core.lifecycle import Lifecycle
+from ibiscart_core.packing import plan_reservations
+from ibiscart_core.policy import Batch
+from ibiscart_core.shape import Shape
+from ibiscart_schema.generated.journal_pb2 import MEMBER_FAILED
+from ibiscart_schema.generated.peer_pb2 import Reply
+from ibiscart_schema.generated.types_pb2 import (
+    TARGET_LIVE,
+    TARGET_LOST,
+    TARGET_QUARANTINED,
+    Contract,
+)
+
+__all__ = ["Scheduler"]
+
+DEFAULT_ATTEMPTS = 3
+
+
+class Scheduler:
+    """Decides one batch of commands on a ledger.
+
+    ``ledger`` is the writer's working copy: events are applied to it as they are decided.
+    ``policy`` is a ``Policy``; ``attempts`` bounds the failed attempts of a job.
+    """
+
+    def __init__(self, ledger, policy, attempts=DEFAULT_ATTEMPTS):
+        self._ledger = ledger
+        self._policy = policy
+        self._attempts = attempts
+
+    def decide(self, commands, now_us):
+        """Decides ``commands`` and one scheduling pass.
+
+        Returns (events, replies), one reply per command in order. The events are already
+        applied to the working ledger, which the caller seals once they are committed.
+        """
+        batch = Batch(self._ledger, now_us)
+        lifecycle = Lifecycle(batch, self._attempts)
+        replies = [self._reply(batch, lifecycle, command) for command in commands]
+        self._end_quarantines(batch)
+        self._policy.schedule(batch)
+        for reply in replies:
+            reply.sequence = self._ledger.sequence + 1 if batch.events else self._ledger.sequence
+        return batch.events, replies
+
+    def _reply(self, batch, lifecycle, command):
+        kind = command.WhichOneof("kind")
+        try:
+            return getattr(self, f"_handle_{kind}")(batch, lifecycle, getattr(command, kind))
+        except IbiscartError as error:
+            return Reply(error=error.to_message())
+
+    # jobs
+
+    def _handle_submit_job(self, batch, lifecycle, command):
+        spec = command.spec
+        account = self._account(spec.account)
+        job = self._ledger.jobs.get(JobKey.from_message(spec))
+        if job is None:
+            check_submission(self._ledger, account, Shape.from_message(spec.shape))
+            batch.emit(job_submitted={"spec": spec})
+            job = self._ledger.jobs[JobKey.from_message(spec)]
+        elif not job.same_body(spec):
+            raise IbiscartError(
+                ErrorKind.ID_REUSED,
+                "another job with this request id and a different body exists; use a new id",
+                field="request_id",
+                value=spec.request_id,
+                bound="unique per client account",
+            )
+        return Reply(job=job.snapshot())
+
+    def _handle_cancel_job(self, batch, lifecycle, command):
+        job = self._job(command.job)
+        lifecycle.cancel(job)
+        return Reply(job=job.snapshot())
+
+    def _handle_report_held(self, batch, lifecycle, command):
+        job = self._job(command.job)
+        lifecycle.release(job, command.attempt)
+        return Reply(job=job.snapshot())
+
+    def _handle_report_start_failed(self, batch, lifecycle, command):
+        job = self._job(command.job)
+        lifecycle.fail_start(job, command.attempt)
+        return Reply(job=job.snapshot())
+
+    def _handle_report_member(self, batch, lifecycle, command):
+        job = self._job(command.ended.job)
+        if lifecycle.end_member(job, command.ended) and command.ended.outcome == MEMBER_FAILED:
+            self._check_health(batch, command.ended, job)
+        return Reply(job=job.snapshot())
+
+    # contracts
+
+    def _handle_put_contract(self, batch, lifecycle, command):
+        contract = Contract()
+        contract.CopyFrom(command.contract)
+        current = self._ledger.accounts.get(contract.account)
+        version = self._version(contract.account)
+        if command.expected_version != version:
+            raise _version_conflict(contract, current, command.expected_version, version)
+        plan = plan_reservations(self._ledger, contract)
+        self._check_packed(plan, contract)
+        contract.version = version + 1
+        if command.dry_run:
+            return Reply(contract=contract, preempted=self._would_preempt(contract))
+        batch.emit(contract_changed={"contract": contract})
+        self._set_reservations(batch, plan)
+        account = self._ledger.accounts[contract.account]
+        preempted = lifecycle.preempt_over_limit(account)
+        return Reply(contract=contract, preempted=[job.key.to_message() for job in preempted])
+
+    def _handle_remove_contract(self, batch, lifecycle, command):
+        account = self._account(command.account)
+        if command.expected_version != account.version:
+            raise _version_conflict(
+                account.contract, account, command.expected_version, account.version
+            )
+        if account.queued or account.active:
+            raise IbiscartError(
+                ErrorKind.OVER_LIMIT,
+                "the client account still has jobs; cancel them first",
+                field="jobs",
+                value=len(account.queued) + len(account.active),
+                bound=0,
+            )
+        batch.emit(contract_removed={"account": account.name})
+        return Reply(contract=account.contract)
+
+    def _version(self, account_name):
+        account = self._ledger.accounts.get(account_name)
+        if account is not None:
+            return account.version
+        return self._ledger.removed_versions.get(account_name, 0)
+
+    def _check_packed(self, plan, contract):
+        blocking = [key for key in plan.unmet if key.account == contract.account]
+        for key in plan.unmet:
+            reservation = self._ledger.reservations.get(key)
+            if key.account != contract.account and reservation.workers:
+                blocking.append(key)
+        if blocking:
+            raise IbiscartError(
+                ErrorKind.CONTRACT_UNPACKABLE,
+                "the guaranteed shapes of all contracts cannot be packed at once; "
+                "lower a count or widen a scope",
+                field="guarantees",
+                value=", ".join(map(repr, blocking[:8])),
+                bound="capacity of the live workers",
+                details=[repr(key) for key in blocking],
+            )
+
+    def _would_preempt(self, contract):
+        copy = type(self._ledger).from_snapshot(self._ledger.snapshot())
+        batch = Batch(copy, copy.time_us)
+        batch.emit(contract_changed={"contract": contract})
+        lifecycle = Lifecycle(batch, self._attempts)
+        preempted = lifecycle.preempt_over_limit(copy.accounts[contract.account])
+        return [job.key.to_message() for job in preempted]
+
+    def _set_reservations(self, batch, plan):
+        for key, workers in plan.places.items():
+            reservation = self._ledger.reservations.get(key)
+            if reservation is not None and reservation.workers != tuple(workers):
+                _emit_reservation(batch, key, workers)
+        for key in plan.unmet:
+            reservation = self._ledger.reservations.get(key)
+            if reservation is not None and reservation.workers:
+                _emit_reservation(batch, key, ())
+
+    # workers
+
+    def _handle_register_workers(self, batch, lifecycle, command):
+        changed = False
+        for info in command.workers:
+            known = self._ledger.workers.get(info.id)
+            if known is None or known.info() != info:
+                batch.emit(worker_registered={"worker": info})
+                changed = True
+        if changed:
+            self._set_reservations(batch, plan_reservations(self._ledger))
+        return Reply()
+
+    def _handle_report_worker(self, batch, lifecycle, command):
+        worker = self._ledger.workers.get(command.worker_id)
+        if worker is None:
+            raise IbiscartError(
+                ErrorKind.NOT_FOUND, "no such worker", field="worker_id", value=command.worker_id
+            )
+        if worker.state == command.state:
+            return Reply()
+        if worker.state == TARGET_QUARANTINED and command.state == TARGET_LIVE:
+            # only the end of the quarantine brings the worker back
+            return Reply()
+        batch.emit(
+            worker_state_changed={
+                "worker_id": worker.id,
+                "state": command.state,
+                "cause": command.cause,
+            }
+        )
+        if command.state == TARGET_LOST:
+            lifecycle.stop_jobs_on(worker)
+        self._set_reservations(batch, plan_reservations(self._ledger))
+        return Reply()
+
+    def _handle_grant_shares(self, batch, lifecycle, command):
+        if tuple(command.entries) != self._ledger.share_entries:
+            batch.emit(
+                shares_granted={
+                    "epoch": self._ledger.share_epoch + 1,
+                    "entries": command.entries,
+                }
+            )
+        return Reply()
+
+    def _check_health(self, batch, ended, job):
+        worker = self._ledger.workers.get(job.members[ended.rank].worker_id if job.members else "")
+        if worker is None or not worker.live:
+            return
+        if should_quarantine(worker, self._ledger.jobs, batch.now_us):
+            seconds = quarantine_seconds(worker.quarantines)
+            batch.emit(
+                worker_state_changed={
+                    "worker_id": worker.id,
+                    "state": TARGET_QUARANTINED,
+                    "cause": "tasks_fail",
+                    "retry_at_us": batch.now_us + int(seconds * 1e6),
+                }
+            )
+            self._set_reservations(batch, plan_reservations(self._ledger))
+
+    def _end_quarantines(self, batch):
+        due = [
+            w
+            for w in self._ledger.workers.values()
+            if w.state == TARGET_QUARANTINED and w.retry_at_us <= batch.now_us
+        ]
+        for worker in due:
+            batch.emit(
+                worker_state_changed={
+                    "worker_id": worker.id,
+                    "state": TARGET_LIVE,
+                    "cause": "probation",
+                    "retry_at_us": worker.retry_at_us,
+                }
+            )
+        if due:
+            self._set_reservations(batch, plan_reservations(self._ledger))
+
+    def _account(self, name):
+        account = self._ledger.accounts.get(name)
+        if account is None:
+            raise IbiscartError(
+                ErrorKind.UNKNOWN_ACCOUNT,
+                "no contract exists for this client account",
+                field="account",
+                value=name,
+            )
+        return account
+
+    def _job(self, key_message):
+        job = self._ledger.job(key_message)
+        if job is None:
+            raise IbiscartError(
+                ErrorKind.NOT_FOUND,
+                "no such job; ended jobs are kept for 24 h",
+                field="request_id",
+                value=key_message.request_id,
+            )
+        return job
+
+
+def _emit_reservation(batch, key, workers):
+    batch.emit(
+        reservation_set={
+            "key": {"account": key.account, "guarantee": key.guarantee, "index": key.index},
+            "workers": workers,
+        }
+    )
+
+
+def _version_conflict(contract, current, expected, version):
+    details = []
+    if current is not None:
+        for field in contract.DESCRIPTOR.fields:
+            mine, theirs = getattr(contract, field.name), getattr(current.contract, field.name)
+            if field.name not in ("version", "key_sha256") and mine != theirs:
+                details.append(f"{field.name}: yours {mine}, in force {theirs}")
+    return IbiscartError(
+        ErrorKind.VERSION_CONFLICT,
+        "the contract was changed by another operator; read it and apply your change again",
+        field="expected_version",
+        value=expected,
+        bound=version,
+        details=[detail.replace("\n", " ") for detail in details],
+    )
--- /dev/null
+++ b/packages/core/src/ibiscart_core/shape.py
@@ -0,0 +1,58 @@
+"""
+ibiscart_core.shape
+~~~~~~~~~~~~~~~~~~~
+
+Shape of a gang: its members, what each needs, and how near they must lie.
+"""
+
+from ibiscart_core.resource import Resources
+from ibiscart_schema.generated.types_pb2 import Shape as ShapeMessage
+
+__all__ = ["Shape"]
+
+
+class Shape:
+    """A gang of ``members`` that each need ``member``, within one domain of ``scope``."""
+
+    __slots__ = ("member", "members", "scope")
+
+    def __init__(self, members, member, scope):
+        self.members = members
+        self.member = member
+        self.scope = scope
+
+    @property
+    def accelerators(self):
+        """Accelerators of the whole gang."""
+        return self.members * self.member.accelerators
+
+    @property
+    def total(self):
+        """Resources of the whole gang."""
+        return self.member.scaled(self.members)
+
+    def __eq__(self, other):
+        return isinstance(other, Shape) and self._key() == other._key()
+
+    def __hash__(self):
+        return hash(self._key())
+
+    @classmethod
+    def from_message(cls, message):
+        """Builds the shape from a ``Shape`` message."""
+        return cls(message.members, Resources.from_message(message.member), message.scope)
+
+    def to_message(self):
+        """Returns the shape as a ``Shape`` message."""
+        return ShapeMessage(members=self.members, member=self.member.to_message(), scope=self.scope)
+
+    def covers(self, other):
+        """Tells whether the places of this shape can hold a gang of shape ``other``."""
+        return (
+            self.members >= other.members
+            and self.member.covers(other.member)
+            and self.scope <= other.scope
+        )
+
+    def _key(self):
+        return (self.members, self.member, self.scope)
--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/tables/__init__.py
@@ -0,0 +1,6 @@
+"""
+ibiscart_entry.tables
+~~~~~~~~~~~~~~~~~~~~~
+
+Clients of the table service.
+"""
