--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/metric.py
@@ -0,0 +1,112 @@
+"""
+ibiscart_entry.metric
+~~~~~~~~~~~~~~~~~~~~~
+
+Counters by reason and latency histograms, in the text form that collectors read.
+"""
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Metrics"]
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.95, 0.99)
+REASONS_KEPT = 200
+
+
+class Metrics:
+    """Counters, gauges and latency histograms of one process.
+
+    ``COUNTERS`` lists each counter with its label and help text; a name outside the list
+    is an error, so that operators can rely on the documented set.
+    """
+
+    COUNTERS = {
+        "requests": ("route", "Requests answered."),
+        "refusals": ("kind", "Requests refused, by error kind."),
+        "retries": ("reason", "Requests or calls sent again, by reason."),
+        "decisions": ("reason", "Journal events appended, by kind."),
+        "append_conflicts": ("cause", "Appends that lost against another entry's record."),
+        "store_operations": ("operation", "Operations sent to the table service or object store."),
+        "store_errors": ("reason", "Operations on the store that failed."),
+        "peer_messages": ("message", "Messages sent to peers."),
+        "peer_errors": ("reason", "Messages to peers that failed."),
+        "target_calls": ("call", "Calls to workers and runners."),
+        "target_errors": ("reason", "Calls to targets that failed."),
+        "claims": ("outcome", "Durable claims of requests that may run only once."),
+        "share_loans": ("outcome", "Loans of shares between entries."),
+        "dropped": ("what", "Items dropped because a bounded buffer was full."),
+        "bytes_sent": ("to", "Payload bytes sent."),
+    }
+    LATENCIES = {
+        "request_seconds": ("route", "Time to answer a request."),
+        "append_seconds": ("outcome", "Time to append a record to the journal."),
+        "decision_seconds": ("part", "Processor time of one batch of decisions."),
+        "queue_seconds": ("lane", "Wait of requests for a runner slot."),
+        "start_seconds": ("kind", "Time from submission to release of a job."),
+    }
+
+    def __init__(self):
+        self._counters = {name: {} for name in self.COUNTERS}
+        self._latencies = {name: {} for name in self.LATENCIES}
+        self._gauges = {}
+
+    def count(self, name, reason="", amount=1):
+        """Adds ``amount`` to a counter."""
+        values = self._counters[name]
+        if reason not in values and len(values) >= REASONS_KEPT:
+            reason = "other"
+        values[reason] = values.get(reason, 0) + amount
+
+    def value(self, name, reason=""):
+        """Returns the value of a counter."""
+        return self._counters[name].get(reason, 0)
+
+    def observe(self, name, label, seconds):
+        """Adds a latency in seconds."""
+        values = self._latencies[name]
+        if label not in values:
+            if len(values) >= REASONS_KEPT:
+                label = "other"
+            values.setdefault(label, HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS))
+        values[label].record_value(min(HIGHEST_US, max(LOWEST_US, int(seconds * 1e6))))
+
+    def gauge(self, name, read):
+        """Registers a function that returns the present value of a gauge."""
+        self._gauges[name] = read
+
+    def render(self):
+        """Returns all values in the text exposition format."""
+        lines = []
+        for name, values in self._counters.items():
+            label, text = self.COUNTERS[name]
+            lines.append(f"# HELP ibiscart_{name}_total {text}")
+            lines.append(f"# TYPE ibiscart_{name}_total counter")
+            for reason, value in sorted(values.items()):
+                lines.append(f'ibiscart_{name}_total{{{label}="{_escape(reason)}"}} {value}')
+        for name, read in sorted(self._gauges.items()):
+            lines.append(f"# TYPE ibiscart_{name} gauge")
+            lines.append(f"ibiscart_{name} {read()}")
+        for name, values in self._latencies.items():
+            lines.extend(self._render_latency(name, values))
+        return "\n".join(lines) + "\n"
+
+    def _render_latency(self, name, values):
+        label, text = self.LATENCIES[name]
+        yield f"# HELP ibiscart_{name} {text}"
+        yield f"# TYPE ibiscart_{name} summary"
+        for key, histogram in sorted(values.items()):
+            pair = f'{label}="{_escape(key)}"'
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile * 100) / 1e6
+                yield f'ibiscart_{name}{{{pair},quantile="{quantile}"}} {value:.6f}'
+            count = histogram.get_total_count()
+            total = histogram.get_mean_value() * count / 1e6
+            yield f"ibiscart_{name}_sum{{{pair}}} {total:.6f}"
+            yield f"ibiscart_{name}_count{{{pair}}} {count}"
+
+
+def _escape(value):
+    return str(value).replace("\\", "\\\\").replace('"', '\\"').replace("\n", " ")
