--- a/packages/core/src/ibiscart_core/estimate.py
+++ b/packages/core/src/ibiscart_core/estimate.py
@@ -51,6 +51,10 @@
         p90 = ordered[min(len(ordered) - 1, (len(ordered) * 9) // 10)]
         return Estimate(median, p90, len(ordered))
 
+    def forget(self, account):
+        """Drops the observations of a removed client account."""
+        self._seconds.pop(account, None)
+
     def snapshot(self):
         """Returns the observations as ``EstimateSnapshot`` messages."""
         return [
--- a/packages/core/src/ibiscart_core/ledger.py
+++ b/packages/core/src/ibiscart_core/ledger.py
@@ -10,6 +10,7 @@
 from ibiscart_core.contract import Account, Reservation, ReservationKey
 from ibiscart_core.estimate import Estimates
 from ibiscart_core.job import Job, JobKey, Member
+from ibiscart_core.resource import Resources
 from ibiscart_core.worker import Worker
 from ibiscart_schema.generated.journal_pb2 import (
     JOB_COMPLETED,
@@ -26,13 +27,24 @@
     WorkerFailure,
 )
 
-__all__ = ["Ledger", "SequenceError"]
+__all__ = ["Changes", "Ledger", "SequenceError"]
 
+NO_RESOURCES = Resources()
 ENDED_JOBS_KEPT = 20_000
 ENDED_KEPT_US = 24 * 3600 * 1_000_000
 WORKER_FAILURES_KEPT = 16
 
 
+class Changes:
+    """Workers and client accounts that events have changed, for caches built on a ledger."""
+
+    __slots__ = ("accounts", "workers")
+
+    def __init__(self):
+        self.accounts = set()
+        self.workers = set()
+
+
 class SequenceError(ValueError):
     """A record does not follow the applied ones."""
 
@@ -42,7 +54,9 @@
 
     Applying the same records always builds the same state. ``accounts``, ``workers`` and
     ``jobs`` map names, ids and job keys to their objects; ``active`` holds the jobs that
-    hold places.
+    hold places. ``committed`` maps worker ids to the sum of all reservations, claimed or
+    not, and of burst work that may not be preempted: while it stays within the capacity of
+    every live worker, each reservation can be reclaimed.
     """
 
     def __init__(self, region):
@@ -54,17 +68,26 @@
         self.jobs = {}
         self.active = {}
         self.reservations = {}
+        self.committed = {}
         self.estimates = Estimates()
         self.share_epoch = 0
         self.share_entries = ()
         self.removed_versions = {}
         self._ended = deque()
+        self._changes = None
 
     @property
     def queued_jobs(self):
         """Number of queued jobs over all client accounts."""
         return sum(len(account.queued) for account in self.accounts.values())
 
+    def watch(self, changes):
+        """Reports ids of changed workers and names of changed accounts to ``changes``.
+
+        ``changes`` is a ``Changes``, or None to end the reports.
+        """
+        self._changes = changes
+
     def apply(self, record):
         """Applies the next ``Record``; raises ``SequenceError`` when it is not the next."""
         if record.sequence != self.sequence + 1:
@@ -98,6 +121,7 @@
         else:
             account.set_contract(contract)
         self.removed_versions.pop(contract.account, None)
+        self._touch_account(contract.account)
         wanted = set(account.reservation_keys())
         for reservation in list(account.reservations.values()):
             if reservation.key not in wanted:
@@ -116,6 +140,8 @@
         if account is None:
             return
         self.removed_versions[event.account] = account.version
+        self.estimates.forget(event.account)
+        self._touch_account(event.account)
         for reservation in list(account.reservations.values()):
             self._drop_reservation(account, reservation)
 
@@ -125,15 +151,19 @@
             return
         if reservation.job is None:
             self._count_reserved(reservation, -1)
+        self._commit(reservation.workers, reservation.shape.member, -1)
         reservation.workers = tuple(event.workers)
+        self._commit(reservation.workers, reservation.shape.member, 1)
         if reservation.job is None:
             self._count_reserved(reservation, 1)
+        self._touch_account(reservation.key.account)
 
     def _add_reservation(self, account, reservation):
         self.reservations[reservation.key] = reservation
         account.reservations[(reservation.key.guarantee, reservation.key.index)] = reservation
 
     def _drop_reservation(self, account, reservation):
+        self._commit(reservation.workers, reservation.shape.member, -1)
         if reservation.job is None:
             self._count_reserved(reservation, -1)
         else:
@@ -141,6 +171,7 @@
             job = self.jobs[reservation.job]
             job.reservation = None
             self._count_burst(account, job, 1)
+            self._commit_burst(job, 1)
         del self.reservations[reservation.key]
         del account.reservations[(reservation.key.guarantee, reservation.key.index)]
 
@@ -149,8 +180,28 @@
         for worker_id in reservation.workers:
             worker = self.workers.get(worker_id)
             if worker is not None:
+                self._touch_worker(worker_id)
                 worker.reserved = worker.reserved + member if sign > 0 else worker.reserved - member
 
+    def _commit(self, workers, amount, sign):
+        for worker_id in workers:
+            total = self.committed.get(worker_id, NO_RESOURCES)
+            self.committed[worker_id] = total + amount if sign > 0 else total - amount
+            self._touch_worker(worker_id)
+
+    def _commit_burst(self, job, sign):
+        if job.burst and not job.preemptible:
+            workers = [job.members[rank].worker_id for rank in job.open_members]
+            self._commit(workers, job.shape.member, sign)
+
+    def _touch_worker(self, worker_id):
+        if self._changes is not None:
+            self._changes.workers.add(worker_id)
+
+    def _touch_account(self, name):
+        if self._changes is not None:
+            self._changes.accounts.add(name)
+
     def _count_burst(self, account, job, sign):
         account.burst_accelerators += sign * job.shape.accelerators
         account.burst_cpu_millis += sign * job.shape.total.cpu_millis
@@ -159,6 +210,7 @@
 
     def _apply_worker_registered(self, event, time_us):
         worker = Worker.from_message(event.worker)
+        self._touch_worker(worker.id)
         known = self.workers.get(worker.id)
         if known is None:
             self.workers[worker.id] = worker
@@ -175,6 +227,7 @@
         if event.retry_at_us and event.retry_at_us != worker.retry_at_us:
             worker.quarantines += 1
             worker.failures = []
+        self._touch_worker(worker.id)
         worker.state = event.state
         worker.cause = event.cause
         worker.retry_at_us = event.retry_at_us
@@ -189,6 +242,7 @@
         job.decided_sequence = self.sequence + 1
         self.jobs[job.key] = job
         account.queued[job.key] = job
+        self._touch_account(account.name)
 
     def _apply_job_placed(self, event, time_us):
         job = self.job(event.job)
@@ -205,6 +259,8 @@
         job.members = [Member(worker_id) for worker_id in event.workers]
         for rank, worker_id in enumerate(event.workers):
             self.workers[worker_id].add_member((job.key, job.attempt, rank), job.shape.member)
+            self._touch_worker(worker_id)
+        self._touch_account(account.name)
         if event.HasField("reservation"):
             reservation = self.reservations[ReservationKey.from_message(event.reservation)]
             self._count_reserved(reservation, -1)
@@ -212,6 +268,7 @@
             job.reservation = reservation.key
         else:
             self._count_burst(account, job, 1)
+            self._commit_burst(job, 1)
 
     def _apply_job_released(self, event, time_us):
         job = self.job(event.job)
@@ -240,9 +297,12 @@
         member.ended = True
         member.outcome = event.outcome
         job.saved_seconds = max(job.saved_seconds, event.saved_seconds)
+        if job.burst and not job.preemptible:
+            self._commit((member.worker_id,), job.shape.member, -1)
         worker = self.workers.get(member.worker_id)
         if worker is None:
             return
+        self._touch_worker(worker.id)
         worker.remove_member((job.key, job.attempt, event.rank))
         if event.outcome == MEMBER_FAILED:
             worker.failures.append(
@@ -267,6 +327,7 @@
         job.released_us = 0
         job.decided_sequence = self.sequence + 1
         account.queued[job.key] = job
+        self._touch_account(account.name)
 
     def _apply_job_ended(self, event, time_us):
         job = self.job(event.job)
@@ -277,6 +338,7 @@
         if event.outcome == JOB_COMPLETED:
             seconds = (time_us - job.released_us) / 1e6 + job.saved_seconds
             self.estimates.observe(job.key.account, job.spec.kind, seconds)
+        self._touch_account(job.key.account)
         job.state = JOB_STATE_ENDED
         job.outcome = event.outcome
         job.ran = event.ran
@@ -291,6 +353,8 @@
             worker = self.workers.get(member.worker_id)
             if worker is not None:
                 worker.remove_member((job.key, job.attempt, rank))
+                self._touch_worker(worker.id)
+        self._commit_burst(job, -1)
         account.active.pop(job.key, None)
         self.active.pop(job.key, None)
         if job.reservation is None:
@@ -398,6 +462,7 @@
                 worker.add_member((job.key, job.attempt, rank), job.shape.member)
         if job.reservation is None:
             self._count_burst(account, job, 1)
+            self._commit_burst(job, 1)
         else:
             reservation = self.reservations[job.reservation]
             self._count_reserved(reservation, -1)
--- a/packages/core/src/ibiscart_core/lifecycle.py
+++ b/packages/core/src/ibiscart_core/lifecycle.py
@@ -24,7 +24,9 @@
 )
 from ibiscart_schema.generated.types_pb2 import RAN_MAYBE, RAN_NO, RAN_YES
 
-__all__ = ["Lifecycle"]
+__all__ = ["DEFAULT_ATTEMPTS", "Lifecycle"]
+
+DEFAULT_ATTEMPTS = 3
 
 STOP_REASONS = {
     STOP_CANCELLED: "cancelled",
@@ -42,7 +44,7 @@
 class Lifecycle:
     """Emits the events of job transitions into a ``Batch``."""
 
-    def __init__(self, batch, attempts):
+    def __init__(self, batch, attempts=DEFAULT_ATTEMPTS):
         self._batch = batch
         self._attempts = attempts
 
--- /dev/null
+++ b/packages/core/src/ibiscart_core/policies/victim.py
@@ -0,0 +1,136 @@
+"""
+ibiscart_core.policies.victim
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Chooses the burst work to preempt, so that the least work is lost.
+"""
+
+from ibiscart_core.resource import Resources
+from ibiscart_schema.generated.journal_pb2 import JOB_STATE_PLACED, JOB_STATE_RUNNING
+
+__all__ = ["choose_victims", "lost_work", "shortage"]
+
+# a worker of 128 cores has 8 accelerators, so 16 cores weigh as much as one accelerator
+CPU_MILLIS_PER_ACCELERATOR = 16_000
+# the exact search ends here and the best set found so far is taken
+SEARCH_STEPS = 2_000
+
+
+def lost_work(job, now_us):
+    """Returns the work lost when the job is preempted, in accelerator seconds.
+
+    A checkpoint is taken at preemption at the earliest, so all run time of the attempt
+    counts as lost.
+    """
+    if not job.released:
+        return 0.0
+    total = job.shape.total
+    weight = total.accelerators + total.cpu_millis / CPU_MILLIS_PER_ACCELERATOR
+    return max(0, now_us - job.released_us) / 1e6 * weight
+
+
+def shortage(ledger, workers, member):
+    """Returns what is missing on each worker for one ``member`` per entry of ``workers``.
+
+    Places of work that is already stopping count as free. Maps worker ids to the missing
+    ``Resources``; workers with enough are left out.
+    """
+    missing = {}
+    for worker_id in dict.fromkeys(workers):
+        worker = ledger.workers[worker_id]
+        free = worker.free
+        for (key, _, _), amount in worker.members.items():
+            if ledger.jobs[key].state not in (JOB_STATE_PLACED, JOB_STATE_RUNNING):
+                free = free + amount
+        need = member.scaled(workers.count(worker_id))
+        if not free.covers(need):
+            missing[worker_id] = need - free
+    return missing
+
+
+def choose_victims(ledger, missing, now_us):
+    """Returns (lost work, jobs) that free ``missing`` on each worker, or None.
+
+    ``missing`` maps worker ids to ``Resources``. Only preemptible jobs are chosen, and none
+    that is not needed.
+    """
+    freed = {}
+    for worker_id in missing:
+        for (key, _, _), amount in ledger.workers[worker_id].members.items():
+            job = ledger.jobs[key]
+            if job.preemptible and job.state in (JOB_STATE_PLACED, JOB_STATE_RUNNING):
+                places = freed.setdefault(key, {})
+                places[worker_id] = places.get(worker_id, Resources()) + amount
+    jobs = [ledger.jobs[key] for key in freed]
+    # among equal losses, the job that was started again least often
+    jobs.sort(key=lambda j: (lost_work(j, now_us), j.attempt, j.key.sort_key()))
+    items = [(lost_work(job, now_us), job, freed[job.key]) for job in jobs]
+    return _Search(items, missing).run()
+
+
+class _Search:
+    """Branch and bound over the victims in the order of their loss."""
+
+    def __init__(self, items, missing):
+        self._items = items
+        self._missing = missing
+        self._best = None
+        self._steps = 0
+
+    def run(self):
+        greedy = self._greedy()
+        if greedy is None:
+            return None
+        self._best = greedy
+        self._visit(0, 0.0, [], self._missing)
+        loss, chosen = self._best
+        return loss, [job for _, job, _ in chosen]
+
+    def _greedy(self):
+        missing, chosen = self._missing, []
+        for item in self._items:
+            left = _subtract(missing, item[2])
+            if left != missing:
+                chosen.append(item)
+                missing = left
+            if not missing:
+                break
+        if missing:
+            return None
+        for item in sorted(chosen, key=lambda i: -i[0]):
+            others = [other for other in chosen if other is not item]
+            if not self._left(others):
+                chosen = others
+        return sum(item[0] for item in chosen), chosen
+
+    def _left(self, items):
+        missing = self._missing
+        for item in items:
+            missing = _subtract(missing, item[2])
+        return missing
+
+    def _visit(self, index, loss, chosen, missing):
+        self._steps += 1
+        if not missing:
+            if (loss, len(chosen)) < (self._best[0], len(self._best[1])):
+                self._best = (loss, chosen)
+            return
+        if index == len(self._items) or self._steps > SEARCH_STEPS:
+            return
+        item = self._items[index]
+        if (loss + item[0], len(chosen) + 1) >= (self._best[0], len(self._best[1])):
+            # later items lose at least as much
+            return
+        left = _subtract(missing, item[2])
+        if left != missing:
+            self._visit(index + 1, loss + item[0], [*chosen, item], left)
+        self._visit(index + 1, loss, chosen, missing)
+
+
+def _subtract(missing, freed):
+    left = {}
+    for worker_id, amount in missing.items():
+        rest = amount - freed[worker_id] if worker_id in freed else amount
+        if rest.accelerators > 0 or rest.cpu_millis > 0 or rest.memory_mb > 0:
+            left[worker_id] = rest
+    return left
--- a/packages/core/src/ibiscart_core/scheduler.py
+++ b/packages/core/src/ibiscart_core/scheduler.py
@@ -9,7 +9,7 @@
 from ibiscart_core.error import ErrorKind, IbiscartError
 from ibiscart_core.health import quarantine_seconds, should_quarantine
 from ibiscart_core.job import JobKey
-from ibiscart_core.lifecycle import Lifecycle
+from ibiscart_core.lifecycle import DEFAULT_ATTEMPTS, Lifecycle
 from ibiscart_core.packing import plan_reservations
 from ibiscart_core.policy import Batch
 from ibiscart_core.shape import Shape
@@ -24,8 +24,6 @@
 
 __all__ = ["Scheduler"]
 
-DEFAULT_ATTEMPTS = 3
-
 
 class Scheduler:
     """Decides one batch of commands on a ledger.
--- /dev/null
+++ b/tests/core/test_adaptive.py
@@ -0,0 +1,75 @@
+"""Guards the adaptive policy against broken guarantees, starvation and needless preemption."""
+
+import unittest
+
+from ibiscart_schema.generated.journal_pb2 import (
+    JOB_STATE_PLACED,
+    JOB_STATE_QUEUED,
+    JOB_STATE_RUNNING,
+    JOB_STATE_STOPPING,
+)
+from ibiscart_schema.generated.types_pb2 import SCOPE_WORKER
+from tests.core.world import World, put_contract, register, shape, submit
+
+
+class ClaimTest(unittest.TestCase):
+    def test_a_claim_uses_its_free_reservation(self):
+        """A guaranteed job must start at once on its reserved places."""
+        world = World()
+        world.send(register(1, 2), put_contract("perth", 0, [("train", shape(8, 2), 1)]))
+        world.send(submit("perth", "a", shape(8, 2)))
+        job = world.job("perth", "a")
+        self.assertEqual(job.state, JOB_STATE_PLACED)
+        self.assertIsNotNone(job.reservation)
+        self.assertEqual(world.events_of("reservation_set"), [])
+
+    def test_a_claim_moves_its_reservation_before_it_preempts(self):
+        """Burst work on reserved places must survive while an equal set is free elsewhere."""
+        world = World()
+        world.send(register(1, 2), put_contract("perth", 0, [("train", shape(1, 8), 1)]))
+        world.send(put_contract("leith", 0))
+        reserved = world.working.reservations
+        place = next(iter(reserved.values())).workers[0]
+        other = next(w for w in world.working.workers if w != place)
+        world.send(submit("leith", "first", shape(1, 8, scope=SCOPE_WORKER)))
+        self.assertEqual(world.job("leith", "first").members[0].worker_id, other)
+        world.send(submit("leith", "second", shape(1, 8, scope=SCOPE_WORKER)))
+        world.start_and_stop()
+        self.assertEqual(world.job("leith", "second").members[0].worker_id, place)
+        world.finish(world.job("leith", "first"))
+        world.send(submit("perth", "a", shape(1, 8)))
+        self.assertEqual(world.job("leith", "second").state, JOB_STATE_RUNNING)
+        self.assertEqual(world.job("perth", "a").members[0].worker_id, other)
+
+    def test_a_claim_preempts_the_work_that_loses_least(self):
+        """Preemption must stop exactly the work in the way, and the least of it."""
+        world = World()
+        world.send(register(1, 1), put_contract("perth", 0, [("train", shape(1, 4), 1)]))
+        world.send(put_contract("leith", 0))
+        world.send(submit("leith", "old", shape(1, 4)))
+        world.start_and_stop()
+        world.send(submit("leith", "new", shape(1, 4)), seconds=100)
+        world.start_and_stop()
+        world.send(submit("perth", "a", shape(1, 4)), seconds=100)
+        self.assertEqual(world.job("leith", "old").state, JOB_STATE_RUNNING)
+        self.assertEqual(world.job("leith", "new").state, JOB_STATE_STOPPING)
+        self.assertEqual(world.job("perth", "a").state, JOB_STATE_PLACED)
+        world.start_and_stop()
+        self.assertEqual(world.job("perth", "a").state, JOB_STATE_RUNNING)
+        self.assertEqual(world.job("leith", "new").state, JOB_STATE_QUEUED)
+
+    def test_work_that_may_not_be_preempted_stays_off_reservations(self):
+        """A non-repeatable burst job on reserved places would block the guarantee (P1)."""
+        world = World()
+        world.send(register(1, 1), put_contract("perth", 0, [("train", shape(1, 4), 1)]))
+        world.send(put_contract("leith", 0))
+        world.send(submit("leith", "big", shape(1, 5), repeatable=False))
+        world.send(submit("leith", "small", shape(1, 4), repeatable=False))
+        self.assertEqual(world.job("leith", "big").state, JOB_STATE_QUEUED)
+        self.assertEqual(world.job("leith", "small").state, JOB_STATE_PLACED)
+        world.send(submit("perth", "a", shape(1, 4)))
+        self.assertEqual(world.job("perth", "a").state, JOB_STATE_PLACED)
+
+
+if __name__ == "__main__":
+    unittest.main()
