--- /dev/null
+++ b/packages/core/src/ibiscart_core/audits/target.py
@@ -0,0 +1,89 @@
+"""
+ibiscart_core.audits.target
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Checks what targets were given: once-only work (P5) and work on leaving targets (P6).
+"""
+
+from ibiscart_core.audits.check import Check
+from ibiscart_schema.generated.types_pb2 import TARGET_LEAVING, TARGET_LIVE
+
+__all__ = ["TargetCheck"]
+
+LEAVING_BOUND_US = 5 * 1_000_000
+
+
+class TargetCheck(Check):
+    """P5 and P6."""
+
+    def __init__(self):
+        super().__init__()
+        self._once = set()
+        self._starts = {}
+        self._left = {}
+
+    def on_event(self, event):
+        """Counts starts and compares them with signs of leaving."""
+        kind = event.WhichOneof("kind")
+        if kind == "caller_request" and not event.caller_request.repeatable:
+            request = event.caller_request
+            self._once.add((request.account, request.request_id))
+        elif kind == "target_left":
+            self._left.setdefault(event.target_left.target_id, event)
+        elif kind == "target_action":
+            self._action(event)
+
+    def on_record(self, record, event):
+        """Notes once-only jobs and workers that leave or return."""
+        for item in record.events:
+            kind = item.WhichOneof("kind")
+            if kind == "job_submitted" and not item.job_submitted.spec.repeatable:
+                spec = item.job_submitted.spec
+                self._once.add((spec.account, spec.request_id))
+            elif kind == "worker_state_changed":
+                change = item.worker_state_changed
+                if change.state == TARGET_LEAVING:
+                    self._left.setdefault(change.worker_id, event)
+                elif change.state == TARGET_LIVE:
+                    self._left.pop(change.worker_id, None)
+
+    def finish(self, time_us):
+        """Reports once-only work that was started more than once."""
+        for key in sorted(self._once):
+            starts = self._starts.get(key, {})
+            if len(starts) > 1:
+                events = list(starts.values())
+                self.report(
+                    "P5",
+                    events[1].time_us,
+                    f"{key[0]}/{key[1]} may run once and was started {len(starts)} times",
+                    *events,
+                )
+
+    def _action(self, event):
+        action = event.target_action
+        key = (action.account, action.request_id)
+        starts = self._starts.setdefault(key, {})
+        if action.action == "request_started":
+            starts[len(starts)] = event
+        elif action.action == "released":
+            # one start for each attempt, however many members it has, and one more
+            # for each further worker that runs the same rank
+            starts.setdefault((action.attempt, 0, ""), event)
+            first = starts.setdefault((action.attempt, action.rank, "rank"), event)
+            if first.target_action.target_id != action.target_id:
+                starts[(action.attempt, action.rank, action.target_id)] = event
+        if action.action in ("started", "request_started"):
+            self._check_left(event)
+
+    def _check_left(self, event):
+        left = self._left.get(event.target_action.target_id)
+        if left is not None and event.time_us - left.time_us > LEAVING_BOUND_US:
+            self.report(
+                "P6",
+                event.time_us,
+                f"{event.target_action.target_id} got new work "
+                f"{(event.time_us - left.time_us) / 1e6:.3f} s after its first leaving sign",
+                left,
+                event,
+            )
