--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -11,9 +11,9 @@
 
 import h11
 import trio
-from google.protobuf.json_format import MessageToDict
 
 from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_schema.check import to_mapping
 
 __all__ = ["HttpServer", "Request", "Response", "error_response"]
 
@@ -56,17 +56,13 @@
         return cls(status, json.dumps(value).encode() + b"\n", headers=headers)
 
 
-def error_response(error):
-    """Returns the ``Response`` for an ``IbiscartError``."""
-    body = MessageToDict(
-        error.to_message(),
-        preserving_proto_field_name=True,
-        always_print_fields_with_no_presence=True,
-    )
+def error_response(error, **fields):
+    """Returns the ``Response`` for an ``IbiscartError``; ``fields`` go next to the error."""
     headers = []
     if error.answer.retry_after:
         headers.append(("retry-after", str(max(1, round(error.answer.retry_after)))))
-    return Response.from_json(error.answer.status, {"error": body}, headers)
+    body = {**fields, "error": to_mapping(error.to_message())}
+    return Response.from_json(error.answer.status, body, headers)
 
 
 class HttpServer:
--- a/packages/schema/src/ibiscart_schema/check.py
+++ b/packages/schema/src/ibiscart_schema/check.py
@@ -69,8 +69,8 @@
     """A document with at least one problem; ``problems`` holds all of them in order."""
 
     def __init__(self, problems):
-        super().__init__("\n".join(map(str, problems)))
-        self.problems = tuple(problems)
+        self.problems = tuple(sorted(problems, key=lambda problem: problem.line or math.inf))
+        super().__init__("\n".join(map(str, self.problems)))
 
 
 class _Node:
@@ -109,8 +109,12 @@
     return _check_root(root, message_type)
 
 
-def check_json(text, message_type):
-    """Returns a ``message_type`` built from JSON text or bytes; raises ``CheckError``."""
+def check_json(text, message_type, fixed=None):
+    """Returns a ``message_type`` built from JSON text or bytes; raises ``CheckError``.
+
+    ``fixed`` maps names of text fields to values known from elsewhere; a document may
+    leave them out or repeat them.
+    """
     try:
         if isinstance(text, bytes):
             text = text.decode()
@@ -125,7 +129,7 @@
         raise CheckError([Problem(0, "", "", "JSON", "a number has too many digits")]) from None
     except RecursionError:
         raise CheckError([_too_deep(0)]) from None
-    return _check_root(_from_json(pairs, 0), message_type)
+    return _check_root(_from_json(pairs, 0), message_type, fixed)
 
 
 def check_mapping(mapping, message_type):
@@ -186,8 +190,10 @@
     return _Node("scalar", value, 0)
 
 
-def _check_root(root, message_type):
+def _check_root(root, message_type, fixed=None):
     checker = _Checker()
+    if fixed and root.kind == "mapping":
+        checker.fix(root, fixed)
     message = message_type()
     checker.fill(message, root, "")
     if checker.problems:
@@ -211,6 +217,16 @@
             advice = f"more than {PROBLEMS_KEPT} problems; mend these first"
             self.problems.append(Problem(0, "", "", "", advice))
 
+    def fix(self, root, fixed):
+        """Adds the fixed fields to the root, or checks that it repeats their values."""
+        given = {name: value for name, _, value in root.value}
+        for name, value in fixed.items():
+            if name not in given:
+                root.value.append((name, root.line, _Node("scalar", value, root.line)))
+            elif given[name].value != value:
+                node = given[name]
+                self.add(node.line, name, node.show(), value, "give this value or leave it out")
+
     def fill(self, message, node, path):
         """Fills ``message`` from a mapping node."""
         if node.kind != "mapping":
