--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/peer.py
@@ -0,0 +1,366 @@
+"""
+ibiscart_entry.peer
+~~~~~~~~~~~~~~~~~~~
+
+Calls and heartbeats among entries, and which of them are live.
+"""
+
+import hmac
+import logging
+
+import trio
+from google.protobuf.message import DecodeError
+
+from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_core.rank import first, ranked
+from ibiscart_entry.client import HttpClient, TransportError
+from ibiscart_entry.server import Response
+from ibiscart_entry.sign import TargetSigns
+from ibiscart_schema.generated.peer_pb2 import ErrorBody, Heartbeat
+
+__all__ = ["PeerError", "Peers"]
+
+LOG = logging.getLogger("ibiscart.peer")
+PATH_PREFIX = "/peer/"
+CONTENT_TYPE = "application/x-protobuf"
+ERROR_CONTENT_TYPE = "application/x-protobuf-error"
+HEARTBEAT_TIMEOUT_SECONDS = 1.0
+# outgoing messages kept for a peer that answers slowly; a dropped push is read from the store
+BROADCASTS_KEPT = 256
+PEERS_KEPT = 64
+HEARD_KEPT = 256
+PUSH = "push"
+
+
+class PeerError(Exception):
+    """A call to a peer without a valid answer.
+
+    ``sent`` is False only when no byte of it can have reached the peer.
+    """
+
+    def __init__(self, reason, sent):
+        super().__init__(f"{reason} (sent={sent})")
+        self.reason = reason
+        self.sent = sent
+
+
+class _Peer:
+    """What this entry knows and sends to one peer."""
+
+    def __init__(self, entry_id, address, client):
+        self.id = entry_id
+        self.address = address
+        self.client = client
+        self.heard = None
+        self.leaving = False
+        self.sequence = 0
+        self.share_epoch = 0
+        self.told = None
+        self.pushed = None
+        self.send, self.receive = trio.open_memory_channel(BROADCASTS_KEPT)
+        self.scope = trio.CancelScope()
+
+
+class Peers:
+    """Other entries by id, from the membership list.
+
+    ``membership`` gives the entries, ``settings`` is a ``PeerSettings`` message and
+    ``connect`` maps an address to a client. The owner sets ``position``, a function that
+    returns (applied sequence, share epoch). ``on_heartbeat`` holds functions that are
+    called with (peer id, sequence) after each heartbeat.
+    """
+
+    def __init__(
+        self,
+        entry_id,
+        region,
+        membership,
+        settings,
+        metrics,
+        *,
+        key=None,
+        signs=None,
+        connect=HttpClient,
+        clock=trio.current_time,
+    ):
+        self._id = entry_id
+        self._region = region
+        self._membership = membership
+        self._metrics = metrics
+        self._key = settings.key if key is None else key
+        self._heartbeat_seconds = settings.heartbeat_seconds
+        self._silence_seconds = settings.silence_seconds
+        self._connect = connect
+        self._clock = clock
+        self._peers = {}
+        self._heard = {}
+        self._routes = {}
+        self._leaving = False
+        self._started = clock()
+        self._nursery = None
+        self.signs = TargetSigns() if signs is None else signs
+        self.position = lambda: (0, 0)
+        self.on_heartbeat = []
+        self.route("heartbeat", Heartbeat, self._take_heartbeat)
+
+    @property
+    def entry_id(self):
+        """Id of this entry."""
+        return self._id
+
+    @property
+    def leaving(self):
+        """Whether this entry is leaving."""
+        return self._leaving
+
+    def set_leaving(self):
+        """Marks this entry as leaving; the next heartbeats say so."""
+        self._leaving = True
+
+    def live(self):
+        """Returns the sorted ids of the entries heard from lately, including this one."""
+        now = self._clock()
+        ids = [peer.id for peer in self._peers.values() if self._is_live(peer, now)]
+        return sorted([self._id, *ids])
+
+    def candidates(self):
+        """Returns live entries that are not leaving, or all live ones if all are leaving."""
+        now = self._clock()
+        ids = [
+            peer.id
+            for peer in self._peers.values()
+            if self._is_live(peer, now) and not self._is_leaving(peer)
+        ]
+        if not self._leaving or not ids:
+            ids.append(self._id)
+        return sorted(ids)
+
+    def writers(self):
+        """Returns the candidates in the order of preference for writing the journal."""
+        return ranked(self._region, self.candidates())
+
+    def preferred_writer(self):
+        """Returns the id of the entry that should append to the journal."""
+        return first(self._region, self.candidates())
+
+    def owner_of(self, key):
+        """Returns the id of the entry that is responsible for ``key``."""
+        return first(key, self.candidates())
+
+    def silence(self, entry_id):
+        """Returns the seconds since a peer was heard, or since the start if it never was."""
+        if entry_id == self._id:
+            return 0.0
+        return self._clock() - self._heard.get(entry_id, self._started)
+
+    def sequence_of(self, entry_id):
+        """Returns the journal sequence that a peer last told."""
+        peer = self._peers.get(entry_id)
+        return peer.sequence if peer is not None else 0
+
+    def take_sequence(self, entry_id, sequence):
+        """Notes the journal sequence that a peer's message showed."""
+        peer = self._peers.get(entry_id)
+        if peer is not None:
+            peer.sequence = max(peer.sequence, sequence)
+
+    def route(self, path, message_type, handler):
+        """Serves ``path`` by ``handler``, an async function (sender id, message) -> message."""
+        self._routes[path] = (message_type, handler)
+
+    async def handle(self, request):
+        """Answers a request on the peers' interface."""
+        given = request.headers.get("authorization", "").removeprefix("Bearer ")
+        if not self._key or not hmac.compare_digest(given.encode(), self._key.encode()):
+            return _error(IbiscartError(ErrorKind.UNAUTHORIZED, "the peer key does not match"))
+        route = self._routes.get(request.path.removeprefix(PATH_PREFIX))
+        if route is None or request.method != "POST":
+            return _error(IbiscartError(ErrorKind.NOT_FOUND, "no such path"))
+        sender = request.headers.get("x-entry-id", "")
+        message_type, handler = route
+        try:
+            message = message_type.FromString(request.body)
+        except DecodeError:
+            return _error(IbiscartError(ErrorKind.BAD_REQUEST, "malformed message"))
+        self._hear(sender)
+        try:
+            reply = await handler(sender, message)
+        except IbiscartError as error:
+            return _error(error)
+        return Response(200, reply.SerializeToString(), CONTENT_TYPE)
+
+    async def call(self, entry_id, path, message, reply_type, timeout):
+        """Sends a message and returns the reply; ``timeout`` is in seconds.
+
+        Raises ``PeerError`` without a valid answer, and the ``IbiscartError`` that the
+        peer answered.
+        """
+        peer = self._peers.get(entry_id)
+        if peer is None:
+            raise self._failed("unknown_peer", False)
+        body = message.SerializeToString()
+        self._metrics.count("peer_messages", path)
+        self._metrics.count("bytes_sent", "peers", len(body))
+        headers = [
+            ("authorization", f"Bearer {self._key}"),
+            ("content-type", CONTENT_TYPE),
+            ("x-entry-id", self._id),
+        ]
+        try:
+            response = await peer.client.request(
+                "POST", PATH_PREFIX + path, body=body, headers=headers, timeout=timeout
+            )
+        except TransportError as error:
+            raise self._failed(error.reason, error.sent) from None
+        self._hear(entry_id)
+        return self._parse(response, reply_type)
+
+    def broadcast(self, path, message):
+        """Sends a message to every live peer in the background; does not block."""
+        now = self._clock()
+        for peer in self._peers.values():
+            if self._is_live(peer, now):
+                try:
+                    peer.send.send_nowait((path, message, self.position()))
+                except trio.WouldBlock:
+                    self._metrics.count("dropped", "broadcast")
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Sends heartbeats and broadcasts until cancelled."""
+        self._started = self._clock()
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._refresh()
+            task_status.started()
+            while True:
+                with trio.move_on_after(self._heartbeat_seconds):
+                    await self._membership.wait_changed()
+                self._refresh()
+
+    def _refresh(self):
+        wanted = {
+            m.id: m.peer_address for m in self._membership.entries()[:PEERS_KEPT] if m.peer_address
+        }
+        wanted.pop(self._id, None)
+        for peer in list(self._peers.values()):
+            if wanted.get(peer.id) != peer.address and not self._keep(peer, wanted):
+                peer.scope.cancel()
+                del self._peers[peer.id]
+                self.signs.forget_peer(peer.id)
+        for entry_id, address in wanted.items():
+            if entry_id not in self._peers:
+                peer = _Peer(entry_id, address, self._connect(address))
+                self._peers[entry_id] = peer
+                self._nursery.start_soon(self._serve_peer, peer)
+
+    def _keep(self, peer, wanted):
+        # a peer that still sends heartbeats is kept when the list has lost it
+        return peer.id not in wanted and self._is_live(peer, self._clock())
+
+    async def _serve_peer(self, peer):
+        with peer.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_heartbeats, peer)
+                nursery.start_soon(self._send_broadcasts, peer)
+
+    async def _send_heartbeats(self, peer):
+        while True:
+            start = self._clock()
+            if not self._covered(peer):
+                await self._send_heartbeat(peer)
+            await trio.sleep(max(0.0, start + self._heartbeat_seconds - self._clock()))
+
+    def _covered(self, peer):
+        """Whether a record push since the last heartbeat told the peer the same."""
+        now = self._clock()
+        return (
+            peer.pushed is not None
+            and now - peer.pushed[0] < self._heartbeat_seconds
+            and peer.pushed[1] == self.position()
+            and peer.told == self._leaving
+            and not self.signs.has_new(peer.id)
+        )
+
+    async def _send_heartbeat(self, peer):
+        sequence, epoch = self.position()
+        signs = self.signs.take_new(peer.id)
+        leaving = self._leaving
+        message = Heartbeat(
+            entry_id=self._id, sequence=sequence, leaving=leaving, share_epoch=epoch, signs=signs
+        )
+        timeout = min(HEARTBEAT_TIMEOUT_SECONDS, self._silence_seconds)
+        try:
+            reply = await self.call(peer.id, "heartbeat", message, Heartbeat, timeout)
+        except (PeerError, IbiscartError) as error:
+            self.signs.put_back(peer.id, signs)
+            LOG.debug("peer: A heartbeat failed.", extra={"peer": peer.id, "cause": str(error)})
+            return
+        peer.told = leaving
+        self._take_position(peer.id, reply)
+
+    async def _send_broadcasts(self, peer):
+        async for path, message, position in peer.receive:
+            try:
+                await self.call(peer.id, path, message, Heartbeat, HEARTBEAT_TIMEOUT_SECONDS)
+            except (PeerError, IbiscartError) as error:
+                LOG.info("peer: A push failed.", extra={"peer": peer.id, "cause": str(error)})
+                continue
+            if path == PUSH:
+                peer.pushed = (self._clock(), position)
+
+    async def _take_heartbeat(self, sender, message):
+        self.signs.merge(message.signs)
+        self._take_position(message.entry_id, message)
+        sequence, epoch = self.position()
+        return Heartbeat(
+            entry_id=self._id, sequence=sequence, leaving=self._leaving, share_epoch=epoch
+        )
+
+    def _take_position(self, entry_id, message):
+        peer = self._peers.get(entry_id)
+        if peer is None:
+            return
+        peer.leaving = message.leaving
+        peer.sequence = max(peer.sequence, message.sequence)
+        peer.share_epoch = max(peer.share_epoch, message.share_epoch)
+        for function in self.on_heartbeat:
+            function(entry_id, message.sequence)
+
+    def _hear(self, entry_id):
+        peer = self._peers.get(entry_id)
+        if peer is not None:
+            peer.heard = self._clock()
+            # kept apart from the peer, because share grants need it after the peer is gone
+            self._heard.pop(entry_id, None)
+            self._heard[entry_id] = peer.heard
+            if len(self._heard) > HEARD_KEPT:
+                del self._heard[next(iter(self._heard))]
+
+    def _is_live(self, peer, now):
+        return peer.heard is not None and now - peer.heard < self._silence_seconds
+
+    def _is_leaving(self, peer):
+        if peer.leaving:
+            return True
+        machine = self._membership.machines.get(peer.id)
+        return machine is not None and machine.leaving
+
+    def _parse(self, response, reply_type):
+        content_type = response.headers.get("content-type", "")
+        try:
+            if content_type == ERROR_CONTENT_TYPE:
+                raise IbiscartError.from_message(ErrorBody.FromString(response.body))
+            if response.status == 200 and content_type == CONTENT_TYPE:
+                return reply_type.FromString(response.body)
+        except (DecodeError, ValueError):
+            raise self._failed("malformed", True) from None
+        raise self._failed(f"status_{response.status}", True)
+
+    def _failed(self, reason, sent):
+        self._metrics.count("peer_errors", reason)
+        return PeerError(reason, sent)
+
+
+def _error(error):
+    body = error.to_message().SerializeToString()
+    return Response(error.answer.status, body, ERROR_CONTENT_TYPE)
--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/table.py
@@ -0,0 +1,64 @@
+"""
+ibiscart_entry.table
+~~~~~~~~~~~~~~~~~~~~
+
+Base of the clients of the transactional table service.
+"""
+
+from abc import ABC, abstractmethod
+
+__all__ = ["Row", "StoreError", "Table", "TableConflict"]
+
+
+class StoreError(Exception):
+    """An operation on the table service or object store without a valid answer.
+
+    ``sent`` is False only when the operation cannot take effect, now or later.
+    """
+
+    def __init__(self, reason, sent):
+        super().__init__(f"{reason} (sent={sent})")
+        self.reason = reason
+        self.sent = sent
+
+
+class TableConflict(Exception):  # noqa: N818 - a result of the protocol, not a failure
+    """A transaction wrote nothing; ``rows`` are the present rows that did not match.
+
+    A row that was expected and is absent has version 0.
+    """
+
+    def __init__(self, rows):
+        super().__init__("rows did not match: " + ", ".join(row.key for row in rows))
+        self.rows = rows
+
+
+class Row:
+    """A row of the table; ``version`` changes with each write of the row."""
+
+    __slots__ = ("key", "value", "version")
+
+    def __init__(self, key, value, version):
+        self.key = key
+        self.value = value
+        self.version = version
+
+
+class Table(ABC):
+    """Rows by key. ``low`` marks work that waits while urgent work needs the store."""
+
+    @abstractmethod
+    async def get(self, key, *, low=False):
+        """Returns the ``Row``, or None when it is absent; raises ``StoreError``."""
+
+    @abstractmethod
+    async def scan(self, prefix, after="", limit=256, *, low=False):
+        """Returns up to ``limit`` rows with ``prefix`` and keys after ``after``, in key order."""
+
+    @abstractmethod
+    async def transact(self, writes, *, low=False):
+        """Applies all ``TableWrite`` messages or none; returns the rows with new versions.
+
+        Raises ``TableConflict`` when a row has another version than expected, and
+        ``StoreError`` when there is no valid answer.
+        """
--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/writer.py
@@ -0,0 +1,547 @@
+"""
+ibiscart_entry.writer
+~~~~~~~~~~~~~~~~~~~~~
+
+Collects commands, decides them in batches and appends the decisions, or forwards them.
+"""
+
+import logging
+import time
+
+import trio
+
+from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_core.ledger import Ledger
+from ibiscart_core.scheduler import Scheduler
+from ibiscart_entry.journal import AppendConflict, AppendLost
+from ibiscart_entry.peer import PeerError
+from ibiscart_entry.table import StoreError
+from ibiscart_schema.generated.peer_pb2 import Command, CommandBatch, Reply, ReplyBatch
+from ibiscart_schema.generated.types_pb2 import (
+    TARGET_LEAVING,
+    TARGET_LOST,
+    TARGET_QUARANTINED,
+    WorkerInfo,
+)
+
+__all__ = ["Writer"]
+
+LOG = logging.getLogger("ibiscart.writer")
+QUEUE_BOUND = 10_000
+BATCH_COMMANDS = 1000
+BATCH_BYTES = 512 * 1024
+TICK_SECONDS = 1.0
+# entries that are tried for one command before its caller is told to retry later
+ENTRIES_TRIED = 3
+LIVENESS_CHECK_SECONDS = 0.25
+# commands behind an append of unknown outcome go to other entries after this time
+BLOCKED_SECONDS = 1.0
+# a decision without events is answered only from a position confirmed this recently
+FRESH_SECONDS = 2.0
+CATCH_UP_SECONDS = 2.0
+SHARES_STABLE_SECONDS = 2.0
+SHARES_SILENCE_SECONDS = 10.0
+NOT_PROCESSED = frozenset(
+    kind.value for kind in (ErrorKind.STORE_UNAVAILABLE, ErrorKind.NOT_READY, ErrorKind.OVERLOADED)
+)
+
+
+class _Item:
+    """A command on its way to a reply.
+
+    ``in_append`` and ``forwarded`` say that the command may be in a record whose outcome
+    this entry does not know: its own, or that of a peer whose answer was lost.
+    """
+
+    __slots__ = (
+        "abandoned",
+        "command",
+        "deadline",
+        "error",
+        "event",
+        "forwarded",
+        "from_peer",
+        "in_append",
+        "queued",
+        "reply",
+        "tried",
+    )
+
+    def __init__(self, command, deadline, from_peer=False):
+        self.command = command
+        self.deadline = deadline
+        self.from_peer = from_peer
+        self.tried = set()
+        self.in_append = False
+        self.forwarded = False
+        self.abandoned = False
+        self.queued = 0.0
+        self.reply = None
+        self.error = None
+        self.event = trio.Event()
+
+    def settle(self, reply):
+        """Ends the wait with a reply."""
+        self.reply = reply
+        self.event.set()
+
+    def failure(self):
+        """Returns the error for a command without a reply, which says whether it may have run."""
+        if self.in_append or self.forwarded:
+            return IbiscartError(
+                ErrorKind.COMMIT_UNKNOWN, "the outcome is not known yet; send the same id again"
+            )
+        return self.error or IbiscartError(
+            ErrorKind.STORE_UNAVAILABLE, "no entry could append to the journal; retry later"
+        )
+
+
+class Writer:
+    """Turns commands into records, here or at the preferred writer.
+
+    ``policy`` is a ``Policy``, ``settings`` a ``SchedulerSettings`` message; ``membership``
+    is where workers appear and leave, or None.
+    """
+
+    def __init__(
+        self,
+        journal,
+        peers,
+        policy,
+        settings,
+        metrics,
+        *,
+        membership=None,
+        clock=trio.current_time,
+        wall=time.time,
+    ):
+        self._journal = journal
+        self._peers = peers
+        self._policy = policy
+        self._attempts = settings.attempts
+        self._batch_seconds = settings.batch_seconds
+        self._metrics = metrics
+        self._clock = clock
+        self._wall = wall
+        self._upkeep = _Upkeep(journal, peers, membership, clock)
+        self._working = None
+        self._dirty = False
+        self._pass_due = False
+        self._append_start = None
+        self._open = 0
+        self._local = []
+        self._arrived = trio.Event()
+        self._waiting = {}
+        self._nursery = None
+        peers.route("commands", CommandBatch, self._answer_batch)
+
+    @property
+    def open_commands(self):
+        """Number of commands of this entry's callers that wait for a reply."""
+        return self._open
+
+    async def submit(self, command, timeout):
+        """Returns the ``Reply`` to a ``Command``; ``timeout`` is in seconds.
+
+        Raises the ``IbiscartError`` that was decided, ``OVERLOADED`` when too many
+        commands wait, ``STORE_UNAVAILABLE`` when the command was not and will not be
+        appended, and ``COMMIT_UNKNOWN`` when that is not known.
+        """
+        if self._open >= QUEUE_BOUND:
+            raise _overloaded()
+        item = _Item(command, self._clock() + timeout)
+        self._open += 1
+        try:
+            self._dispatch(item)
+            with trio.move_on_after(timeout):
+                await item.event.wait()
+        finally:
+            item.abandoned = True
+            self._open -= 1
+        if item.reply is None:
+            raise item.failure()
+        if item.reply.HasField("error"):
+            raise IbiscartError.from_message(item.reply.error)
+        return item.reply
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Decides, appends and forwards until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._run_ticks)
+            nursery.start_soon(self._reroute_blocked)
+            task_status.started()
+            while True:
+                await self._commit(await self._collect())
+
+    # routing
+
+    def _dispatch(self, item):
+        """Gives the command to the most preferred entry that has not been tried."""
+        untried = [w for w in self._peers.writers() if w not in item.tried]
+        me = self._peers.entry_id
+        if me not in item.tried and len(item.tried) == ENTRIES_TRIED - 1 and me in untried:
+            untried = [me]
+        if not untried or len(item.tried) >= ENTRIES_TRIED or self._nursery is None:
+            item.error = item.error or _not_ready()
+            item.event.set()
+        elif untried[0] == me:
+            self._enqueue(item)
+        else:
+            self._enqueue_forward(untried[0], item)
+
+    def _enqueue(self, item):
+        item.queued = self._clock()
+        self._local.append(item)
+        self._arrived.set()
+
+    def _enqueue_forward(self, target, item):
+        if target in self._waiting:
+            self._waiting[target].append(item)
+            return
+        self._waiting[target] = [item]
+        self._nursery.start_soon(self._forward_all, target)
+
+    def _refuse(self, items, error):
+        for item in items:
+            item.in_append = False
+            item.error = error
+            item.tried.add(self._peers.entry_id)
+            if item.from_peer:
+                item.event.set()
+            elif not item.abandoned:
+                self._dispatch(item)
+
+    async def _forward_all(self, target):
+        """Forwards to one entry, one batch at a time, until no command waits for it."""
+        while True:
+            waiting = [item for item in self._waiting[target] if not item.abandoned]
+            batch, self._waiting[target] = _split(waiting)
+            if not batch:
+                del self._waiting[target]
+                return
+            await self._forward(target, batch)
+
+    async def _forward(self, target, items):
+        remaining = max(item.deadline for item in items) - self._clock()
+        message = CommandBatch(
+            entry_id=self._peers.entry_id,
+            commands=[item.command for item in items],
+            remaining_ms=max(1, int(remaining * 1000)),
+        )
+        unknown_before = [item.forwarded for item in items]
+        for item in items:
+            item.forwarded = True
+        answer, sent = await self._call_while_live(target, message, max(remaining, 0.001))
+        replies = answer.replies if answer is not None else ()
+        if len(replies) != len(items):
+            self._metrics.count("retries", "forward_unknown" if sent else "forward_unsent")
+            replies = [None] * len(items)
+        for item, reply, before in zip(items, replies, unknown_before, strict=True):
+            code = reply.error.code if reply is not None else ""
+            if reply is None:
+                item.forwarded = before or sent
+            elif code in NOT_PROCESSED:
+                item.forwarded = before
+                item.error = IbiscartError.from_message(reply.error)
+            elif code != ErrorKind.COMMIT_UNKNOWN.value:
+                item.settle(await self._corrected(item, reply, before))
+                continue
+            item.tried.add(target)
+            if not item.abandoned:
+                self._dispatch(item)
+
+    async def _call_while_live(self, target, message, timeout):
+        """Returns (answer or None, whether the peer may have decided the commands)."""
+        answer, sent = None, True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, target, nursery.cancel_scope)
+            try:
+                answer = await self._peers.call(target, "commands", message, ReplyBatch, timeout)
+            except PeerError as error:
+                sent = error.sent
+            except IbiscartError:
+                sent = False
+            nursery.cancel_scope.cancel()
+        if not sent:
+            LOG.info("writer: Commands were not taken by a peer.", extra={"peer": target})
+        return answer, sent
+
+    async def _watch(self, target, scope):
+        while target in self._peers.live():
+            await trio.sleep(LIVENESS_CHECK_SECONDS)
+        scope.cancel()
+
+    async def _answer_batch(self, sender, message):
+        """Decides a batch that a peer forwarded; never forwards it again."""
+        if not self._journal.ready or self._nursery is None:
+            raise _not_ready()
+        if len(self._local) + len(message.commands) > QUEUE_BOUND:
+            raise _overloaded()
+        timeout = message.remaining_ms / 1000
+        deadline = self._clock() + timeout
+        items = [_Item(command, deadline, from_peer=True) for command in message.commands]
+        try:
+            for item in items:
+                self._enqueue(item)
+            with trio.move_on_after(timeout):
+                for item in items:
+                    await item.event.wait()
+        finally:
+            for item in items:
+                item.abandoned = True
+        return ReplyBatch(
+            replies=[item.reply or Reply(error=item.failure().to_message()) for item in items]
+        )
+
+    async def _corrected(self, item, reply, unknown):
+        """Returns the true reply to a command that an earlier, lost answer may have decided.
+
+        A contract change that was applied and is decided again meets its own version.
+        """
+        kind = item.command.WhichOneof("kind")
+        if not unknown or kind not in ("put_contract", "remove_contract"):
+            return reply
+        if not reply.HasField("error"):
+            return reply
+        with trio.move_on_after(CATCH_UP_SECONDS):
+            await self._journal.wait_sequence(reply.sequence)
+            return _correct_contract(self._journal.ledger, item.command, reply)
+        return Reply(error=_commit_unknown().to_message())
+
+    # deciding
+
+    async def _collect(self):
+        """Waits for commands or a due scheduling pass; returns the next batch."""
+        while not self._local and not self._pass_due:
+            await self._arrived.wait()
+        if self._local:
+            wait = self._local[0].queued + self._batch_seconds - self._clock()
+            if wait > 0 and len(self._local) < BATCH_COMMANDS:
+                await trio.sleep(wait)
+        self._arrived = trio.Event()
+        batch, self._local = _split([i for i in self._local if not i.abandoned])
+        if self._local:
+            self._arrived.set()
+        self._pass_due = False
+        return batch
+
+    async def _commit(self, items):
+        if not self._journal.ready:
+            self._refuse(items, _not_ready())
+            return
+        self._append_start = self._clock()
+        try:
+            decided = False
+            while not decided:
+                items = [item for item in items if not item.abandoned]
+                decided = await self._decide(items)
+        except StoreError as error:
+            LOG.warning("writer: The store is unavailable.", extra={"cause": error.reason})
+            self._working = None
+            self._refuse(items, None)
+        except AppendLost:
+            self._working = None
+            for item in items:
+                item.event.set()
+        finally:
+            self._append_start = None
+
+    async def _decide(self, items):
+        """Decides and appends one batch; returns False when it must be decided again."""
+        working = self._working_ledger()
+        sequence = working.sequence
+        now_us = max(int(self._wall() * 1e6), working.time_us)
+        scheduler = Scheduler(working, self._policy, self._attempts)
+        self._dirty = True
+        start = time.perf_counter()
+        events, replies = scheduler.decide([item.command for item in items], now_us)
+        self._metrics.observe("decision_seconds", "batch", time.perf_counter() - start)
+        if not events:
+            self._dirty = False
+            if items and self._journal.confirmed_age() > FRESH_SECONDS:
+                await self._journal.confirm()
+                if self._journal.sequence != sequence:
+                    return False
+        else:
+            for item in items:
+                item.in_append = True
+            try:
+                record = await self._journal.append(events, now_us, after=sequence)
+            except AppendConflict:
+                self._working = None
+                for item in items:
+                    item.in_append = False
+                return False
+            working.seal(record.sequence, record.time_us)
+            self._dirty = False
+        for item, reply in zip(items, replies, strict=True):
+            if item.forwarded:
+                reply = _correct_contract(self._journal.ledger, item.command, reply)
+            item.settle(reply)
+        return True
+
+    def _working_ledger(self):
+        """Returns a copy of the committed state without undecided events."""
+        committed = self._journal.ledger
+        working = None if self._dirty else self._working
+        if working is not None and working.sequence != committed.sequence:
+            records = self._journal.records_after(working.sequence)
+            if not records:
+                working = None
+            for record in records or ():
+                working.apply(record)
+        if working is None:
+            working = Ledger.from_snapshot(committed.snapshot())
+            self._dirty = False
+        self._working = working
+        return working
+
+    # passing of time
+
+    async def _run_ticks(self):
+        while True:
+            await trio.sleep(TICK_SECONDS)
+            if not self._journal.ready or self._peers.preferred_writer() != self._peers.entry_id:
+                self._upkeep.reset()
+                continue
+            if len(self._local) < BATCH_COMMANDS:
+                for command in self._upkeep.commands():
+                    deadline = self._clock() + TICK_SECONDS
+                    # without a caller, a refused command is tried again at the next tick
+                    self._enqueue(_Item(command, deadline, from_peer=True))
+            ledger = self._journal.ledger
+            if ledger.queued_jobs or any(
+                worker.state == TARGET_QUARANTINED for worker in ledger.workers.values()
+            ):
+                self._pass_due = True
+                self._arrived.set()
+
+    async def _reroute_blocked(self):
+        while True:
+            await trio.sleep(LIVENESS_CHECK_SECONDS)
+            start = self._append_start
+            if start is None or not self._journal.undecided:
+                continue
+            if self._clock() - start > BLOCKED_SECONDS and self._local:
+                blocked, self._local = self._local, []
+                self._refuse(blocked, None)
+
+
+class _Upkeep:
+    """Commands that keep workers and share grants in step with membership and heartbeats."""
+
+    def __init__(self, journal, peers, membership, clock):
+        self._journal = journal
+        self._peers = peers
+        self._membership = membership
+        self._clock = clock
+        self._entries = None
+        self._since = 0.0
+
+    def reset(self):
+        """Forgets how long the set of entries has been stable."""
+        self._entries = None
+
+    def commands(self):
+        """Returns the commands that are due."""
+        commands = []
+        entries = self._stable_entries()
+        if entries is not None and tuple(entries) != self._journal.ledger.share_entries:
+            command = Command()
+            command.grant_shares.entries.extend(entries)
+            commands.append(command)
+        if self._membership is not None:
+            commands.extend(self._worker_commands())
+        return commands
+
+    def _stable_entries(self):
+        entries = set(self._peers.live())
+        for entry_id in self._journal.ledger.share_entries:
+            # an entry that is silent for less time may still use its share
+            if self._peers.silence(entry_id) < SHARES_SILENCE_SECONDS:
+                entries.add(entry_id)
+        entries = sorted(entries)
+        if entries != self._entries:
+            self._entries = entries
+            self._since = self._clock()
+        stable = self._clock() - self._since >= SHARES_STABLE_SECONDS
+        return entries if stable else None
+
+    def _worker_commands(self):
+        known = self._journal.ledger.workers
+        register = Command()
+        leaving = []
+        for machine in self._membership.workers():
+            info = WorkerInfo(
+                id=machine.id,
+                address=machine.address,
+                data_centre=machine.data_centre,
+                rack=machine.rack,
+                capacity=machine.capacity,
+            )
+            worker = known.get(machine.id)
+            if worker is None or worker.info() != info:
+                register.register_workers.workers.append(info)
+            if machine.leaving and (
+                worker is None or worker.state not in (TARGET_LEAVING, TARGET_LOST)
+            ):
+                command = Command()
+                command.report_worker.worker_id = machine.id
+                command.report_worker.state = TARGET_LEAVING
+                command.report_worker.cause = "membership"
+                leaving.append(command)
+        return ([register] if register.register_workers.workers else []) + leaving
+
+
+def _split(items):
+    """Returns (a batch within the bounds, the rest)."""
+    size = 0
+    for index, item in enumerate(items[:BATCH_COMMANDS]):
+        size += item.command.ByteSize()
+        if size > BATCH_BYTES and index:
+            return items[:index], items[index:]
+    return items[:BATCH_COMMANDS], items[BATCH_COMMANDS:]
+
+
+def _correct_contract(ledger, command, reply):
+    kind = command.WhichOneof("kind")
+    if not reply.HasField("error") or kind not in ("put_contract", "remove_contract"):
+        return reply
+    change = getattr(command, kind)
+    if kind == "remove_contract":
+        removed = ledger.removed_versions.get(change.account) == change.expected_version
+        return Reply(sequence=reply.sequence) if removed else reply
+    if reply.error.code != ErrorKind.VERSION_CONFLICT.value:
+        return reply
+    account = ledger.accounts.get(change.contract.account)
+    if account is None or account.version <= change.expected_version:
+        return reply
+    if account.version > change.expected_version + 1:
+        # later changes hide whether this one was applied
+        return Reply(error=_commit_unknown().to_message(), sequence=reply.sequence)
+    wanted = type(change.contract)()
+    wanted.CopyFrom(change.contract)
+    wanted.version = account.version
+    if wanted != account.contract:
+        return reply
+    return Reply(contract=account.contract, sequence=reply.sequence)
+
+
+def _overloaded():
+    return IbiscartError(
+        ErrorKind.OVERLOADED,
+        "too many commands wait for the journal; retry later",
+        field="commands",
+        bound=QUEUE_BOUND,
+    )
+
+
+def _not_ready():
+    return IbiscartError(ErrorKind.NOT_READY, "this entry has not loaded the region's state")
+
+
+def _commit_unknown():
+    return IbiscartError(
+        ErrorKind.COMMIT_UNKNOWN, "the outcome is not known; read the contract before a retry"
+    )
--- /dev/null
+++ b/tests/standins/members.py
@@ -0,0 +1,92 @@
+"""
+tests.standins.members
+~~~~~~~~~~~~~~~~~~~~~~
+
+Membership list with lag and the faults of ``tests.standins.table``.
+
+``POST /machines`` with a ``MembershipList`` replaces the list, ``PUT /machines/<id>`` with
+a ``VirtualMachine`` adds or changes one machine and ``DELETE /machines/<id>`` removes it;
+each change becomes visible after ``lag`` seconds (``POST /lag`` with ``{"lag": S}``).
+"""
+
+import json
+
+import trio
+from google.protobuf.json_format import MessageToJson, Parse
+
+from ibiscart_entry.server import Response
+from ibiscart_schema.generated.target_pb2 import MembershipList, VirtualMachine
+from tests.standins.table import Faults, main
+
+
+class MemberService:
+    """Machines by id; readers see the list as it was ``lag`` seconds ago."""
+
+    def __init__(self, seed=0):
+        self.faults = Faults(seed)
+        self.lag = 0.0
+        self._machines = {}
+        self._version = 1
+        self._shown = MembershipList(version=1)
+        self._pending = []
+
+    def set_machine(self, machine):
+        self._machines[machine.id] = machine
+        self._change()
+
+    def remove(self, machine_id):
+        self._machines.pop(machine_id, None)
+        self._change()
+
+    def replace(self, machines):
+        self._machines = {machine.id: machine for machine in machines}
+        self._change()
+
+    async def handle(self, request):
+        if request.path == "/control":
+            return self.faults.control(request)
+        if request.path == "/lag":
+            self.lag = float(json.loads(request.body)["lag"])
+            return Response.from_json(200, {})
+        if request.path.startswith("/machines"):
+            return self._edit(request)
+        if request.path != "/v1/members" or request.method != "GET":
+            return Response.from_json(404, {"error": "no such path"})
+        refusal = await self.faults.before(False)
+        if refusal is not None:
+            return refusal
+        text = MessageToJson(self._visible(), preserving_proto_field_name=True, indent=None)
+        return await self.faults.after(Response(200, text.encode()))
+
+    def _edit(self, request):
+        machine_id = request.path.removeprefix("/machines").strip("/")
+        if request.method == "POST" and not machine_id:
+            self.replace(Parse(request.body, MembershipList()).machines)
+        elif request.method == "PUT" and machine_id:
+            self.set_machine(Parse(request.body, VirtualMachine()))
+        elif request.method == "DELETE" and machine_id:
+            self.remove(machine_id)
+        else:
+            return Response.from_json(405, {"error": "no such operation"})
+        return Response.from_json(200, {"version": self._version})
+
+    def _change(self):
+        self._version += 1
+        snapshot = MembershipList(version=self._version, machines=self._machines.values())
+        self._pending.append((self._now() + self.lag, snapshot))
+
+    def _visible(self):
+        while self._pending and self._pending[0][0] <= self._now():
+            self._shown = self._pending.pop(0)[1]
+        return self._shown
+
+    def _now(self):
+        try:
+            return trio.current_time()
+        except RuntimeError:
+            # machines that are set before the event loop starts are visible at once
+            return float("-inf")
+
+
+if __name__ == "__main__":
+    main(MemberService)
