--- /dev/null
+++ b/tests/standins/record.py
@@ -0,0 +1,65 @@
+"""
+tests.standins.record
+~~~~~~~~~~~~~~~~~~~~~
+
+Actions of a target, kept in memory and appended to a file of ``TraceEvent`` lines.
+"""
+
+import time
+
+from google.protobuf.json_format import MessageToJson
+
+from ibiscart_schema.generated.trace_pb2 import TargetAction, TraceEvent
+
+__all__ = ["ActionRecord", "parse_payload"]
+
+
+class ActionRecord:
+    """Record of what one target did, by which a checker judges a run."""
+
+    def __init__(self, target_id, path=""):
+        self.target_id = target_id
+        self.actions = []
+        self._file = (
+            open(path, "a", encoding="utf-8", buffering=1) if path else None
+        )  # noqa: SIM115
+
+    def add(self, action, account, request_id, attempt=0, rank=0, members=0):
+        message = TargetAction(
+            target_id=self.target_id,
+            action=action,
+            account=account,
+            request_id=request_id,
+            attempt=attempt,
+            rank=rank,
+            members=members,
+        )
+        self.actions.append(message)
+        if self._file is not None:
+            event = TraceEvent(
+                time_us=time.time_ns() // 1000, source=self.target_id, target_action=message
+            )
+            line = MessageToJson(event, preserving_proto_field_name=True, indent=None)
+            self._file.write(line + "\n")
+
+    def count(self, action, account=None, request_id=None):
+        """Number of recorded actions of a kind, of one request where it is given."""
+        return sum(
+            a.action == action
+            and account in (None, a.account)
+            and request_id in (None, a.request_id)
+            for a in self.actions
+        )
+
+
+def parse_payload(text):
+    """Reads ``name=value`` pairs, separated by blanks, as numbers; ignores other words."""
+    values = {}
+    for word in text.split():
+        name, separator, value = word.partition("=")
+        if separator:
+            try:
+                values[name] = float(value)
+            except ValueError:
+                continue
+    return values
--- /dev/null
+++ b/tests/standins/runner.py
@@ -0,0 +1,130 @@
+"""
+tests.standins.runner
+~~~~~~~~~~~~~~~~~~~~~
+
+Double of a runner: 8 slots and 64 connections, each request takes the time its body states.
+
+The body ``run_seconds=0.2`` states the service time. Run as
+``python -m tests.standins.runner --port 0 --id r1``; it prints ``ready PORT``.
+"""
+
+import argparse
+import signal
+
+import trio
+
+from ibiscart_entry.server import Response
+from ibiscart_schema.generated.settings_pb2 import ServerSettings
+from tests.standins.fault import Faults, MemoryClient, serve_target
+from tests.standins.record import ActionRecord, parse_payload
+
+__all__ = ["RunnerDouble"]
+
+SLOTS = 8
+CONNECTIONS = 64
+
+
+class RunnerDouble:
+    """A runner; ``peak`` and ``peak_long`` are the most requests that ran at once.
+
+    ``starts`` counts the runs by request id, ``not_run`` the refusals.
+    """
+
+    def __init__(self, runner_id, *, slots=SLOTS, service_seconds=0.0, trace_path=""):
+        self.id = runner_id
+        self.faults = Faults()
+        self.record = ActionRecord(runner_id, trace_path)
+        self.slots = slots
+        self.service_seconds = service_seconds
+        self.running = {}
+        self.starts = {}
+        self.not_run = 0
+        self.peak = 0
+        self._answers = []
+
+    def client(self):
+        """Returns a client that calls this runner without sockets."""
+        return MemoryClient(self.handle, self.faults)
+
+    async def handle(self, request):
+        """Serves one request of the runner interface."""
+        if request.path != "/v1/run" or request.method != "POST":
+            return Response.from_json(404, {"error": "no such path"})
+        request_id = request.headers.get("x-request-id", "")
+        if len(self.running) >= self.slots or self.faults.leaving or self.faults.take("refuse"):
+            return self._refuse(request_id)
+        return self._cross(await self._run(request_id, request))
+
+    async def _run(self, request_id, request):
+        account, _, name = request_id.partition("/")
+        token = object()
+        self.running[token] = request_id
+        self.peak = max(self.peak, len(self.running))
+        self.starts[request_id] = self.starts.get(request_id, 0) + 1
+        self.record.add("request_started", account, name)
+        text = request.body.decode("utf-8", "replace")
+        try:
+            await trio.sleep(parse_payload(text).get("run_seconds", self.service_seconds))
+        finally:
+            del self.running[token]
+            self.record.add("request_ended", account, name)
+        status = 500 if self.faults.fail_everything else 200
+        return Response.from_json(
+            status,
+            {"request_id": request_id, "runner": self.id, "echo": text},
+            headers=[("x-request-id", request_id)],
+        )
+
+    def _refuse(self, request_id):
+        self.not_run += 1
+        return Response.from_json(
+            503,
+            {"leaving": bool(self.faults.leaving)},
+            headers=[("x-request-id", request_id), ("x-not-run", "1")],
+        )
+
+    def _cross(self, response):
+        # the answer of an earlier request takes the place of this one
+        earlier = self._answers[-1] if self._answers else None
+        self._answers = [response]
+        if earlier is not None and self.faults.take("cross_answers"):
+            return earlier
+        return response
+
+
+async def _main(options):
+    runner = RunnerDouble(
+        options.id,
+        slots=options.slots,
+        service_seconds=options.service_seconds,
+        trace_path=options.trace,
+    )
+    settings = ServerSettings(
+        address=f"{options.host}:{options.port}",
+        max_connections=options.connections,
+        max_body_bytes=1 << 20,
+        header_timeout_seconds=10,
+        body_timeout_seconds=30,
+    )
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            port = await nursery.start(serve_target, runner.handle, settings, runner.faults)
+            print(f"ready {port}", flush=True)
+            await signals.__anext__()
+            nursery.cancel_scope.cancel()
+
+
+def main():
+    parser = argparse.ArgumentParser(description="Double of a runner.")
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--id", default="runner")
+    parser.add_argument("--slots", type=int, default=SLOTS)
+    parser.add_argument("--connections", type=int, default=CONNECTIONS)
+    parser.add_argument("--service-seconds", type=float, default=0.0)
+    parser.add_argument("--trace", default="", help="file for TraceEvent lines")
+    trio.run(_main, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
