--- a/packages/core/src/ibiscart_core/ledger.py
+++ b/packages/core/src/ibiscart_core/ledger.py
@@ -10,7 +10,8 @@
 from ibiscart_core.contract import Account, Reservation, ReservationKey
 from ibiscart_core.estimate import Estimates
 from ibiscart_core.job import Job, JobKey, Member
-from ibiscart_core.resource import Resources
+from ibiscart_core.snapshot import read_worker, write_snapshot
+from ibiscart_core.usage import Usage
 from ibiscart_core.worker import Worker
 from ibiscart_schema.generated.journal_pb2 import (
     JOB_COMPLETED,
@@ -21,30 +22,16 @@
     JOB_STATE_STOPPING,
     MEMBER_COMPLETED,
     MEMBER_FAILED,
-    ReservationSet,
-    SharesGranted,
-    Snapshot,
     WorkerFailure,
 )
 
-__all__ = ["Changes", "Ledger", "SequenceError"]
+__all__ = ["Ledger", "SequenceError"]
 
-NO_RESOURCES = Resources()
 ENDED_JOBS_KEPT = 20_000
 ENDED_KEPT_US = 24 * 3600 * 1_000_000
 WORKER_FAILURES_KEPT = 16
 
 
-class Changes:
-    """Workers and client accounts that events have changed, for caches built on a ledger."""
-
-    __slots__ = ("accounts", "workers")
-
-    def __init__(self):
-        self.accounts = set()
-        self.workers = set()
-
-
 class SequenceError(ValueError):
     """A record does not follow the applied ones."""
 
@@ -54,9 +41,8 @@
 
     Applying the same records always builds the same state. ``accounts``, ``workers`` and
     ``jobs`` map names, ids and job keys to their objects; ``active`` holds the jobs that
-    hold places. ``committed`` maps worker ids to the sum of all reservations, claimed or
-    not, and of burst work that may not be preempted: while it stays within the capacity of
-    every live worker, each reservation can be reclaimed.
+    hold places. While ``committed`` stays within the capacity of every live worker, each
+    reservation can be reclaimed.
     """
 
     def __init__(self, region):
@@ -68,13 +54,22 @@
         self.jobs = {}
         self.active = {}
         self.reservations = {}
-        self.committed = {}
         self.estimates = Estimates()
         self.share_epoch = 0
         self.share_entries = ()
         self.removed_versions = {}
         self._ended = deque()
-        self._changes = None
+        self._usage = Usage(self.workers)
+
+    @property
+    def committed(self):
+        """Sum of all reservations and of fixed burst work, by worker id."""
+        return self._usage.committed
+
+    @property
+    def releases(self):
+        """Number of events so far after which a reservation may find or need other places."""
+        return self._usage.releases
 
     @property
     def queued_jobs(self):
@@ -86,7 +81,7 @@
 
         ``changes`` is a ``Changes``, or None to end the reports.
         """
-        self._changes = changes
+        self._usage.changes = changes
 
     def apply(self, record):
         """Applies the next ``Record``; raises ``SequenceError`` when it is not the next."""
@@ -121,18 +116,13 @@
         else:
             account.set_contract(contract)
         self.removed_versions.pop(contract.account, None)
-        self._touch_account(contract.account)
-        wanted = set(account.reservation_keys())
+        self._usage.touch_account(contract.account)
+        shapes = {k: account.guarantees[k.guarantee].shape for k in account.reservation_keys()}
         for reservation in list(account.reservations.values()):
-            if reservation.key not in wanted:
-                self._drop_reservation(account, reservation)
-        for key in account.reservation_keys():
-            shape = account.guarantees[key.guarantee].shape
-            reservation = self.reservations.get(key)
-            if reservation is None:
-                self._add_reservation(account, Reservation(key, shape))
-            elif reservation.shape != shape:
+            if shapes.get(reservation.key) != reservation.shape:
                 self._drop_reservation(account, reservation)
+        for key, shape in shapes.items():
+            if key not in self.reservations:
                 self._add_reservation(account, Reservation(key, shape))
 
     def _apply_contract_removed(self, event, time_us):
@@ -141,7 +131,7 @@
             return
         self.removed_versions[event.account] = account.version
         self.estimates.forget(event.account)
-        self._touch_account(event.account)
+        self._usage.touch_account(event.account)
         for reservation in list(account.reservations.values()):
             self._drop_reservation(account, reservation)
 
@@ -150,67 +140,38 @@
         if reservation is None:
             return
         if reservation.job is None:
-            self._count_reserved(reservation, -1)
-        self._commit(reservation.workers, reservation.shape.member, -1)
+            self._usage.reserve(reservation, -1)
+        self._usage.commit(reservation.workers, reservation.shape.member, -1)
         reservation.workers = tuple(event.workers)
-        self._commit(reservation.workers, reservation.shape.member, 1)
+        self._usage.commit(reservation.workers, reservation.shape.member, 1)
         if reservation.job is None:
-            self._count_reserved(reservation, 1)
-        self._touch_account(reservation.key.account)
+            self._usage.reserve(reservation, 1)
+        self._usage.touch_account(reservation.key.account)
 
     def _add_reservation(self, account, reservation):
         self.reservations[reservation.key] = reservation
         account.reservations[(reservation.key.guarantee, reservation.key.index)] = reservation
 
     def _drop_reservation(self, account, reservation):
-        self._commit(reservation.workers, reservation.shape.member, -1)
+        self._usage.commit(reservation.workers, reservation.shape.member, -1)
         if reservation.job is None:
-            self._count_reserved(reservation, -1)
+            self._usage.reserve(reservation, -1)
         else:
             # the job keeps its places as burst work
             job = self.jobs[reservation.job]
             job.reservation = None
-            self._count_burst(account, job, 1)
-            self._commit_burst(job, 1)
+            self._usage.count_burst(account, job, 1)
+            self._usage.commit_burst(job, 1)
+        self._usage.releases += 1
         del self.reservations[reservation.key]
         del account.reservations[(reservation.key.guarantee, reservation.key.index)]
 
-    def _count_reserved(self, reservation, sign):
-        member = reservation.shape.member
-        for worker_id in reservation.workers:
-            worker = self.workers.get(worker_id)
-            if worker is not None:
-                self._touch_worker(worker_id)
-                worker.reserved = worker.reserved + member if sign > 0 else worker.reserved - member
-
-    def _commit(self, workers, amount, sign):
-        for worker_id in workers:
-            total = self.committed.get(worker_id, NO_RESOURCES)
-            self.committed[worker_id] = total + amount if sign > 0 else total - amount
-            self._touch_worker(worker_id)
-
-    def _commit_burst(self, job, sign):
-        if job.burst and not job.preemptible:
-            workers = [job.members[rank].worker_id for rank in job.open_members]
-            self._commit(workers, job.shape.member, sign)
-
-    def _touch_worker(self, worker_id):
-        if self._changes is not None:
-            self._changes.workers.add(worker_id)
-
-    def _touch_account(self, name):
-        if self._changes is not None:
-            self._changes.accounts.add(name)
-
-    def _count_burst(self, account, job, sign):
-        account.burst_accelerators += sign * job.shape.accelerators
-        account.burst_cpu_millis += sign * job.shape.total.cpu_millis
-
     # workers
 
     def _apply_worker_registered(self, event, time_us):
         worker = Worker.from_message(event.worker)
-        self._touch_worker(worker.id)
+        self._usage.releases += 1
+        self._usage.touch_worker(worker.id)
         known = self.workers.get(worker.id)
         if known is None:
             self.workers[worker.id] = worker
@@ -227,8 +188,9 @@
         if event.retry_at_us and event.retry_at_us != worker.retry_at_us:
             worker.quarantines += 1
             worker.failures = []
-        self._touch_worker(worker.id)
+        self._usage.touch_worker(worker.id)
         worker.state = event.state
+        self._usage.releases += 1
         worker.cause = event.cause
         worker.retry_at_us = event.retry_at_us
 
@@ -242,7 +204,7 @@
         job.decided_sequence = self.sequence + 1
         self.jobs[job.key] = job
         account.queued[job.key] = job
-        self._touch_account(account.name)
+        self._usage.touch_account(account.name)
 
     def _apply_job_placed(self, event, time_us):
         job = self.job(event.job)
@@ -259,16 +221,16 @@
         job.members = [Member(worker_id) for worker_id in event.workers]
         for rank, worker_id in enumerate(event.workers):
             self.workers[worker_id].add_member((job.key, job.attempt, rank), job.shape.member)
-            self._touch_worker(worker_id)
-        self._touch_account(account.name)
+            self._usage.touch_worker(worker_id)
+        self._usage.touch_account(account.name)
         if event.HasField("reservation"):
             reservation = self.reservations[ReservationKey.from_message(event.reservation)]
-            self._count_reserved(reservation, -1)
+            self._usage.reserve(reservation, -1)
             reservation.job = job.key
             job.reservation = reservation.key
         else:
-            self._count_burst(account, job, 1)
-            self._commit_burst(job, 1)
+            self._usage.count_burst(account, job, 1)
+            self._usage.commit_burst(job, 1)
 
     def _apply_job_released(self, event, time_us):
         job = self.job(event.job)
@@ -298,11 +260,12 @@
         member.outcome = event.outcome
         job.saved_seconds = max(job.saved_seconds, event.saved_seconds)
         if job.burst and not job.preemptible:
-            self._commit((member.worker_id,), job.shape.member, -1)
+            self._usage.commit((member.worker_id,), job.shape.member, -1)
+            self._usage.releases += 1
         worker = self.workers.get(member.worker_id)
         if worker is None:
             return
-        self._touch_worker(worker.id)
+        self._usage.touch_worker(worker.id)
         worker.remove_member((job.key, job.attempt, event.rank))
         if event.outcome == MEMBER_FAILED:
             worker.failures.append(
@@ -327,7 +290,7 @@
         job.released_us = 0
         job.decided_sequence = self.sequence + 1
         account.queued[job.key] = job
-        self._touch_account(account.name)
+        self._usage.touch_account(account.name)
 
     def _apply_job_ended(self, event, time_us):
         job = self.job(event.job)
@@ -338,7 +301,7 @@
         if event.outcome == JOB_COMPLETED:
             seconds = (time_us - job.released_us) / 1e6 + job.saved_seconds
             self.estimates.observe(job.key.account, job.spec.kind, seconds)
-        self._touch_account(job.key.account)
+        self._usage.touch_account(job.key.account)
         job.state = JOB_STATE_ENDED
         job.outcome = event.outcome
         job.ran = event.ran
@@ -353,17 +316,18 @@
             worker = self.workers.get(member.worker_id)
             if worker is not None:
                 worker.remove_member((job.key, job.attempt, rank))
-                self._touch_worker(worker.id)
-        self._commit_burst(job, -1)
+                self._usage.touch_worker(worker.id)
+        self._usage.commit_burst(job, -1)
         account.active.pop(job.key, None)
         self.active.pop(job.key, None)
         if job.reservation is None:
-            self._count_burst(account, job, -1)
+            self._usage.count_burst(account, job, -1)
         else:
             reservation = self.reservations[job.reservation]
             reservation.job = None
-            self._count_reserved(reservation, 1)
+            self._usage.reserve(reservation, 1)
             job.reservation = None
+            self._usage.releases += 1
         return account
 
     def _forget_ended(self):
@@ -383,22 +347,7 @@
 
     def snapshot(self):
         """Returns the whole state as a ``Snapshot`` message."""
-        message = Snapshot(
-            region=self.region,
-            sequence=self.sequence,
-            time_us=self.time_us,
-            contracts=[account.contract for account in self.accounts.values()],
-            workers=[worker.snapshot() for worker in self.workers.values()],
-            jobs=[job.snapshot() for job in self._jobs_in_order()],
-            shares=SharesGranted(epoch=self.share_epoch, entries=self.share_entries),
-            estimates=self.estimates.snapshot(),
-            removed_versions=self.removed_versions,
-        )
-        for reservation in self.reservations.values():
-            item = ReservationSet(workers=reservation.workers)
-            reservation.key.fill(item.key)
-            message.reservations.append(item)
-        return message
+        return write_snapshot(self, [self.jobs[key] for key in self._ended])
 
     @classmethod
     def from_snapshot(cls, message):
@@ -407,7 +356,7 @@
         for contract in message.contracts:
             ledger._restore_contract(contract)
         for item in message.workers:
-            ledger._restore_worker(item)
+            ledger.workers[item.info.id] = read_worker(item)
         for item in message.reservations:
             ledger._apply_reservation_set(item, 0)
         for item in message.jobs:
@@ -420,13 +369,6 @@
         ledger.time_us = message.time_us
         return ledger
 
-    def _jobs_in_order(self):
-        # queue order and the order of ended jobs are part of the state
-        for account in self.accounts.values():
-            yield from account.queued.values()
-        yield from self.active.values()
-        yield from (self.jobs[key] for key in self._ended)
-
     def _restore_contract(self, contract):
         copy = type(contract)()
         copy.CopyFrom(contract)
@@ -436,15 +378,6 @@
                 account, Reservation(key, account.guarantees[key.guarantee].shape)
             )
 
-    def _restore_worker(self, item):
-        worker = Worker.from_message(item.info)
-        worker.state = item.state
-        worker.cause = item.cause
-        worker.retry_at_us = item.retry_at_us
-        worker.quarantines = item.quarantines
-        worker.failures = list(item.failures)
-        self.workers[worker.id] = worker
-
     def _restore_job(self, job):
         self.jobs[job.key] = job
         if job.state == JOB_STATE_ENDED:
@@ -461,9 +394,9 @@
                 worker = self.workers[member.worker_id]
                 worker.add_member((job.key, job.attempt, rank), job.shape.member)
         if job.reservation is None:
-            self._count_burst(account, job, 1)
-            self._commit_burst(job, 1)
+            self._usage.count_burst(account, job, 1)
+            self._usage.commit_burst(job, 1)
         else:
             reservation = self.reservations[job.reservation]
-            self._count_reserved(reservation, -1)
+            self._usage.reserve(reservation, -1)
             reservation.job = job.key
--- a/packages/core/src/ibiscart_core/lifecycle.py
+++ b/packages/core/src/ibiscart_core/lifecycle.py
@@ -24,7 +24,7 @@
 )
 from ibiscart_schema.generated.types_pb2 import RAN_MAYBE, RAN_NO, RAN_YES
 
-__all__ = ["DEFAULT_ATTEMPTS", "Lifecycle"]
+__all__ = ["DEFAULT_ATTEMPTS", "Lifecycle", "jobs_over_limit"]
 
 DEFAULT_ATTEMPTS = 3
 
@@ -41,6 +41,41 @@
 LONGEST_BACKOFF_SECONDS = 60
 
 
+def jobs_over_limit(account, contract, dropped=()):
+    """Returns the burst jobs to preempt so that the account keeps the limits of ``contract``.
+
+    ``dropped`` holds jobs whose claimed guarantee the contract drops, which makes them
+    burst work. The jobs that were released last lose the least and come first.
+    """
+    accelerators = account.burst_accelerators + sum(j.shape.accelerators for j in dropped)
+    cpu_millis = account.burst_cpu_millis + sum(j.shape.total.cpu_millis for j in dropped)
+    running = [j for j in account.active.values() if j.preemptible]
+    running += [j for j in dropped if j.spec.repeatable]
+    chosen = []
+    for job in sorted(running, key=_preemption_order):
+        over_accelerators = accelerators > contract.burst_accelerators
+        over_cpu = cpu_millis > contract.burst_cpu_millis
+        total = job.shape.total
+        helps = (over_accelerators and total.accelerators) or (over_cpu and total.cpu_millis)
+        if not helps:
+            continue
+        accelerators -= total.accelerators
+        cpu_millis -= total.cpu_millis
+        if job.state != JOB_STATE_STOPPING:
+            chosen.append(job)
+    return chosen
+
+
+def _preemption_order(job):
+    # what is stopping already frees its places anyway; what was not released loses nothing
+    return (
+        job.state != JOB_STATE_STOPPING,
+        job.released,
+        -job.released_us,
+        job.key.sort_key(),
+    )
+
+
 class Lifecycle:
     """Emits the events of job transitions into a ``Batch``."""
 
@@ -84,21 +119,7 @@
 
     def preempt_over_limit(self, account):
         """Preempts burst work until the account keeps its burst limits; returns the jobs."""
-        contract = account.contract
-        held_accelerators = account.burst_accelerators
-        held_cpu = account.burst_cpu_millis
-        preempted = []
-        running = [j for j in account.active.values() if j.preemptible]
-        for job in sorted(running, key=lambda j: (-j.released_us, j.key.sort_key())):
-            if (
-                held_accelerators <= contract.burst_accelerators
-                and held_cpu <= contract.burst_cpu_millis
-            ):
-                break
-            held_accelerators -= job.shape.accelerators
-            held_cpu -= job.shape.total.cpu_millis
-            if job.state in (JOB_STATE_PLACED, JOB_STATE_RUNNING):
-                preempted.append(job)
+        preempted = jobs_over_limit(account, account.contract)
         for job in preempted:
             self.stop(job, STOP_PREEMPTED)
         return preempted
--- a/packages/core/src/ibiscart_core/policies/claim.py
+++ b/packages/core/src/ibiscart_core/policies/claim.py
@@ -31,7 +31,7 @@
     A job waits only for its backoff, or while a reserved worker that is tried again after a
     quarantine still runs another task.
     """
-    for name in list(view.backlog.accounts):
+    for name in sorted(view.backlog.accounts):
         account = batch.ledger.accounts[name]
         if any(r.job is None and r.workers for r in account.reservations.values()):
             _claim_account(batch, view, account)
--- a/packages/core/src/ibiscart_core/policies/view.py
+++ b/packages/core/src/ibiscart_core/policies/view.py
@@ -6,9 +6,9 @@
 """
 
 from ibiscart_core.capacity import Capacity
-from ibiscart_core.ledger import Changes
 from ibiscart_core.policies.backlog import Backlog
 from ibiscart_core.resource import Resources
+from ibiscart_core.usage import Changes
 
 __all__ = ["View"]
 
--- a/packages/core/src/ibiscart_core/scheduler.py
+++ b/packages/core/src/ibiscart_core/scheduler.py
@@ -6,10 +6,11 @@
 """
 
 from ibiscart_core.admission import check_submission
+from ibiscart_core.contract import ReservationKey
 from ibiscart_core.error import ErrorKind, IbiscartError
 from ibiscart_core.health import quarantine_seconds, should_quarantine
 from ibiscart_core.job import JobKey
-from ibiscart_core.lifecycle import DEFAULT_ATTEMPTS, Lifecycle
+from ibiscart_core.lifecycle import DEFAULT_ATTEMPTS, Lifecycle, jobs_over_limit
 from ibiscart_core.packing import plan_reservations
 from ibiscart_core.policy import Batch
 from ibiscart_core.shape import Shape
@@ -36,6 +37,7 @@
         self._ledger = ledger
         self._policy = policy
         self._attempts = attempts
+        self._releases = ledger.releases
 
     def decide(self, commands, now_us):
         """Decides ``commands`` and one scheduling pass.
@@ -45,8 +47,10 @@
         """
         batch = Batch(self._ledger, now_us)
         lifecycle = Lifecycle(batch, self._attempts)
+        self._releases = self._ledger.releases
         replies = [self._reply(batch, lifecycle, command) for command in commands]
         self._end_quarantines(batch)
+        self._repair_reservations(batch)
         self._policy.schedule(batch)
         for reply in replies:
             reply.sequence = self._ledger.sequence + 1 if batch.events else self._ledger.sequence
@@ -107,6 +111,7 @@
         contract.CopyFrom(command.contract)
         current = self._ledger.accounts.get(contract.account)
         version = self._version(contract.account)
+        self._repair_reservations(batch)
         if command.expected_version != version:
             raise _version_conflict(contract, current, command.expected_version, version)
         plan = plan_reservations(self._ledger, contract)
@@ -144,10 +149,15 @@
         return self._ledger.removed_versions.get(account_name, 0)
 
     def _check_packed(self, plan, contract):
-        blocking = [key for key in plan.unmet if key.account == contract.account]
+        shapes = {g.name: Shape.from_message(g.shape) for g in contract.guarantees}
+        blocking = []
         for key in plan.unmet:
             reservation = self._ledger.reservations.get(key)
-            if key.account != contract.account and reservation.workers:
+            changed = reservation is None or (
+                key.account == contract.account and reservation.shape != shapes[key.guarantee]
+            )
+            # what a loss of workers left without a place does not block other changes
+            if changed or reservation.workers:
                 blocking.append(key)
         if blocking:
             raise IbiscartError(
@@ -161,12 +171,38 @@
             )
 
     def _would_preempt(self, contract):
-        copy = type(self._ledger).from_snapshot(self._ledger.snapshot())
-        batch = Batch(copy, copy.time_us)
-        batch.emit(contract_changed={"contract": contract})
-        lifecycle = Lifecycle(batch, self._attempts)
-        preempted = lifecycle.preempt_over_limit(copy.accounts[contract.account])
-        return [job.key.to_message() for job in preempted]
+        account = self._ledger.accounts.get(contract.account)
+        if account is None:
+            return []
+        shapes = {
+            ReservationKey(account.name, guarantee.name, index): Shape.from_message(guarantee.shape)
+            for guarantee in contract.guarantees
+            for index in range(guarantee.count)
+        }
+        dropped = [
+            self._ledger.jobs[reservation.job]
+            for reservation in account.reservations.values()
+            if reservation.job is not None and shapes.get(reservation.key) != reservation.shape
+        ]
+        return [j.key.to_message() for j in jobs_over_limit(account, contract, dropped)]
+
+    def _repair_reservations(self, batch):
+        """Packs anew after something that may let or make reservations change places.
+
+        Decided from this batch alone, so that a restored ledger decides the same.
+        """
+        if self._releases == self._ledger.releases:
+            return
+        self._releases = self._ledger.releases
+        workers = self._ledger.workers
+        if any(
+            r.job is None and not (r.workers and all(self._keeps(workers[w]) for w in r.workers))
+            for r in self._ledger.reservations.values()
+        ):
+            self._set_reservations(batch, plan_reservations(self._ledger))
+
+    def _keeps(self, worker):
+        return worker.live and worker.capacity.covers(self._ledger.committed[worker.id])
 
     def _set_reservations(self, batch, plan):
         for key, workers in plan.places.items():
@@ -181,14 +217,10 @@
     # workers
 
     def _handle_register_workers(self, batch, lifecycle, command):
-        changed = False
         for info in command.workers:
             known = self._ledger.workers.get(info.id)
             if known is None or known.info() != info:
                 batch.emit(worker_registered={"worker": info})
-                changed = True
-        if changed:
-            self._set_reservations(batch, plan_reservations(self._ledger))
         return Reply()
 
     def _handle_report_worker(self, batch, lifecycle, command):
@@ -211,7 +243,6 @@
         )
         if command.state == TARGET_LOST:
             lifecycle.stop_jobs_on(worker)
-        self._set_reservations(batch, plan_reservations(self._ledger))
         return Reply()
 
     def _handle_grant_shares(self, batch, lifecycle, command):
@@ -238,7 +269,6 @@
                     "retry_at_us": batch.now_us + int(seconds * 1e6),
                 }
             )
-            self._set_reservations(batch, plan_reservations(self._ledger))
 
     def _end_quarantines(self, batch):
         due = [
@@ -255,8 +285,6 @@
                     "retry_at_us": worker.retry_at_us,
                 }
             )
-        if due:
-            self._set_reservations(batch, plan_reservations(self._ledger))
 
     def _account(self, name):
         account = self._ledger.accounts.get(name)
