--- a/packages/core/src/ibiscart_core/audits/target.py
+++ b/packages/core/src/ibiscart_core/audits/target.py
@@ -20,6 +20,7 @@
         super().__init__()
         self._once = set()
         self._starts = {}
+        self._ranks = {}
         self._left = {}
 
     def on_event(self, event):
@@ -67,10 +68,10 @@
         if action.action == "request_started":
             starts[len(starts)] = event
         elif action.action == "released":
-            # one start for each attempt, however many members it has, and one more
+            # one start for each attempt, whatever the number of its members, and one more
             # for each further worker that runs the same rank
-            starts.setdefault((action.attempt, 0, ""), event)
-            first = starts.setdefault((action.attempt, action.rank, "rank"), event)
+            starts.setdefault(action.attempt, event)
+            first = self._ranks.setdefault((key, action.attempt, action.rank), event)
             if first.target_action.target_id != action.target_id:
                 starts[(action.attempt, action.rank, action.target_id)] = event
         if action.action in ("started", "request_started"):
--- a/tests/core/test_audit.py
+++ b/tests/core/test_audit.py
@@ -105,9 +105,10 @@
         fields = {"status": 200, "ran": RAN_YES, "complete": True, "body_request_id": request_id}
         self.answer(seconds, request_id, entry, **fields)
 
-    def run_job(self, at, request_id="j1"):
+    def run_job(self, at, request_id="j1", repeatable=True):
         """Adds a job that runs on both workers as a whole and completes."""
-        self.record(at, self.submitted(request_id), self.placed(request_id, "w1", "w2", claim=True))
+        submitted = self.submitted(request_id, repeatable)
+        self.record(at, submitted, self.placed(request_id, "w1", "w2", claim=True))
         for rank, worker in enumerate(("w1", "w2")):
             self.act(at + 0.1, worker, "started", request_id, rank)
         self.record(at + 0.2, {"job_released": {"job": key(request_id), "attempt": 1}})
@@ -144,16 +145,17 @@
         """A false alarm makes every other test of the project useless."""
         rec = self.recording
         rec.run_job(10)
+        rec.run_job(90, "once", repeatable=False)
         rec.request(5, "r1")
         rec.act(5.1, "n1", "request_started", "r1")
         rec.succeed(5.2, "r1")
         rec.add(6, "e1", config_used={"entry_id": "e1", "account": "alpha", "version": 1})
-        rec.record(100, rec.contract(2), entry="e2")
-        rec.add(105, "e1", config_used={"entry_id": "e1", "account": "alpha", "version": 1})
-        rec.add(107, "e1", config_used={"entry_id": "e1", "account": "alpha", "version": 2})
-        rec.add(110, "e2", target_left={"target_id": "w1", "sign": "refused"})
-        rec.act(114, "w1", "started", "j9", members=1)
-        rec.add(200, "e1", process_signal={"process_id": "e1", "signal": "drain"})
+        rec.record(200, rec.contract(2), entry="e2")
+        rec.add(205, "e1", config_used={"entry_id": "e1", "account": "alpha", "version": 1})
+        rec.add(207, "e1", config_used={"entry_id": "e1", "account": "alpha", "version": 2})
+        rec.add(210, "e2", target_left={"target_id": "w1", "sign": "refused"})
+        rec.act(214, "w1", "started", "j9", members=1)
+        rec.add(220, "e1", process_signal={"process_id": "e1", "signal": "drain"})
         self.assert_found()
 
     def test_accepts_records_applied_by_several_entries_out_of_order(self):
