--- /dev/null
+++ b/packages/cli/src/ibiscart_cli/commands/measure.py
@@ -0,0 +1,58 @@
+"""
+ibiscart_cli.commands.measure
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Measures the scheduling policy over recorded traces.
+"""
+
+import pathlib
+
+import click
+
+from ibiscart_cli.commands.replay import POLICIES
+from ibiscart_core.comparison import BASELINE, compare
+from ibiscart_core.replay import ReplayError
+from ibiscart_core.report import format_json, format_markdown, format_plot
+from ibiscart_core.trace import TraceError, read_trace
+
+__all__ = ["measure"]
+
+EXAMPLES = """
+\b
+Examples:
+  ibiscart measure traces
+  ibiscart measure traces --output docs/measures
+"""
+
+
+@click.command(epilog=EXAMPLES)
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.option(
+    "--policy",
+    type=click.Choice(list(POLICIES)),
+    default=next(iter(POLICIES)),
+    show_default=True,
+    help="Scheduling policy to compare with the baseline.",
+)
+@click.option("--output", metavar="PREFIX", help="Writes PREFIX.md, PREFIX.json and PREFIX.svg.")
+def measure(folder, policy, output):
+    """Replay all traces of FOLDER with the policy and the baseline and print the measures."""
+    paths = sorted(pathlib.Path(folder).glob("*.jsonl"))
+    if not paths:
+        raise click.UsageError(f"no *.jsonl file in {folder}")
+    names = dict.fromkeys([BASELINE, policy])
+    comparison = compare(map(_read, paths), [POLICIES[name] for name in names])
+    page = format_markdown(comparison)
+    click.echo(page, nl=False)
+    if output:
+        pathlib.Path(f"{output}.md").write_text(page, encoding="utf-8")
+        pathlib.Path(f"{output}.json").write_text(format_json(comparison), encoding="utf-8")
+        pathlib.Path(f"{output}.svg").write_text(format_plot(comparison), encoding="utf-8")
+
+
+def _read(path):
+    try:
+        with path.open("rb") as file:
+            return list(read_trace(file))
+    except (ReplayError, TraceError) as error:
+        raise click.UsageError(f"{path}: {error}") from error
