--- a/packages/cli/src/ibiscart_cli/commands/replay.py
+++ b/packages/cli/src/ibiscart_cli/commands/replay.py
@@ -8,6 +8,7 @@
 import click
 
 from ibiscart_core.audit import audit
+from ibiscart_core.policies.adaptive import AdaptivePolicy
 from ibiscart_core.policies.fifo import FifoPolicy
 from ibiscart_core.replay import Replay, ReplayError, first_difference
 from ibiscart_core.trace import TraceError, read_trace, write_trace
@@ -15,7 +16,7 @@
 
 __all__ = ["POLICIES", "replay"]
 
-POLICIES = {policy.name: policy for policy in (FifoPolicy,)}
+POLICIES = {policy.name: policy for policy in (AdaptivePolicy, FifoPolicy)}
 
 EXAMPLES = """
 \b
