Server and client: mend faults found under broken callers and targets

Cause: the client handed bytes after a response to the next request, took responses without a length for whole ones, and used select, which refuses file numbers above 1023. The server answered HEAD with a body, closed with unread input (which resets the connection and loses the refusal), had no bound on the time to send an answer or on all bodies together, and lost wakeups with two waiters.

Change: the connection moves to its own module; answers are followed by a bounded linger; bodies are bounded over all requests; connections over the limit are bounded too; stop_accepting serves what waits in the backlog; close_idle and wait_closed serve the drain.

--- a/packages/entry/src/ibiscart_entry/client.py
+++ b/packages/entry/src/ibiscart_entry/client.py
@@ -5,17 +5,20 @@
 HTTP/1.1 client with pooled connections, for one address.
 """
 
-import select
-
 import h11
 import trio
 
+from ibiscart_entry.connection import readable
+
 __all__ = ["HttpClient", "Response", "TransportError"]
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_CONNECTIONS_KEPT = 8
 MAX_BODY_BYTES = 64 * 1024 * 1024
 READ_BYTES = 65536
+# a server that refuses a body early closes after its answer, which is then still unread
+EARLY_ANSWER_SECONDS = 1.0
+BODILESS_STATUS = frozenset({204, 304})
 
 
 class TransportError(Exception):
@@ -46,12 +49,20 @@
 class HttpClient:
     """Sends requests to one ``ip:port`` address over at most ``max_connections``."""
 
-    def __init__(self, address, *, max_connections=64, connect_timeout=CONNECT_TIMEOUT_SECONDS):
+    def __init__(
+        self,
+        address,
+        *,
+        max_connections=64,
+        connect_timeout=CONNECT_TIMEOUT_SECONDS,
+        max_body_bytes=MAX_BODY_BYTES,
+    ):
         self._host, port = address.rsplit(":", 1)
         self._host = self._host.strip("[]")
         self._port = int(port)
         self._address = address
         self._connect_timeout = connect_timeout
+        self._max_body_bytes = max_body_bytes
         self._limit = trio.CapacityLimiter(max_connections)
         self._idle = []
         self._closed = False
@@ -67,6 +78,7 @@
         ``timeout`` is in seconds and covers the wait for a connection too. Raises
         ``TransportError``; a request is never sent twice.
         """
+        events = self._events(method, target, body, headers)
         sent = False
         with trio.move_on_after(timeout):
             async with self._limit:
@@ -74,7 +86,7 @@
                 if connection is None:
                     connection = await self._connect()
                 sent = True
-                return await self._exchange(connection, method, target, body, headers)
+                return await self._exchange(connection, events)
         raise TransportError("timeout", sent)
 
     async def aclose(self):
@@ -96,24 +108,35 @@
     def _take_idle(self):
         while self._idle:
             stream, connection = self._idle.pop()
-            # an idle connection that is readable was closed by the server
-            if not select.select([stream.socket.fileno()], [], [], 0)[0]:
+            # an idle connection that is readable was closed by the server, or holds bytes
+            # that belong to no request
+            if not readable(stream.socket):
                 return stream, connection
             stream.socket.close()
         return None
 
-    async def _exchange(self, pair, method, target, body, headers):
+    def _events(self, method, target, body, headers):
+        fields = [("host", self._address), ("content-length", str(len(body))), *headers]
+        pairs = [(name, value.encode("latin-1", "replace")) for name, value in fields]
+        try:
+            events = [h11.Request(method=method, target=target, headers=pairs)]
+        except (h11.LocalProtocolError, UnicodeEncodeError):
+            raise TransportError("malformed", False) from None
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        return events
+
+    async def _exchange(self, pair, events):
         stream, connection = pair
         keep = False
         try:
-            await self._send(stream, connection, method, target, body, headers)
+            await self._send(stream, connection, events)
             response = await self._receive(stream, connection)
             keep = self._reusable(connection)
             return response
-        except h11.RemoteProtocolError as error:
-            truncated = "incomplete" in str(error) or "closed" in str(error)
-            reason = "truncated" if truncated else "malformed"
-            raise TransportError(reason, True) from None
+        except h11.RemoteProtocolError:
+            raise TransportError("malformed", True) from None
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             raise TransportError("reset", True) from None
         finally:
@@ -130,15 +153,22 @@
             and len(self._idle) < IDLE_CONNECTIONS_KEPT
             and connection.our_state is h11.DONE
             and connection.their_state is h11.DONE
+            # bytes after a response would be taken for the next one
+            and not connection.trailing_data[0]
         )
 
-    async def _send(self, stream, connection, method, target, body, headers):
-        fields = [("host", self._address), ("content-length", str(len(body))), *headers]
-        data = connection.send(h11.Request(method=method, target=target, headers=fields))
-        if body:
-            data += connection.send(h11.Data(data=body))
-        data += connection.send(h11.EndOfMessage())
-        await stream.send_all(data)
+    async def _send(self, stream, connection, events):
+        data = b"".join(connection.send(event) for event in events)
+        try:
+            await stream.send_all(data)
+        except trio.BrokenResourceError:
+            # the bytes that are still unread may hold the reason
+            with trio.move_on_after(EARLY_ANSWER_SECONDS):
+                data = await stream.receive_some(READ_BYTES)
+                if data:
+                    connection.receive_data(data)
+                    return
+            raise
 
     async def _receive(self, stream, connection):
         head = None
@@ -147,16 +177,28 @@
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                connection.receive_data(await stream.receive_some(READ_BYTES))
+                data = await stream.receive_some(READ_BYTES)
+                if not data:
+                    # responses have a stated length, so none is complete here
+                    raise TransportError("truncated", True)
+                connection.receive_data(data)
             elif isinstance(event, h11.Response):
                 head = event
+                self._check_framing(head)
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
                 size += len(event.data)
-                if size > MAX_BODY_BYTES:
+                if size > self._max_body_bytes:
                     raise TransportError("too_large", True)
+                parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
                 return Response(head.status_code, headers, b"".join(parts))
-            elif isinstance(event, h11.ConnectionClosed):
-                raise TransportError("truncated", True)
+
+    def _check_framing(self, head):
+        # the end of a response without a length looks the same as its truncation
+        names = {name for name, _ in head.headers}
+        if head.status_code not in BODILESS_STATUS and not names & {
+            b"content-length",
+            b"transfer-encoding",
+        }:
+            raise TransportError("malformed", True)
--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -5,6 +5,7 @@
 HTTP/1.1 server with bounds on connections, sizes and times.
 """
 
+import errno
 import json
 import logging
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -13,15 +14,22 @@
 import trio
 
 from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_entry.connection import MAX_HEADER_BYTES, Connection, readable
 from ibiscart_schema.check import to_mapping
 
 __all__ = ["HttpServer", "Request", "Response", "error_response"]
 
 LOG = logging.getLogger("ibiscart.server")
-READ_BYTES = 65536
-MAX_HEADER_BYTES = 32 * 1024
 KEEP_ALIVE_SECONDS = 75.0
 BACKLOG = 1024
+MAX_QUERY_FIELDS = 32
+# bodies of all requests together; the process has 64 MB for everything
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
+# connections over the limit that get an answer before they are closed
+REFUSED_CONNECTIONS = 64
+ACCEPT_PAUSE_SECONDS = 0.1
+OUT_OF_FILES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
+SHOWN_CHARACTERS = 80
 
 
 class Request:
@@ -31,9 +39,10 @@
 
     def __init__(self, method, target, headers, body, remote):
         parts = urlsplit(target)
+        query = parse_qs(parts.query, keep_blank_values=True, max_num_fields=MAX_QUERY_FIELDS)
         self.method = method
         self.path = unquote(parts.path)
-        self.query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
+        self.query = {name: values[-1] for name, values in query.items()}
         self.headers = headers
         self.body = body
         self.remote = remote
@@ -69,18 +78,25 @@
     """Serves ``handler``, an async function from ``Request`` to ``Response``.
 
     ``settings`` is a ``ServerSettings`` message. ``on_error`` is called with each
-    ``ErrorKind`` that is answered.
+    ``ErrorKind`` that is answered. ``answer_headers`` returns headers for the answers that
+    the server gives without the handler.
     """
 
-    def __init__(self, handler, settings, on_error=lambda kind: None):
+    def __init__(self, handler, settings, on_error=lambda kind: None, *, answer_headers=list):
         self._handler = handler
         self._settings = settings
         self._on_error = on_error
+        self._answer_headers = answer_headers
         self._connections = 0
         self._requests = 0
-        self._idle = trio.Event()
-        self._accepting = trio.CancelScope()
+        self._buffered = 0
+        self._most_buffered = max(MAX_BUFFERED_BYTES, settings.max_body_bytes)
+        self._changed = trio.Event()
+        self._accept_scopes = set()
+        self._idle_scopes = set()
         self._closing = False
+        self._accepting = True
+        self._keeping_idle = True
 
     @property
     def requests(self):
@@ -96,83 +112,148 @@
         """Serves until cancelled; reports the bound port through ``task_status``."""
         host, port = self._settings.address.rsplit(":", 1)
         listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"), backlog=BACKLOG)
-        task_status.started(listeners[0].socket.getsockname()[1])
         async with trio.open_nursery() as nursery:
-            with self._accepting:
-                await trio.serve_listeners(self._serve_stream, listeners, handler_nursery=nursery)
+            for listener in listeners:
+                nursery.start_soon(self._serve_listener, listener, nursery)
+            task_status.started(listeners[0].socket.getsockname()[1])
             # requests on open connections go on until the caller cancels this task
+            await trio.sleep_forever()
 
     def close_connections(self):
         """Answers from now on with ``Connection: close``."""
         self._closing = True
 
     def stop_accepting(self):
-        """Closes the listening socket."""
+        """Accepts the connections that are already waiting, then closes the listeners."""
         self._closing = True
-        self._accepting.cancel()
+        self._accepting = False
+        for scope in self._accept_scopes:
+            scope.cancel()
+
+    def close_idle(self):
+        """Closes the connections on which no request has arrived, now and from now on."""
+        self._closing = True
+        self._keeping_idle = False
+        for scope in self._idle_scopes:
+            scope.cancel()
 
     async def wait_idle(self):
         """Waits until no request is being read or answered."""
         while self._requests:
-            self._idle = trio.Event()
-            await self._idle.wait()
+            await self._wait_change()
+
+    async def wait_closed(self):
+        """Waits until no connection is open."""
+        while self._connections:
+            await self._wait_change()
+
+    async def _wait_change(self):
+        await self._changed.wait()
+
+    def _tell_change(self):
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+
+    async def _serve_listener(self, listener, nursery):
+        async with listener:
+            taken_at_end = 0
+            while self._accepting or (taken_at_end < BACKLOG and readable(listener.socket)):
+                taken_at_end += not self._accepting
+                with trio.CancelScope() as scope:
+                    if self._accepting:
+                        self._accept_scopes.add(scope)
+                    else:
+                        # the waiting connection may have been reset meanwhile
+                        scope.deadline = trio.current_time() + ACCEPT_PAUSE_SECONDS
+                    try:
+                        stream = await listener.accept()
+                    except OSError as error:
+                        if error.errno not in OUT_OF_FILES:
+                            raise
+                        LOG.error("server: No more files can be opened.")
+                        await trio.sleep(ACCEPT_PAUSE_SECONDS)
+                        continue
+                    finally:
+                        self._accept_scopes.discard(scope)
+                    self._connections += 1
+                    nursery.start_soon(self._serve_stream, stream)
 
     async def _serve_stream(self, stream):
-        self._connections += 1
+        connection = Connection(stream, self._settings.body_timeout_seconds)
+        limit = self._settings.max_connections
         try:
-            connection = _Connection(stream)
-            if self._connections > self._settings.max_connections:
+            if self._connections <= limit:
+                await self._serve_requests(connection)
+            elif self._connections <= limit + REFUSED_CONNECTIONS:
                 error = IbiscartError(ErrorKind.OVERLOADED, "too many connections; retry later")
                 await self._answer_error(connection, error)
+            else:
+                self._on_error(ErrorKind.OVERLOADED)
                 return
-            await self._serve_requests(connection)
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            pass  # the caller went away
+            await connection.linger()
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+            pass  # the caller went away or does not read
         except Exception:
             LOG.exception("server: A connection failed.")
         finally:
             self._connections -= 1
-            with trio.CancelScope(shield=True), trio.move_on_after(1):
-                await stream.aclose()
+            self._tell_change()
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
 
     async def _serve_requests(self, connection):
-        while True:
+        while await self._wait_request(connection):
+            self._requests += 1
             try:
-                with trio.move_on_after(KEEP_ALIVE_SECONDS):
-                    await connection.wait_data()
-                if not connection.has_data:
+                if not await self._serve_one(connection):
                     return
-                self._requests += 1
-                try:
-                    if not await self._serve_one(connection):
-                        return
-                finally:
-                    self._requests -= 1
-                    if not self._requests:
-                        self._idle.set()
             except h11.RemoteProtocolError as error:
-                refusal = IbiscartError(ErrorKind.BAD_REQUEST, f"malformed HTTP: {error}")
-                await self._answer_error(connection, refusal)
+                await self._answer_error(connection, _malformed(error))
                 return
             except IbiscartError as error:
                 await self._answer_error(connection, error)
                 return
+            finally:
+                self._requests -= 1
+                self._tell_change()
+
+    async def _wait_request(self, connection):
+        """Waits for the first bytes of a request; returns False when there are none."""
+        if self._keeping_idle and not connection.has_data:
+            with trio.move_on_after(KEEP_ALIVE_SECONDS) as scope:
+                self._idle_scopes.add(scope)
+                try:
+                    await connection.wait_data()
+                finally:
+                    self._idle_scopes.discard(scope)
+        if not connection.has_data and connection.readable:
+            # the bytes arrived together with the end of the wait
+            await connection.wait_data()
+        return connection.has_data
 
     async def _serve_one(self, connection):
         """Serves one request; returns whether the connection can serve another."""
         head = await self._read_head(connection)
         if head is None:
             return False
-        body = await self._read_body(connection, head)
-        headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
-        request = Request(
-            head.method.decode("latin-1"),
-            head.target.decode("latin-1"),
-            headers,
-            body,
-            connection.remote,
-        )
-        await connection.respond(await self._handle(request), self._closing)
+        body = _Body(self)
+        try:
+            await self._read_body(connection, head, body)
+            headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
+            target = head.target.decode("latin-1")
+            method = head.method.decode("latin-1")
+            try:
+                request = Request(method, target, headers, body.take(), connection.remote)
+            except ValueError as error:
+                raise _bad_target(target, error) from None
+            response = await self._handle(request)
+        finally:
+            body.release()
+        try:
+            await connection.respond(response, self._closing, head.method == b"HEAD")
+        except h11.LocalProtocolError:
+            LOG.exception("server: An answer is not valid HTTP.", extra={"path": request.path})
+            raise IbiscartError(ErrorKind.INTERNAL, "the answer could not be sent") from None
         return connection.next_cycle()
 
     async def _handle(self, request):
@@ -180,11 +261,11 @@
             return await self._handler(request)
         except IbiscartError as error:
             self._on_error(error.kind)
-            return error_response(error)
+            return self._error_response(error)
         except Exception:
             LOG.exception("server: A request failed.", extra={"path": request.path})
             self._on_error(ErrorKind.INTERNAL)
-            return error_response(IbiscartError(ErrorKind.INTERNAL, "internal error"))
+            return self._error_response(IbiscartError(ErrorKind.INTERNAL, "internal error"))
 
     async def _read_head(self, connection):
         try:
@@ -192,93 +273,97 @@
                 event = await connection.next_event()
         except trio.TooSlowError:
             raise _too_slow("header", self._settings.header_timeout_seconds) from None
-        return event if isinstance(event, h11.Request) else None
+        if not isinstance(event, h11.Request):
+            return None
+        if not event.http_version.startswith(b"1."):
+            raise h11.RemoteProtocolError("unknown version")
+        return event
 
-    async def _read_body(self, connection, head):
-        bound = self._settings.max_body_bytes
+    async def _read_body(self, connection, head, body):
         for name, value in head.headers:
-            if name == b"content-length" and int(value) > bound:
-                raise _too_large(int(value), bound)
-        parts = []
-        size = 0
+            if name == b"content-length":
+                body.check(int(value))
         try:
             with trio.fail_after(self._settings.body_timeout_seconds):
-                while True:
-                    event = await connection.next_event()
-                    if not isinstance(event, h11.Data):
-                        return b"".join(parts)
-                    size += len(event.data)
-                    if size > bound:
-                        raise _too_large(size, bound)
-                    parts.append(bytes(event.data))
+                while isinstance(event := await connection.next_event(), h11.Data):
+                    body.add(bytes(event.data))
         except trio.TooSlowError:
             raise _too_slow("body", self._settings.body_timeout_seconds) from None
 
+    def _error_response(self, error):
+        response = error_response(error)
+        response.headers = [*response.headers, *self._answer_headers()]
+        return response
+
     async def _answer_error(self, connection, error):
         self._on_error(error.kind)
         try:
-            await connection.respond(error_response(error), True)
+            await connection.respond(self._error_response(error), True)
         except h11.LocalProtocolError:
             pass  # the caller's bytes left the connection in a state without answers
 
 
-class _Connection:
-    """An accepted stream with its h11 state."""
-
-    def __init__(self, stream):
-        self._stream = stream
-        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+class _Body:
+    """Body of one request; its size counts against the bodies of all requests."""
+
+    def __init__(self, server):
+        self._server = server
+        self._parts = []
+        self._size = 0
+
+    def check(self, size):
+        """Raises when a body of ``size`` bytes is too large for a request."""
+        bound = self._server._settings.max_body_bytes
+        if size > bound:
+            raise _too_large(size, bound)
+
+    def add(self, data):
+        """Adds the next part."""
+        self.check(self._size + len(data))
+        if self._server._buffered + len(data) > self._server._most_buffered:
+            raise IbiscartError(
+                ErrorKind.OVERLOADED,
+                "too many large requests at once; retry later",
+                field="body",
+                bound=f"{self._server._most_buffered} bytes of all requests",
+            )
+        self._server._buffered += len(data)
+        self._size += len(data)
+        self._parts.append(data)
+
+    def take(self):
+        """Returns the whole body."""
+        data = b"".join(self._parts)
+        self._parts = []
+        return data
+
+    def release(self):
+        """Ends the count of this body."""
+        self._server._buffered -= self._size
+        self._size = 0
+
+
+def _malformed(error):
+    if error.error_status_hint == 431:
+        return IbiscartError(
+            ErrorKind.BAD_REQUEST,
+            "the request's header is too large; send less",
+            field="header",
+            value=f"over {MAX_HEADER_BYTES} bytes",
+            bound=f"{MAX_HEADER_BYTES} bytes",
+        )
+    message = f"malformed HTTP: {error}; send an HTTP/1.1 request"
+    return IbiscartError(ErrorKind.BAD_REQUEST, message, field="request", bound="HTTP/1.1")
 
-    @property
-    def has_data(self):
-        """Whether bytes of a request have arrived."""
-        return bool(self._h11.trailing_data[0])
 
-    @property
-    def remote(self):
-        """Address of the caller."""
-        try:
-            return self._stream.socket.getpeername()[0]
-        except OSError:
-            return ""
-
-    async def wait_data(self):
-        """Waits for the first bytes of a request, or the end of the stream."""
-        if not self.has_data:
-            self._h11.receive_data(await self._stream.receive_some(READ_BYTES))
-
-    async def next_event(self):
-        """Returns the next h11 event."""
-        while True:
-            event = self._h11.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            if self._h11.they_are_waiting_for_100_continue:
-                go_ahead = h11.InformationalResponse(status_code=100, headers=[])
-                await self._stream.send_all(self._h11.send(go_ahead))
-            self._h11.receive_data(await self._stream.receive_some(READ_BYTES))
-
-    async def respond(self, response, close):
-        """Sends a whole response."""
-        headers = [
-            ("content-type", response.content_type),
-            ("content-length", str(len(response.body))),
-            *response.headers,
-        ]
-        if close:
-            headers.append(("connection", "close"))
-        head = h11.Response(status_code=response.status, headers=headers)
-        data = self._h11.send(head)
-        data += self._h11.send(h11.Data(data=response.body))
-        data += self._h11.send(h11.EndOfMessage())
-        await self._stream.send_all(data)
-
-    def next_cycle(self):
-        """Prepares for the next request; returns False when the connection must close."""
-        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
-            return False
-        self._h11.start_next_cycle()
-        return True
+def _bad_target(target, error):
+    return IbiscartError(
+        ErrorKind.BAD_REQUEST,
+        f"the request's target cannot be read: {error}; correct the path and its query",
+        field="target",
+        value=target[:SHOWN_CHARACTERS],
+        bound=f"a path and at most {MAX_QUERY_FIELDS} query fields",
+    )
 
 
 def _too_large(size, bound):
--- /dev/null
+++ b/tests/entry/test_server.py
@@ -0,0 +1,406 @@
+"""Guards the server against callers that break, flood or hold up connections."""
+
+import json
+import logging
+import unittest
+from contextlib import asynccontextmanager
+
+import trio
+
+from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_entry.server import HttpServer, Response
+from ibiscart_schema.generated.settings_pb2 import ServerSettings
+
+TEST_SECONDS = 20
+GET = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+def settings(**changes):
+    values = {
+        "address": "127.0.0.1:0",
+        "max_connections": 8,
+        "max_body_bytes": 4096,
+        "header_timeout_seconds": 0.3,
+        "body_timeout_seconds": 0.3,
+    }
+    return ServerSettings(**{**values, **changes})
+
+
+class Rig:
+    """A running server and what it reported."""
+
+    def __init__(self, server, port, kinds):
+        self.server = server
+        self.port = port
+        self.kinds = kinds
+
+    async def connect(self):
+        return await trio.open_tcp_stream("127.0.0.1", self.port)
+
+    async def exchange(self, data):
+        """Sends bytes on a new connection and returns everything up to its end."""
+        stream = await self.connect()
+        async with stream:
+            await stream.send_all(data)
+            return await read_end(stream)
+
+    async def healthy(self):
+        """Tells whether the server still answers."""
+        stream = await self.connect()
+        async with stream:
+            await stream.send_all(GET)
+            return (await read_some(stream)).startswith(b"HTTP/1.1 200")
+
+
+async def read_end(stream):
+    parts = []
+    while data := await stream.receive_some(65536):
+        parts.append(data)
+    return b"".join(parts)
+
+
+async def read_some(stream):
+    return await stream.receive_some(65536)
+
+
+def error_of(answer):
+    return json.loads(answer.split(b"\r\n\r\n", 1)[1])["error"]
+
+
+async def echo(request):
+    body = f"{request.method} {request.path} {len(request.body)}".encode()
+    return Response(200, body, "text/plain")
+
+
+@asynccontextmanager
+async def serving(handler=echo, **changes):
+    kinds = []
+    server = HttpServer(handler, settings(**changes), kinds.append)
+    with trio.fail_after(TEST_SECONDS):
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve)
+            yield Rig(server, port, kinds)
+            nursery.cancel_scope.cancel()
+
+
+class ServerTest(unittest.TestCase):
+    def run_case(self, case, handler=echo, **changes):
+        async def main():
+            async with serving(handler, **changes) as rig:
+                await case(rig)
+                self.assertTrue(await rig.healthy(), "the server stopped answering")
+                with trio.fail_after(3):
+                    await rig.server.wait_closed()
+                self.assertEqual(rig.server.requests, 0)
+
+        trio.run(main)
+
+    def test_oversized_body_is_refused_with_a_readable_answer(self):
+        """A reset by unread input must not hide the refusal."""
+
+        async def case(rig):
+            stream = await rig.connect()
+            head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3000000\r\n\r\n"
+            await stream.send_all(head)
+            with trio.move_on_after(2):
+                try:
+                    for _ in range(30):
+                        await stream.send_all(b"x" * 100_000)
+                except trio.BrokenResourceError:
+                    pass
+            answer = await read_end(stream)
+            await stream.aclose()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer[:80])
+            error = error_of(answer)
+            self.assertEqual(
+                (error["code"], error["ran"], error["bound"]),
+                ("body_too_large", "no", "4096 bytes"),
+            )
+
+        self.run_case(case)
+
+    def test_oversized_chunked_body_is_refused(self):
+        """A body without a stated length must meet the same bound."""
+
+        async def case(rig):
+            chunk = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+            head = b"POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            answer = await rig.exchange(head + chunk * 3)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer[:80])
+
+        self.run_case(case)
+
+    def test_bodies_of_all_requests_are_bounded_together(self):
+        """Many allowed bodies at once must not exhaust the memory."""
+
+        async def case(rig):
+            rig.server._most_buffered = 6000
+            first = await rig.connect()
+            head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 4096\r\n\r\n"
+            await first.send_all(head + b"x" * 4000)
+            await trio.sleep(0.05)
+            answer = await rig.exchange(head + b"x" * 4096)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer[:80])
+            await first.send_all(b"x" * 96)
+            self.assertIn(b"POST /x 4096", await read_some(first))
+            await first.aclose()
+            self.assertEqual(rig.server._buffered, 0)
+
+        self.run_case(case)
+
+    def test_slow_header_and_slow_body_time_out(self):
+        """A caller that stalls must not hold a slot for ever."""
+
+        async def case(rig):
+            for data, part in (
+                (b"GET /x HT", "header"),
+                (b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n123", "body"),
+            ):
+                answer = await rig.exchange(data)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer[:80])
+                self.assertEqual(error_of(answer)["field"], part)
+
+        self.run_case(case)
+
+    def test_trickled_header_does_not_extend_its_time(self):
+        """Single bytes must not start the time anew."""
+
+        async def case(rig):
+            stream = await rig.connect()
+            start = trio.current_time()
+            try:
+                for byte in GET * 10:
+                    await stream.send_all(bytes([byte]))
+                    await trio.sleep(0.05)
+                    if trio.current_time() - start > 1:
+                        break
+            except trio.BrokenResourceError:
+                pass
+            answer = await read_end(stream)
+            await stream.aclose()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer[:80])
+
+        self.run_case(case)
+
+    def test_malformed_requests_get_400_and_a_closed_connection(self):
+        """Garbage must neither crash the process nor leave the caller without an answer."""
+        cases = (
+            b"\x00\x01\x02garbage\r\n\r\n",
+            b"GET\r\n\r\n",
+            b"GET /x HTTP/9.9\r\n\r\n",
+            b"GET /x HTTP/1.1\r\n\r\n",
+            b"GET /x HTTP/1.1\r\nhost: a\r\nbad header\r\n\r\n",
+            b"GET /x HTTP/1.1\r\nhost: a\r\ncontent-length: -1\r\n\r\n",
+            b"GET /x HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
+            b"POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+            b"POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: gzip\r\n\r\n",
+            b"GET //[ HTTP/1.1\r\nhost: a\r\n\r\n",
+            b"GET /x?"
+            + b"&".join(b"a%d=1" % n for n in range(40))
+            + b" HTTP/1.1\r\nhost: a\r\n\r\n",
+            b"GET /x HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 70_000 + b"\r\n\r\n",
+            b"GET /x HTTP/1.1\r\nhost: a\r\n" + b"a: b\r\n" * 12_000,
+        )
+
+        async def case(rig):
+            for data in cases:
+                answer = await rig.exchange(data)
+                status = answer.split(b"\r\n")[0]
+                # h11 states 501 for unknown transfer codings; the closed table has 400
+                self.assertTrue(status.startswith(b"HTTP/1.1 400"), (data[:60], answer[:80]))
+                self.assertIn(b"connection: close", answer.lower())
+                self.assertEqual(error_of(answer)["ran"], "no")
+
+        self.run_case(case)
+
+    def test_truncated_request_frees_its_slot(self):
+        """A caller that leaves in the middle must not be counted for ever."""
+
+        async def case(rig):
+            for data in (b"GET /x", b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n12"):
+                stream = await rig.connect()
+                await stream.send_all(data)
+                await stream.aclose()
+            await trio.sleep(0.1)
+            self.assertEqual(rig.server.requests, 0)
+
+        self.run_case(case)
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        """Bytes of the next request must not be lost or mixed into the first."""
+
+        async def case(rig):
+            first = b"POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc"
+            last = b"GET /3 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+            answer = await rig.exchange(first + GET.replace(b"/x", b"/2") + last)
+            places = [answer.find(text) for text in (b"POST /1 3", b"GET /2 0", b"GET /3 0")]
+            self.assertEqual(places, sorted(places))
+            self.assertNotIn(-1, places)
+
+        self.run_case(case)
+
+    def test_head_has_no_body(self):
+        """Load balancers probe with HEAD; a body would be taken for the next answer."""
+
+        async def case(rig):
+            request = b"HEAD /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+            answer = await rig.exchange(request)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer[:80])
+            self.assertTrue(answer.endswith(b"\r\n\r\n"))
+
+        self.run_case(case)
+
+    def test_expect_continue(self):
+        """Callers that wait for 100 must be asked for the body."""
+
+        async def case(rig):
+            stream = await rig.connect()
+            head = (
+                b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\nexpect: 100-continue\r\n\r\n"
+            )
+            await stream.send_all(head)
+            self.assertTrue((await read_some(stream)).startswith(b"HTTP/1.1 100"))
+            await stream.send_all(b"ok")
+            self.assertIn(b"POST /x 2", await read_some(stream))
+            await stream.aclose()
+
+        self.run_case(case)
+
+    def test_connection_limit(self):
+        """Connections over the limit get an answer; those within it go on unharmed."""
+
+        async def case(rig):
+            held = [await rig.connect() for _ in range(3)]
+            await trio.sleep(0.05)
+            answer = await rig.exchange(GET)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer[:80])
+            self.assertEqual(error_of(answer)["code"], "overloaded")
+            for stream in held:
+                await stream.send_all(GET)
+                self.assertIn(b"GET /x 0", await read_some(stream))
+                await stream.aclose()
+            await trio.sleep(0.05)
+            self.assertEqual(rig.server.connections, 0)
+
+        self.run_case(case, max_connections=3)
+
+    def test_connection_flood_is_bounded(self):
+        """A flood must not open more connections than the limit and its allowance."""
+
+        async def case(rig):
+            streams = [await rig.connect() for _ in range(120)]
+            highest = 0
+            for _ in range(20):
+                await trio.sleep(0.01)
+                highest = max(highest, rig.server.connections)
+            self.assertLessEqual(highest, 2 + 64 + 1)
+            for stream in streams:
+                await trio.aclose_forcefully(stream)
+            await trio.sleep(0.1)
+
+        self.run_case(case, max_connections=2)
+
+    def test_caller_that_does_not_read_is_dropped(self):
+        """An answer that nobody reads must not stay open for ever."""
+
+        async def big(request):
+            return Response(200, b"x" * (50_000_000 if request.path == "/big" else 1))
+
+        async def case(rig):
+            stream = await rig.connect()
+            await stream.send_all(GET.replace(b"/x", b"/big"))
+            await trio.sleep(0.1)
+            self.assertEqual(rig.server.requests, 1)
+            with trio.fail_after(3):
+                await rig.server.wait_idle()
+            await trio.aclose_forcefully(stream)
+
+        self.run_case(case, big)
+
+    def test_one_failing_handler_harms_no_other_connection(self):
+        """An unforeseen exception must be answered and stay within its request."""
+
+        async def handler(request):
+            if request.path == "/fail":
+                raise RuntimeError("unforeseen")
+            if request.path == "/refuse":
+                raise IbiscartError(ErrorKind.QUEUE_FULL, "full")
+            if request.path == "/header":
+                return Response(200, headers=[("x", "a\r\nb")])
+            return Response(200, b"ok")
+
+        async def case(rig):
+            other = await rig.connect()
+            await other.send_all(GET)
+            await read_some(other)
+            with self.assertLogs("ibiscart.server", logging.ERROR):
+                stream = await rig.connect()
+                await stream.send_all(GET.replace(b"/x", b"/fail"))
+                self.assertIn(b'"internal"', await read_some(stream))
+                await stream.send_all(GET.replace(b"/x", b"/refuse"))
+                answer = await read_some(stream)
+                self.assertIn(b"retry-after: 5", answer)
+                await stream.aclose()
+                answer = await rig.exchange(GET.replace(b"/x", b"/header"))
+                self.assertTrue(answer.startswith(b"HTTP/1.1 500"), answer[:80])
+            await other.send_all(GET)
+            self.assertIn(b"ok", await read_some(other))
+            await other.aclose()
+            self.assertEqual(rig.kinds[:2], [ErrorKind.INTERNAL, ErrorKind.QUEUE_FULL])
+
+        self.run_case(case, handler)
+
+    def test_header_values_beyond_ascii(self):
+        """Latin-1 bytes that an answer repeats must not break the connection."""
+
+        async def handler(request):
+            return Response(200, b"ok", request.headers.get("content-type", "text/plain"))
+
+        async def case(rig):
+            data = (
+                b"GET /x HTTP/1.1\r\nhost: a\r\ncontent-type: t/\xe9\r\nconnection: close\r\n\r\n"
+            )
+            answer = await rig.exchange(data)
+            self.assertIn(b"content-type: t/\xe9", answer)
+
+        self.run_case(case, handler)
+
+    def test_stop_accepting_serves_what_has_arrived(self):
+        """Connections that wait in the backlog at the stop must be served (P7)."""
+
+        async def main():
+            async with serving() as rig:
+                streams = []
+                for _ in range(5):
+                    stream = await rig.connect()
+                    await stream.send_all(GET)
+                    streams.append(stream)
+                rig.server.stop_accepting()
+                rig.server.close_idle()
+                for stream in streams:
+                    self.assertIn(b"GET /x 0", await read_end(stream))
+                with trio.fail_after(3):
+                    await rig.server.wait_closed()
+                with self.assertRaises(OSError):
+                    await rig.connect()
+
+        trio.run(main)
+
+    def test_several_waiters_are_woken(self):
+        """A second waiter must not replace the event of the first."""
+
+        async def main():
+            async with serving() as rig:
+                stream = await rig.connect()
+                await trio.sleep(0.05)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(rig.server.wait_closed)
+                    nursery.start_soon(rig.server.wait_closed)
+                    await trio.sleep(0.05)
+                    await stream.aclose()
+
+        trio.run(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
