--- a/packages/schema/src/ibiscart_schema/check.py
+++ b/packages/schema/src/ibiscart_schema/check.py
@@ -7,7 +7,6 @@
 Enum values are written in short lower-case form: ``rack`` for ``SCOPE_RACK``.
 """
 
-import json
 import math
 import os
 import re
@@ -15,6 +14,15 @@
 import yaml
 from google.protobuf.descriptor import FieldDescriptor
 
+from ibiscart_schema.document import (
+    CheckError,
+    Node,
+    Problem,
+    read_json,
+    read_plain,
+    read_yaml,
+    shorten,
+)
 from ibiscart_schema.generated.bounds_pb2 import bounds as bounds_option
 
 __all__ = [
@@ -28,10 +36,7 @@
     "to_mapping",
 ]
 
-SHOWN_CHARACTERS = 80
 PROBLEMS_KEPT = 100
-# deeper documents than any message type needs exhaust the parsers' recursion
-DEPTH_ALLOWED = 50
 SECRET_FIELDS = frozenset({"key"})
 
 INTEGER_RANGES = {
@@ -43,70 +48,9 @@
 FLOAT_TYPES = frozenset({FieldDescriptor.CPPTYPE_DOUBLE, FieldDescriptor.CPPTYPE_FLOAT})
 
 
-class Problem:
-    """One failed check.
-
-    ``line`` counts from 1 and is 0 when unknown. ``advice`` says what to do.
-    """
-
-    __slots__ = ("advice", "bound", "field", "line", "value")
-
-    def __init__(self, line, field, value, bound, advice):
-        self.line = line
-        self.field = field
-        self.value = value
-        self.bound = bound
-        self.advice = advice
-
-    def __str__(self):
-        place = f"line {self.line}: " if self.line else ""
-        value = f" is {self.value}" if self.value else ""
-        bound = f" (allowed: {self.bound})" if self.bound else ""
-        return f"{place}{self.field or 'document'}{value}{bound}: {self.advice}"
-
-
-class CheckError(ValueError):
-    """A document with at least one problem; ``problems`` holds all of them in order."""
-
-    def __init__(self, problems):
-        self.problems = tuple(sorted(problems, key=lambda problem: problem.line or math.inf))
-        super().__init__("\n".join(map(str, self.problems)))
-
-
-class _Node:
-    """A parsed value with its line; mappings are lists of (name, line, node) in ``value``."""
-
-    __slots__ = ("kind", "line", "value")
-
-    def __init__(self, kind, value, line):
-        self.kind = kind
-        self.value = value
-        self.line = line
-
-    def show(self):
-        """Returns the value for an error message."""
-        if self.kind == "mapping":
-            return "a mapping"
-        if self.kind == "list":
-            return f"a list of {len(self.value)}"
-        return _show(self.value)
-
-
 def check_yaml(text, message_type):
     """Returns a ``message_type`` built from YAML text; raises ``CheckError``."""
-    try:
-        node = yaml.compose(text, Loader=yaml.SafeLoader)
-        root = _Node("mapping", [], 1) if node is None else _from_yaml(node, 0)
-    except yaml.MarkedYAMLError as error:
-        line = error.problem_mark.line + 1 if error.problem_mark else 0
-        reason = " ".join(filter(None, (error.context, error.problem)))
-        raise CheckError([Problem(line, "", "", "YAML", f"{reason}; mend the syntax")]) from None
-    except (yaml.YAMLError, ValueError) as error:
-        reason = str(error).splitlines()[0]
-        raise CheckError([Problem(0, "", "", "YAML", f"{reason}; mend the syntax")]) from None
-    except RecursionError:
-        raise CheckError([_too_deep(0)]) from None
-    return _check_root(root, message_type)
+    return _check_root(read_yaml(text), message_type)
 
 
 def check_json(text, message_type, fixed=None):
@@ -115,26 +59,12 @@
     ``fixed`` maps names of text fields to values known from elsewhere; a document may
     leave them out or repeat them.
     """
-    try:
-        if isinstance(text, bytes):
-            text = text.decode()
-        pairs = json.loads(text, object_pairs_hook=_Pairs)
-    except json.JSONDecodeError as error:
-        advice = f"{error.msg} at column {error.colno}; mend the syntax"
-        raise CheckError([Problem(error.lineno, "", "", "JSON", advice)]) from None
-    except UnicodeDecodeError:
-        raise CheckError([Problem(0, "", "", "JSON", "send the document as UTF-8")]) from None
-    except ValueError:
-        # the interpreter refuses integers of more than 4300 digits
-        raise CheckError([Problem(0, "", "", "JSON", "a number has too many digits")]) from None
-    except RecursionError:
-        raise CheckError([_too_deep(0)]) from None
-    return _check_root(_from_json(pairs, 0), message_type, fixed)
+    return _check_root(read_json(text), message_type, fixed)
 
 
 def check_mapping(mapping, message_type):
     """Returns a ``message_type`` built from nested dicts and lists; raises ``CheckError``."""
-    return _check_root(_from_json(mapping, 0), message_type)
+    return _check_root(read_plain(mapping), message_type)
 
 
 def to_mapping(message):
@@ -154,42 +84,6 @@
     return mapping
 
 
-class _Pairs(list):
-    """Members of a JSON object in order, so that repeated names are seen."""
-
-
-def _from_yaml(node, depth):
-    if depth > DEPTH_ALLOWED:
-        raise CheckError([_too_deep(node.start_mark.line + 1)])
-    line = node.start_mark.line + 1
-    if isinstance(node, yaml.MappingNode):
-        items = [
-            (_key_text(key), key.start_mark.line + 1, _from_yaml(value, depth + 1))
-            for key, value in node.value
-        ]
-        return _Node("mapping", items, line)
-    if isinstance(node, yaml.SequenceNode):
-        return _Node("list", [_from_yaml(item, depth + 1) for item in node.value], line)
-    return _Node("scalar", yaml.SafeLoader("").construct_object(node), line)
-
-
-def _key_text(key):
-    return key.value if isinstance(key, yaml.ScalarNode) else "?"
-
-
-def _from_json(value, depth):
-    if depth > DEPTH_ALLOWED:
-        raise CheckError([_too_deep(0)])
-    if isinstance(value, dict):
-        value = _Pairs(value.items())
-    if isinstance(value, _Pairs):
-        items = [(str(name), 0, _from_json(item, depth + 1)) for name, item in value]
-        return _Node("mapping", items, 0)
-    if isinstance(value, list | tuple):
-        return _Node("list", [_from_json(item, depth + 1) for item in value], 0)
-    return _Node("scalar", value, 0)
-
-
 def _check_root(root, message_type, fixed=None):
     checker = _Checker()
     if fixed and root.kind == "mapping":
@@ -222,7 +116,7 @@
         given = {name: value for name, _, value in root.value}
         for name, value in fixed.items():
             if name not in given:
-                root.value.append((name, root.line, _Node("scalar", value, root.line)))
+                root.value.append((name, root.line, Node("scalar", value, root.line)))
             elif given[name].value != value:
                 node = given[name]
                 self.add(node.line, name, node.show(), value, "give this value or leave it out")
@@ -236,7 +130,7 @@
         given = {}
         for name, line, value in node.value:
             if name not in fields:
-                bound = _shorten("one of " + ", ".join(fields))
+                bound = shorten("one of " + ", ".join(fields))
                 self.add(line, _join(path, name), "", bound, _unknown_advice(name, fields))
             elif name in given:
                 self.add(line, _join(path, name), "", "given once", "remove one of the two")
@@ -264,12 +158,12 @@
         if bounds.required:
             self.add(line, path, "", bound_text(field) or "a value", "missing; add it")
         elif bounds.default_value:
-            node = _from_json(yaml.safe_load(bounds.default_value), 0)
+            node = read_plain(yaml.safe_load(bounds.default_value))
             self._fill_field(message, field, node, line, path)
         elif field.message_type is not None and not field.is_repeated:
             if _fillable(field.message_type):
                 getattr(message, field.name).SetInParent()
-                self.fill(getattr(message, field.name), _Node("mapping", [], line), path)
+                self.fill(getattr(message, field.name), Node("mapping", [], line), path)
 
     def _fill_list(self, message, field, bounds, node, path):
         if _is_map(field):
@@ -458,19 +352,4 @@
 
 
 def _join(path, name):
-    return f"{path}.{_shorten(name)}" if path else _shorten(name)
-
-
-def _show(value):
-    try:
-        return _shorten(json.dumps(value))
-    except (TypeError, ValueError):
-        return _shorten(str(value)) if not isinstance(value, int) else "a very long number"
-
-
-def _shorten(text):
-    return text if len(text) <= SHOWN_CHARACTERS else text[: SHOWN_CHARACTERS - 3] + "..."
-
-
-def _too_deep(line):
-    return Problem(line, "", "", f"{DEPTH_ALLOWED} levels", "nested too deeply; flatten it")
+    return f"{path}.{shorten(name)}" if path else shorten(name)
