--- a/packages/entry/src/ibiscart_entry/settings.py
+++ b/packages/entry/src/ibiscart_entry/settings.py
@@ -54,7 +54,8 @@
             message = check_yaml(text, EntrySettings)
         except CheckError as error:
             raise SettingsError(path, error.problems) from None
-        problems = list(_check_ports(message)) + list(_check_times(message))
+        checks = (_check_ports, _check_times, _check_drain)
+        problems = [problem for check in checks for problem in check(message)]
         key = _read_key(message.peer, path.parent, problems)
         if problems:
             raise SettingsError(path, [_with_line(text, problem) for problem in problems])
@@ -91,6 +92,19 @@
         )
 
 
+def _check_drain(message):
+    drain = message.drain
+    # a deadline within the balancer's lag would cut requests at every shutdown
+    if drain.deadline_seconds < drain.balancer_lag_seconds + 1:
+        yield Problem(
+            0,
+            "drain.deadline_seconds",
+            f"{drain.deadline_seconds:g}",
+            f"at least balancer_lag_seconds and 1 s more, {drain.balancer_lag_seconds + 1:g} s",
+            "raise it or lower balancer_lag_seconds",
+        )
+
+
 def _read_key(peer, directory, problems):
     if bool(peer.key) == bool(peer.key_file):
         found = "both given" if peer.key else "neither given"
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -68,8 +68,9 @@
     def test_relations_between_fields(self):
         """Values that are valid alone can be unusable together."""
         text = GOOD.replace("  key_file", "  heartbeat_seconds: 2\n  key_file")
-        text += "scheduler:\n  renew_seconds: 16\n"
+        text += "scheduler:\n  renew_seconds: 16\ndrain: {deadline_seconds: 5}\n"
         message = self.problems(text)
+        self.assertIn("line 19: drain.deadline_seconds is 5", message)
         self.assertIn("line 18: scheduler.renew_seconds is 16", message)
         self.assertIn("line 8: peer.heartbeat_seconds is 2", message)
 
