--- a/packages/entry/src/ibiscart_entry/journal.py
+++ b/packages/entry/src/ibiscart_entry/journal.py
@@ -3,10 +3,6 @@
 ~~~~~~~~~~~~~~~~~~~~~~
 
 The region's journal: append, follow, push and snapshots.
-
-Rows are ``journal/<region>/<sequence>`` and ``journal/<region>/head``, which holds the
-last sequence. Each append also moves the head in the same transaction: without it, an
-entry with a very old view could create a row anew whose record was already deleted.
 """
 
 import logging
@@ -20,8 +16,8 @@
 from ibiscart_core.ledger import Ledger
 from ibiscart_core.retry import full_jitter
 from ibiscart_entry.peer import PUSH, PeerError
-from ibiscart_entry.store import SnapshotStore
-from ibiscart_entry.table import StoreError, TableConflict
+from ibiscart_entry.store import JournalRows, SnapshotStore
+from ibiscart_entry.table import StoreError
 from ibiscart_schema.generated.journal_pb2 import Record
 from ibiscart_schema.generated.peer_pb2 import (
     CatchUpReply,
@@ -29,7 +25,6 @@
     Heartbeat,
     RecordPush,
 )
-from ibiscart_schema.generated.store_pb2 import TableWrite
 
 __all__ = ["AppendConflict", "AppendLost", "Journal"]
 
@@ -37,7 +32,6 @@
 RECENT_RECORDS = 1024
 EARLY_RECORDS = 64
 SUBSCRIBER_RECORDS = 1024
-SCAN_ROWS = 256
 CATCH_UP_TIMEOUT_SECONDS = 5.0
 # the missing record of a gap is usually on its way, and arrives before this
 GAP_DELAY_SECONDS = 0.1
@@ -73,17 +67,14 @@
         rng=None,
     ):
         self._region = region
-        self._table = table
         self._peers = peers
         self._metrics = metrics
+        self._rows = JournalRows(region, table)
         self._snapshots = SnapshotStore(region, table, objects)
         self._snapshot_records = snapshot_records
         self._poll_seconds = poll_seconds
         self._clock = clock
         self._rng = rng or random.SystemRandom()
-        self._prefix = f"journal/{region}/"
-        self._head_key = f"{self._prefix}head"
-        self._head = None
         self._recent = deque(maxlen=RECENT_RECORDS)
         self._early = {}
         self._subscribers = []
@@ -207,28 +198,29 @@
     # append
 
     async def _head_version(self):
-        if self._head is None or self._head[0] != self.sequence:
+        head = self._rows.head
+        if head is None or head[0] != self.sequence:
             try:
-                row = await self._table.get(self._head_key)
+                head = await self._rows.read_head()
             except StoreError as error:
                 raise StoreError(error.reason, False) from None
-            self._head = (0, 0) if row is None else (int(row.value), row.version)
-        if self._head[0] > self.sequence:
+        if head[0] > self.sequence:
             await self._poll_quietly()
-            raise AppendConflict(f"the journal was at {self._head[0]}")
-        if self._head[0] < self.sequence:
+            raise AppendConflict(f"the journal was at {head[0]}")
+        if head[0] < self.sequence:
             raise StoreError("head_behind", False)
-        return self._head[1]
+        return head[1]
 
     async def _resolve(self):
         record = self._undecided[0]
         start = self._clock()
         attempt = 0
         while True:
-            asked = self._clock()
+            asked = -math.inf
             try:
                 written = self._known_outcome(record)
                 if written is None:
+                    asked = self._clock()
                     written = await self._write(record)
                 break
             except StoreError as error:
@@ -255,38 +247,17 @@
     async def _write(self, record):
         """Writes the record once; returns whether the row holds it."""
         _, version, sent = self._undecided
-        row = TableWrite(
-            key=self._key(record.sequence), value=record.SerializeToString(), expected_version=0
-        )
-        head = TableWrite(
-            key=self._head_key, value=str(record.sequence).encode(), expected_version=version
-        )
         # set before the request: a cancelled request may have been sent
         self._undecided = (record, version, True)
         try:
-            rows = await self._table.transact([row, head])
+            present, head = await self._rows.write(record, version)
         except StoreError as error:
             self._undecided = (record, version, sent or error.sent)
             raise
-        except TableConflict as conflict:
-            return self._judge(record, conflict.rows, sent)
-        for row in rows:
-            if row.key == self._head_key:
-                self._head = (record.sequence, row.version)
-        return True
-
-    def _judge(self, record, rows, sent):
-        found = {row.key: row for row in rows if row.version}
-        row = found.get(self._key(record.sequence))
-        self._head = None
-        if row is not None:
-            winner = Record.FromString(row.value)
-            if winner.token == record.token:
-                return True
-            self._apply(winner)
-            return False
-        head = found.get(self._head_key)
-        if sent and head is not None and int(head.value) >= record.sequence:
+        if present is not None:
+            self._apply(present)
+            return present.token == record.token
+        if sent and head >= record.sequence:
             self._undecided = None
             self._metrics.count("append_conflicts", "lost")
             raise AppendLost(f"row {record.sequence} was deleted")
@@ -345,11 +316,9 @@
             while True:
                 start = self._clock()
                 before = self.sequence
-                rows = await self._table.scan(self._prefix, self._key(before), SCAN_ROWS)
-                head = self._apply_rows(rows)
-                if head is None and len(rows) < SCAN_ROWS:
-                    # no record was ever written
-                    head = 0
+                records, head = await self._rows.read_after(before)
+                for record in records:
+                    self._apply(record)
                 if head is not None and head <= self.sequence:
                     self._confirmed = max(self._confirmed, start)
                     return
@@ -359,16 +328,6 @@
                     if self.sequence == before:
                         raise StoreError("journal_gap", True)
 
-    def _apply_rows(self, rows):
-        head = None
-        for row in rows:
-            if row.key == self._head_key:
-                head = int(row.value)
-                self._head = (head, row.version)
-            else:
-                self._apply(Record.FromString(row.value))
-        return head
-
     async def _catch_up_from_peer(self):
         """Returns whether a peer gave its state, even if it was no newer."""
         others = [p for p in self._peers.live() if p != self._peers.entry_id]
@@ -449,22 +408,11 @@
     async def _store_snapshots(self):
         while True:
             await self._advanced.wait()
+            if self._peers.preferred_writer() != self._peers.entry_id:
+                continue
             try:
-                await self._store_snapshot()
+                if await self._snapshots.store_if_due(self.ledger, self._snapshot_records):
+                    LOG.info("journal: A snapshot is stored.")
             except StoreError as error:
                 LOG.warning("journal: A snapshot failed.", extra={"cause": error.reason})
                 await trio.sleep(SNAPSHOT_RETRY_SECONDS)
-
-    async def _store_snapshot(self):
-        if self._peers.preferred_writer() != self._peers.entry_id:
-            return
-        if self.sequence - self._snapshots.sequence < self._snapshot_records:
-            return
-        await self._snapshots.refresh(low=True)
-        if self.sequence - self._snapshots.sequence >= self._snapshot_records:
-            sequence = self.sequence
-            await self._snapshots.save(self.ledger.snapshot())
-            LOG.info("journal: A snapshot is stored.", extra={"sequence": sequence})
-
-    def _key(self, sequence):
-        return f"{self._prefix}{sequence:016d}"
--- a/packages/entry/src/ibiscart_entry/membership.py
+++ b/packages/entry/src/ibiscart_entry/membership.py
@@ -2,7 +2,7 @@
 ibiscart_entry.membership
 ~~~~~~~~~~~~~~~~~~~~~~~~~
 
-The platform's list of machines, polled; the last good list is kept.
+The platform's list of machines, and the commands that follow from it.
 """
 
 import logging
@@ -12,10 +12,11 @@
 
 from ibiscart_entry.client import TransportError
 from ibiscart_entry.store import address_of
+from ibiscart_schema.generated.peer_pb2 import Command
 from ibiscart_schema.generated.target_pb2 import MembershipList
-from ibiscart_schema.generated.types_pb2 import TARGET_LEAVING
+from ibiscart_schema.generated.types_pb2 import TARGET_LEAVING, TARGET_LOST, WorkerInfo
 
-__all__ = ["Membership"]
+__all__ = ["Membership", "Upkeep"]
 
 LOG = logging.getLogger("ibiscart.membership")
 TIMEOUT_SECONDS = 1.0
@@ -24,6 +25,9 @@
 MACHINES_KEPT = 4096
 # after this many lists of lower versions in a row the numbering must have begun anew
 STALE_POLLS = 15
+SHARES_STABLE_SECONDS = 2.0
+# an entry uses its shares for up to 10 s after its position was last confirmed
+SHARES_SILENCE_SECONDS = 10.0
 
 
 class Membership:
@@ -120,3 +124,69 @@
 
     def _with_role(self, role):
         return [machine for machine in self.machines.values() if machine.role == role]
+
+
+class Upkeep:
+    """Commands that keep workers and share grants in step with membership and heartbeats."""
+
+    def __init__(self, journal, peers, membership, clock):
+        self._journal = journal
+        self._peers = peers
+        self._membership = membership
+        self._clock = clock
+        self._entries = None
+        self._since = 0.0
+
+    def reset(self):
+        """Forgets how long the set of entries has been stable."""
+        self._entries = None
+
+    def commands(self):
+        """Returns the commands that are due."""
+        commands = []
+        entries = self._stable_entries()
+        if entries is not None and tuple(entries) != self._journal.ledger.share_entries:
+            command = Command()
+            command.grant_shares.entries.extend(entries)
+            commands.append(command)
+        if self._membership is not None:
+            commands.extend(self._worker_commands())
+        return commands
+
+    def _stable_entries(self):
+        entries = set(self._peers.live())
+        for entry_id in self._journal.ledger.share_entries:
+            # an entry that is silent for less time may still use its share
+            if self._peers.silence(entry_id) < SHARES_SILENCE_SECONDS:
+                entries.add(entry_id)
+        entries = sorted(entries)
+        if entries != self._entries:
+            self._entries = entries
+            self._since = self._clock()
+        stable = self._clock() - self._since >= SHARES_STABLE_SECONDS
+        return entries if stable else None
+
+    def _worker_commands(self):
+        known = self._journal.ledger.workers
+        register = Command()
+        leaving = []
+        for machine in self._membership.workers():
+            info = WorkerInfo(
+                id=machine.id,
+                address=machine.address,
+                data_centre=machine.data_centre,
+                rack=machine.rack,
+                capacity=machine.capacity,
+            )
+            worker = known.get(machine.id)
+            if worker is None or worker.info() != info:
+                register.register_workers.workers.append(info)
+            if machine.leaving and (
+                worker is None or worker.state not in (TARGET_LEAVING, TARGET_LOST)
+            ):
+                command = Command()
+                command.report_worker.worker_id = machine.id
+                command.report_worker.state = TARGET_LEAVING
+                command.report_worker.cause = "membership"
+                leaving.append(command)
+        return ([register] if register.register_workers.workers else []) + leaving
--- a/packages/entry/src/ibiscart_entry/store.py
+++ b/packages/entry/src/ibiscart_entry/store.py
@@ -2,7 +2,8 @@
 ibiscart_entry.store
 ~~~~~~~~~~~~~~~~~~~~
 
-Object store client, snapshots, and the rate budget and circuit breaker of all operations.
+Object store client, stored form of the journal and its snapshots, and the rate budget and
+circuit breaker of all operations.
 """
 
 import json
@@ -13,16 +14,24 @@
 from ibiscart_core.retry import BreakerState, CircuitBreaker, TokenBucket
 from ibiscart_entry.client import TransportError
 from ibiscart_entry.table import StoreError, TableConflict
-from ibiscart_schema.generated.journal_pb2 import Snapshot
+from ibiscart_schema.generated.journal_pb2 import Record, Snapshot
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
-__all__ = ["ObjectStore", "SnapshotStore", "StoreBudget", "StoreGuard", "address_of"]
+__all__ = [
+    "JournalRows",
+    "ObjectStore",
+    "SnapshotStore",
+    "StoreBudget",
+    "StoreGuard",
+    "address_of",
+]
 
 # part of the burst that snapshots and deletions leave to appends and claims
 LOW_PRIORITY_RESERVE = 0.5
 LOW_PRIORITY_TIMEOUT_SECONDS = 10.0
 WRITES = frozenset({"transact", "put"})
 ROWS_DELETED_AT_ONCE = 50
+SCAN_ROWS = 256
 
 
 def address_of(url):
@@ -133,6 +142,70 @@
     return f"/v1/objects/{quote(key, safe='')}"
 
 
+class JournalRows:
+    """Rows ``journal/<region>/<sequence>``, and ``journal/<region>/head`` with the last one.
+
+    Each append also moves the head in the same transaction: without it, an entry with a
+    very old view could create a row anew whose record was already deleted. ``head`` is the
+    last known (sequence, row version), or None.
+    """
+
+    def __init__(self, region, table):
+        self._table = table
+        self._prefix = f"journal/{region}/"
+        self._head_key = f"{self._prefix}head"
+        self.head = None
+
+    async def read_head(self):
+        """Returns (sequence, row version) of the head; raises ``StoreError``."""
+        row = await self._table.get(self._head_key)
+        self.head = (0, 0) if row is None else (int(row.value), row.version)
+        return self.head
+
+    async def write(self, record, head_version):
+        """Writes a ``Record`` if its row is absent and the head has the given version.
+
+        Returns (the record that the row holds now or None, sequence of the head); raises
+        ``StoreError``.
+        """
+        key = self._key(record.sequence)
+        sequence = str(record.sequence).encode()
+        writes = [
+            TableWrite(key=key, value=record.SerializeToString(), expected_version=0),
+            TableWrite(key=self._head_key, value=sequence, expected_version=head_version),
+        ]
+        try:
+            rows = await self._table.transact(writes)
+        except TableConflict as conflict:
+            self.head = None
+            found = {row.key: row.value for row in conflict.rows if row.version}
+            present = Record.FromString(found[key]) if key in found else None
+            return present, int(found.get(self._head_key, 0))
+        for row in rows:
+            if row.key == self._head_key:
+                self.head = (record.sequence, row.version)
+        return record, record.sequence
+
+    async def read_after(self, sequence):
+        """Returns (records after ``sequence``, sequence of the head or None if not reached)."""
+        rows = await self._table.scan(self._prefix, self._key(sequence), SCAN_ROWS)
+        # the key of the head sorts after those of the records
+        if rows and rows[-1].key == self._head_key:
+            row = rows.pop()
+            self.head = (int(row.value), row.version)
+            head = self.head[0]
+        elif rows:
+            head = None
+        else:
+            # no record was ever written
+            self.head = (0, 0)
+            head = 0
+        return [Record.FromString(row.value) for row in rows], head
+
+    def _key(self, sequence):
+        return f"{self._prefix}{sequence:016d}"
+
+
 class SnapshotStore:
     """Snapshots of one region: objects, the pointer row, and deletion of old journal rows."""
 
@@ -163,6 +236,15 @@
                 return Snapshot.FromString(data)
         raise StoreError("snapshot_missing", True)
 
+    async def store_if_due(self, ledger, interval):
+        """Stores a snapshot when the newest is ``interval`` records old; returns whether."""
+        if ledger.sequence - self.sequence < interval:
+            return False
+        await self.refresh(low=True)
+        if ledger.sequence - self.sequence < interval:
+            return False
+        return await self.save(ledger.snapshot())
+
     async def save(self, message):
         """Stores a ``Snapshot`` and deletes the rows older than the one before it.
 
--- a/packages/entry/src/ibiscart_entry/writer.py
+++ b/packages/entry/src/ibiscart_entry/writer.py
@@ -14,14 +14,12 @@
 from ibiscart_core.ledger import Ledger
 from ibiscart_core.scheduler import Scheduler
 from ibiscart_entry.journal import AppendConflict, AppendLost
+from ibiscart_entry.membership import Upkeep
 from ibiscart_entry.peer import PeerError
 from ibiscart_entry.table import StoreError
-from ibiscart_schema.generated.peer_pb2 import Command, CommandBatch, Reply, ReplyBatch
+from ibiscart_schema.generated.peer_pb2 import CommandBatch, Reply, ReplyBatch
 from ibiscart_schema.generated.types_pb2 import (
-    TARGET_LEAVING,
-    TARGET_LOST,
     TARGET_QUARANTINED,
-    WorkerInfo,
 )
 
 __all__ = ["Writer"]
@@ -39,8 +37,6 @@
 # a decision without events is answered only from a position confirmed this recently
 FRESH_SECONDS = 2.0
 CATCH_UP_SECONDS = 2.0
-SHARES_STABLE_SECONDS = 2.0
-SHARES_SILENCE_SECONDS = 10.0
 NOT_PROCESSED = frozenset(
     kind.value for kind in (ErrorKind.STORE_UNAVAILABLE, ErrorKind.NOT_READY, ErrorKind.OVERLOADED)
 )
@@ -123,7 +119,7 @@
         self._metrics = metrics
         self._clock = clock
         self._wall = wall
-        self._upkeep = _Upkeep(journal, peers, membership, clock)
+        self._upkeep = Upkeep(journal, peers, membership, clock)
         self._working = None
         self._dirty = False
         self._pass_due = False
@@ -428,72 +424,6 @@
                 self._refuse(blocked, None)
 
 
-class _Upkeep:
-    """Commands that keep workers and share grants in step with membership and heartbeats."""
-
-    def __init__(self, journal, peers, membership, clock):
-        self._journal = journal
-        self._peers = peers
-        self._membership = membership
-        self._clock = clock
-        self._entries = None
-        self._since = 0.0
-
-    def reset(self):
-        """Forgets how long the set of entries has been stable."""
-        self._entries = None
-
-    def commands(self):
-        """Returns the commands that are due."""
-        commands = []
-        entries = self._stable_entries()
-        if entries is not None and tuple(entries) != self._journal.ledger.share_entries:
-            command = Command()
-            command.grant_shares.entries.extend(entries)
-            commands.append(command)
-        if self._membership is not None:
-            commands.extend(self._worker_commands())
-        return commands
-
-    def _stable_entries(self):
-        entries = set(self._peers.live())
-        for entry_id in self._journal.ledger.share_entries:
-            # an entry that is silent for less time may still use its share
-            if self._peers.silence(entry_id) < SHARES_SILENCE_SECONDS:
-                entries.add(entry_id)
-        entries = sorted(entries)
-        if entries != self._entries:
-            self._entries = entries
-            self._since = self._clock()
-        stable = self._clock() - self._since >= SHARES_STABLE_SECONDS
-        return entries if stable else None
-
-    def _worker_commands(self):
-        known = self._journal.ledger.workers
-        register = Command()
-        leaving = []
-        for machine in self._membership.workers():
-            info = WorkerInfo(
-                id=machine.id,
-                address=machine.address,
-                data_centre=machine.data_centre,
-                rack=machine.rack,
-                capacity=machine.capacity,
-            )
-            worker = known.get(machine.id)
-            if worker is None or worker.info() != info:
-                register.register_workers.workers.append(info)
-            if machine.leaving and (
-                worker is None or worker.state not in (TARGET_LEAVING, TARGET_LOST)
-            ):
-                command = Command()
-                command.report_worker.worker_id = machine.id
-                command.report_worker.state = TARGET_LEAVING
-                command.report_worker.cause = "membership"
-                leaving.append(command)
-        return ([register] if register.register_workers.workers else []) + leaving
-
-
 def _split(items):
     """Returns (a batch within the bounds, the rest)."""
     size = 0
--- /dev/null
+++ b/tests/entry/test_journal.py
@@ -0,0 +1,407 @@
+"""Guards the journal against forked, lost, repeated and reverted records."""
+
+import math
+import unittest
+
+import trio
+
+from ibiscart_core.ledger import Ledger
+from ibiscart_entry.journal import AppendConflict, AppendLost
+from ibiscart_entry.table import StoreError
+from ibiscart_schema.generated.journal_pb2 import Event, Record
+from tests.entry.test_writer import EPOCH, Cluster, virtual
+
+
+def change(version, account="lipi"):
+    """Returns the events of a contract change."""
+    event = Event()
+    event.contract_changed.contract.account = account
+    event.contract_changed.contract.version = version
+    return [event]
+
+
+def now_us():
+    return int((EPOCH + trio.current_time()) * 1e6)
+
+
+def version(node, account="lipi"):
+    held = node.journal.ledger.accounts.get(account)
+    return held.version if held else 0
+
+
+async def started(nursery, names=("a", "b"), **options):
+    cluster = Cluster(nursery, names, workers=0, writes=False, **options)
+    await cluster.ready()
+    return cluster
+
+
+class AppendTest(unittest.TestCase):
+    @virtual
+    async def test_a_lost_answer_is_resolved_as_success(self, nursery):
+        """A record that was written must not be taken for a conflict or written twice."""
+        cluster = await started(nursery)
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+        cluster.table.faults.lose = 1.0
+        async with trio.open_nursery() as inner:
+            inner.start_soon(a.journal.append, change(1), now_us(), 0)
+            await trio.sleep(1)
+            self.assertTrue(a.journal.undecided)
+            self.assertEqual(a.journal.sequence, 0)
+            cluster.table.faults.lose = 0.0
+        await trio.sleep(1)
+        self.assertEqual([r.sequence for r in cluster.records()], [1])
+        self.assertEqual((version(a), version(b)), (1, 1))
+        self.assertEqual(a.metrics.value("append_conflicts", "sequence"), 0)
+
+    @virtual
+    async def test_an_append_that_lands_late_conflicts_when_the_row_was_taken(self, nursery):
+        """A write that seemed lost must not replace or precede the winner's record."""
+        cluster = await started(nursery)
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+        cluster.network.hold = lambda s, d, r: 9.0 if (s, r.method) == ("a", "POST") else 0.0
+        outcomes = []
+
+        async def append():
+            try:
+                await a.journal.append(change(1, "late"), now_us(), 0)
+            except AppendConflict:
+                outcomes.append("conflict")
+
+        async with trio.open_nursery() as inner:
+            inner.start_soon(append)
+            await trio.sleep(0.5)
+            await b.journal.append(change(1), now_us(), 0)
+        await trio.sleep(12)
+        self.assertEqual(outcomes, ["conflict"])
+        self.assertEqual([r.writer for r in cluster.records()], ["b"])
+        self.assertEqual(a.state(), b.state())
+        self.assertEqual(version(a, "late"), 0)
+
+    @virtual
+    async def test_an_append_that_lands_late_first_is_the_winner(self, nursery):
+        """Giving up on a sent append before its outcome is known would fork the journal."""
+        cluster = await started(nursery)
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+        held = []
+
+        def hold(sender, address, request):
+            if (sender, address, request.path) == ("a", "table:1", "/v1/transact") and not held:
+                held.append(request)
+                return 3.0
+            return 0.0
+
+        cluster.network.hold = hold
+        records = []
+
+        async def append():
+            records.append(await a.journal.append(change(1, "late"), now_us(), 0))
+
+        async with trio.open_nursery() as inner:
+            inner.start_soon(append)
+            await trio.sleep(0.1)
+            # a cannot resend, so only the held request can write its record
+            cluster.network.partition({"a"}, {"table:1"})
+            await trio.sleep(2.5)
+            cluster.network.blocked.discard(("a", "table:1"))
+            await trio.sleep(0.6)
+            with self.assertRaises(AppendConflict):
+                await b.journal.append(change(1), now_us(), 0)
+            cluster.network.heal()
+        self.assertEqual(records[0].sequence, 1)
+        self.assertEqual([r.writer for r in cluster.records()], ["a"])
+        self.assertEqual(version(b, "late"), 1)
+
+    @virtual
+    async def test_an_undecided_append_blocks_later_ones(self, nursery):
+        """Different content for one sequence would make the outcome unknowable."""
+        cluster = await started(nursery)
+        a = cluster.nodes["a"]
+        cluster.table.faults.lose = 1.0
+        with trio.move_on_after(3):
+            await a.journal.append(change(1), now_us(), 0)
+        self.assertTrue(a.journal.undecided)
+        with trio.move_on_after(3):
+            await a.journal.append(change(1, "other"), now_us())
+        cluster.table.faults.lose = 0.0
+        record = await a.journal.append(change(2), now_us())
+        self.assertEqual(record.sequence, 2)
+        accounts = [r.events[0].contract_changed.contract for r in cluster.records()]
+        self.assertEqual([(c.account, c.version) for c in accounts], [("lipi", 1), ("lipi", 2)])
+
+    @virtual
+    async def test_a_conflict_applies_the_winners_records(self, nursery):
+        """A loser that decides again on its old state would conflict forever."""
+        cluster = await started(nursery)
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+        cluster.network.partition({"a"}, {"b"})
+        for number in range(1, 4):
+            await b.journal.append(change(number), now_us())
+        with self.assertRaises(AppendConflict):
+            await a.journal.append(change(1, "mine"), now_us(), 0)
+        self.assertEqual((a.journal.sequence, version(a)), (3, 3))
+
+    @virtual
+    async def test_a_record_decided_on_an_old_state_is_not_appended(self, nursery):
+        """Events must only follow the state on which they were decided."""
+        cluster = await started(nursery)
+        a = cluster.nodes["a"]
+        await a.journal.append(change(1), now_us(), 0)
+        with self.assertRaises(AppendConflict):
+            await a.journal.append(change(1, "other"), now_us(), 0)
+        self.assertEqual(len(cluster.records()), 1)
+
+    @virtual
+    async def test_a_very_old_view_cannot_create_a_deleted_row_anew(self, nursery):
+        """Rows are deleted after snapshots; an append to such a row would be lost."""
+        cluster = await started(nursery, snapshot_records=10)
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+        await a.journal.append(change(1), now_us(), 0)
+        await trio.sleep(1.5)
+        cluster.network.partition({"a"}, {"b", "table:1", "objects:1"})
+        await trio.sleep(3)
+        for number in range(2, 40):
+            await b.journal.append(change(number), now_us())
+            await trio.sleep(0.2)
+        await trio.sleep(3)
+        self.assertGreater(cluster.records()[0].sequence, 2, "the row of the test is deleted")
+        cluster.network.heal()
+        self.assertEqual(a.journal.sequence, 1)
+        with self.assertRaises(AppendConflict):
+            await a.journal.append(change(1, "lost"), now_us(), 1)
+        await trio.sleep(2)
+        self.assertEqual(a.state(), b.state())
+        self.assertNotIn(2, [r.sequence for r in cluster.records()])
+
+    @virtual
+    async def test_an_outcome_that_was_deleted_is_reported_as_lost(self, nursery):
+        """A written record whose row is gone must not be reported as a conflict."""
+        cluster = await started(nursery, snapshot_records=10)
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+        cluster.network.blocked.add(("table:1", "a"))
+        cluster.network.blocked.add(("b", "a"))
+        outcomes = []
+
+        async def append():
+            try:
+                await a.journal.append(change(1), now_us(), 0)
+            except AppendLost:
+                outcomes.append("lost")
+
+        async with trio.open_nursery() as inner:
+            inner.start_soon(append)
+            await trio.sleep(1)
+            self.assertEqual(len(cluster.records()), 1)
+            cluster.network.partition({"a"}, {"b", "table:1"})
+            await trio.sleep(3)
+            await b.journal.confirm()
+            for number in range(2, 40):
+                await b.journal.append(change(number), now_us())
+                await trio.sleep(0.2)
+            await trio.sleep(3)
+            cluster.network.heal()
+        self.assertEqual(outcomes, ["lost"])
+        await trio.sleep(2)
+        self.assertEqual(a.state(), b.state())
+
+    @virtual
+    async def test_an_append_that_was_not_sent_fails_at_once(self, nursery):
+        """Work that cannot have been appended must be answered as not run."""
+        cluster = await started(nursery)
+        a = cluster.nodes["a"]
+        del cluster.network.handlers["table:1"]
+        with self.assertRaises(StoreError) as caught:
+            await a.journal.append(change(1), now_us(), 0)
+        self.assertFalse(caught.exception.sent)
+        self.assertFalse(a.journal.undecided)
+
+
+class FollowTest(unittest.TestCase):
+    @virtual
+    async def test_old_duplicate_and_early_pushes_never_revert(self, nursery):
+        """The configuration must not go back when pushes are late or out of order (P8)."""
+        cluster = await started(nursery, names=("a",))
+        a = cluster.nodes["a"]
+        # only pushes reach the entry
+        cluster.table.faults.down = True
+        records = [
+            Record(region="alba", sequence=n, token=str(n), events=change(n)) for n in range(1, 6)
+        ]
+        seen = []
+        for order in ([2], [2, 3], [1], [1, 2], [5], [3, 1], [4], [2, 4]):
+            a.journal.offer([records[n - 1] for n in order])
+            seen.append(version(a))
+        self.assertEqual(seen, [0, 0, 3, 3, 3, 3, 5, 5])
+
+    @virtual
+    async def test_a_lost_push_is_read_from_the_store(self, nursery):
+        """A change must be in effect everywhere soon even when its push was lost (P8)."""
+        cluster = await started(nursery)
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+        # between two polls of b
+        await trio.sleep(0.4)
+        cluster.network.partition({"a"}, {"b"})
+        await a.journal.append(change(1), now_us(), 0)
+        await trio.sleep(0.1)
+        cluster.network.heal()
+        self.assertEqual(version(b), 0)
+        await trio.sleep(2)
+        self.assertEqual(version(b), 1)
+
+    @virtual
+    async def test_a_gap_is_filled_from_a_peer_while_the_store_is_down(self, nursery):
+        """A lost push must not stop an entry for as long as the store is down."""
+        cluster = await started(nursery)
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+        cluster.network.partition({"b"}, {"table:1"})
+        cluster.network.partition({"a"}, {"b"})
+        await a.journal.append(change(1), now_us(), 0)
+        await trio.sleep(0.2)
+        cluster.network.blocked -= {("a", "b"), ("b", "a")}
+        await trio.sleep(6)
+        self.assertEqual(version(b), 1)
+        self.assertGreater(b.journal.confirmed_age(), 5, "a peer does not confirm the position")
+
+    @virtual
+    async def test_start_from_snapshot_and_tail(self, nursery):
+        """A new entry must build the same state as those that applied every record."""
+        cluster = await started(nursery, names=("a",), snapshot_records=10)
+        a = cluster.nodes["a"]
+        for number in range(1, 36):
+            await a.journal.append(change(number), now_us())
+            await trio.sleep(0.2)
+        await trio.sleep(2)
+        first = cluster.records()[0].sequence
+        self.assertTrue(10 < first <= 25, first)
+        c = cluster.start("c")
+        await trio.sleep(2)
+        self.assertEqual(c.journal.sequence, 35)
+        self.assertEqual(c.state(), a.state())
+
+    @virtual
+    async def test_start_from_the_previous_snapshot(self, nursery):
+        """Records are kept back to the previous snapshot, in case the newest is unreadable."""
+        cluster = await started(nursery, names=("a",), snapshot_records=10)
+        a = cluster.nodes["a"]
+        for number in range(1, 36):
+            await a.journal.append(change(number), now_us())
+            await trio.sleep(0.2)
+        await trio.sleep(2)
+        del cluster.objects.objects[max(cluster.objects.objects)]
+        # without a peer that could give its state
+        cluster.kill("a")
+        c = cluster.start("c")
+        await trio.sleep(2)
+        self.assertEqual(c.state(), a.state())
+
+    @virtual
+    async def test_snapshots_are_skipped_while_the_object_store_is_down(self, nursery):
+        """Without a snapshot the rows are the only copy and must be kept."""
+        cluster = await started(nursery, names=("a",), snapshot_records=10)
+        cluster.objects.faults.down = True
+        a = cluster.nodes["a"]
+        for number in range(1, 36):
+            await a.journal.append(change(number), now_us())
+            await trio.sleep(0.2)
+        await trio.sleep(30)
+        self.assertEqual(len(cluster.records()), 35)
+        cluster.objects.faults.down = False
+        await trio.sleep(11)
+        await a.journal.append(change(36), now_us())
+        await trio.sleep(11)
+        self.assertIn("snapshot/alba", cluster.table.rows)
+
+    @virtual
+    async def test_an_old_snapshot_does_not_replace_a_newer_one(self, nursery):
+        """An entry that was paused while it stored a snapshot must not move the pointer back."""
+        cluster = await started(nursery, names=("a", "b"), snapshot_records=10)
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+        for number in range(1, 6):
+            await a.journal.append(change(number), now_us())
+        old = a.journal.ledger.snapshot()
+        for number in range(6, 30):
+            await a.journal.append(change(number), now_us())
+            await trio.sleep(0.2)
+        await trio.sleep(3)
+        stale = type(a.journal._snapshots)("alba", b.table, b.objects)
+        pointer = cluster.table.rows["snapshot/alba"].value
+        self.assertFalse(await stale.save(old))
+        self.assertEqual(cluster.table.rows["snapshot/alba"].value, pointer)
+
+    @virtual
+    async def test_a_fresh_entry_starts_from_a_peer_while_the_store_is_down(self, nursery):
+        """Replacing an entry must not need the store."""
+        cluster = await started(nursery)
+        await cluster.nodes["a"].journal.append(change(1), now_us(), 0)
+        await trio.sleep(2)
+        cluster.table.faults.down = True
+        c = cluster.start("c")
+        cluster.members.set_machine(cluster.machine("c"))
+        await trio.sleep(6)
+        self.assertTrue(c.journal.ready)
+        self.assertEqual(c.state(), cluster.nodes["a"].state())
+        self.assertEqual(c.journal.confirmed_age(), math.inf)
+
+    @virtual
+    async def test_a_fresh_entry_without_any_source_is_not_ready(self, nursery):
+        """An entry with an empty state must not decide or answer."""
+        cluster = await started(nursery, names=("a",))
+        await cluster.nodes["a"].journal.append(change(1), now_us(), 0)
+        cluster.table.faults.down = True
+        cluster.kill("a")
+        c = cluster.start("c")
+        await trio.sleep(30)
+        self.assertFalse(c.journal.ready)
+        cluster.table.faults.down = False
+        await trio.sleep(6)
+        self.assertTrue(c.journal.ready)
+        self.assertEqual(version(c), 1)
+
+    @virtual
+    async def test_confirmed_age_counts_from_the_start_of_the_operation(self, nursery):
+        """An entry that was paused during a poll must not take its old view for a fresh one."""
+        cluster = await started(nursery, names=("a",))
+        a = cluster.nodes["a"]
+        self.assertLess(a.journal.confirmed_age(), 1.1)
+        cluster.network.pause("a")
+        await trio.sleep(20)
+        self.assertGreater(a.journal.confirmed_age(), 19)
+        cluster.network.resume("a")
+        await trio.sleep(0)
+        self.assertGreater(a.journal.confirmed_age(), 19)
+        await trio.sleep(4)
+        self.assertLess(a.journal.confirmed_age(), 1.1)
+        cluster.table.faults.delay = 1.5
+        await trio.sleep(3)
+        for _ in range(20):
+            await trio.sleep(0.1)
+            self.assertGreaterEqual(a.journal.confirmed_age(), 1.5)
+
+    @virtual
+    async def test_every_entry_builds_the_state_of_the_stored_records(self, nursery):
+        """Replicas must agree with the journal itself, not only with each other."""
+        cluster = await started(nursery)
+        for number in range(1, 8):
+            name = "ab"[number % 2]
+            await cluster.nodes[name].journal.confirm()
+            await cluster.nodes[name].journal.append(change(number), now_us())
+        await trio.sleep(2)
+        ledger = Ledger("alba")
+        for record in cluster.records():
+            ledger.apply(record)
+        wanted = ledger.snapshot().SerializeToString(deterministic=True)
+        self.assertEqual({n.state() for n in cluster.nodes.values()}, {wanted})
+
+    @virtual
+    async def test_a_slow_subscriber_does_not_hold_up_the_journal(self, nursery):
+        """One stuck reader must not stop the state of the entry."""
+        cluster = await started(nursery, names=("a",))
+        a = cluster.nodes["a"]
+        a.journal.subscribe()
+        records = [Record(region="alba", sequence=n + 1, token=str(n)) for n in range(1100)]
+        a.journal.offer(records)
+        self.assertEqual(a.journal.sequence, 1100)
+        self.assertGreater(a.metrics.value("dropped", "journal_subscriber"), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/entry/test_writer.py
+++ b/tests/entry/test_writer.py
@@ -39,7 +39,7 @@
 class Node:
     """One entry without its HTTP interfaces for callers."""
 
-    def __init__(self, cluster, entry_id, seed=0, **options):
+    def __init__(self, cluster, entry_id, seed=0, writes=True, **options):
         self.id = entry_id
         self.metrics = Metrics()
         network = cluster.network
@@ -67,6 +67,7 @@
             membership=self.membership,
             wall=lambda: EPOCH + trio.current_time(),
         )
+        self.writes = writes
         self.history = []
         self.scope = trio.CancelScope()
         network.handlers[entry_id] = self.peers.handle
@@ -78,7 +79,8 @@
                 await nursery.start(self.membership.run)
                 await nursery.start(self.peers.run)
                 await nursery.start(self.journal.run)
-                await nursery.start(self.writer.run)
+                if self.writes:
+                    await nursery.start(self.writer.run)
 
     async def _record(self):
         # versions of each contract as this entry showed them
@@ -113,12 +115,14 @@
         for index in range(workers):
             self.members.set_machine(worker(index))
         for name in names:
-            self.members.set_machine(
-                VirtualMachine(id=name, role="entry", peer_address=name, address=name)
-            )
+            self.members.set_machine(self.machine(name))
         for name in names:
             self.start(name)
 
+    @staticmethod
+    def machine(name):
+        return VirtualMachine(id=name, role="entry", peer_address=name, address=name)
+
     def start(self, name):
         node = Node(self, name, self.seed, **self.options)
         self.nodes[name] = node
