Shares of quotas among entries, with loans

Cause: limits per account and per runner hold over all entries, which divide them. Change: an entry lowers its limits with a new grant at once and raises them when all others have applied it or are silent. Loans are subtracted by the lender first and belong to one grant and one quota.

--- /dev/null
+++ b/tests/core/test_share.py
@@ -0,0 +1,238 @@
+"""Guards against shares that add up to more than the quota, and against idle shares."""
+
+import random
+import unittest
+
+from ibiscart_core.share import Shares
+
+KEYS = {"slots/r1": 8, "running/a": 64, "queued/b": 5}
+
+
+class _Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def _shares(name, clock, age=lambda: 0.0, totals=KEYS):
+    return Shares(name, lambda key: totals.get(key, 0), clock, age)
+
+
+class ShareTest(unittest.TestCase):
+    def test_split_is_exact_and_spreads_the_rests(self):
+        """A share that rounding loses or doubles would waste or exceed the quota."""
+        clock = _Clock()
+        entries = [f"e{i}" for i in range(9)]
+        parts = [_shares(name, clock) for name in entries]
+        for part in parts:
+            part.apply_grant(1, entries)
+        for key, total in KEYS.items():
+            self.assertEqual(sum(part.limit(key) for part in parts), total)
+        without = {
+            next(i for i, part in enumerate(parts) if part.limit(f"slots/r{n}") == 0)
+            for n in range(40)
+            if not KEYS.update({f"slots/r{n}": 8})
+        }
+        self.assertGreater(len(without), 3)
+
+    def test_lowers_at_once_and_raises_when_all_have_applied(self):
+        """A new grant must not count a share twice while an old holder still uses it."""
+        clock = _Clock()
+        a, b = _shares("a", clock), _shares("b", clock)
+        for part in (a, b):
+            part.apply_grant(1, ["a", "b"])
+        self.assertTrue(b.take("slots/r1", 4))
+        a.apply_grant(2, ["a"])
+        self.assertEqual(a.limit("slots/r1"), 4)
+        b.apply_grant(2, ["a"])
+        self.assertEqual(b.limit("slots/r1"), 0)
+        # b still runs four requests that started under its old limit
+        a.observe("b", b.applied_epoch)
+        self.assertEqual(a.limit("slots/r1"), 4)
+        b.give_back("slots/r1", 4)
+        a.observe("b", b.applied_epoch)
+        self.assertEqual(a.limit("slots/r1"), 8)
+
+    def test_raises_after_silence(self):
+        """The share of a killed entry must come back without its help."""
+        clock = _Clock()
+        a = _shares("a", clock)
+        a.apply_grant(1, ["a", "b"])
+        a.observe("b", 1)
+        a.apply_grant(2, ["a"])
+        clock.now = 9.9
+        self.assertEqual(a.limit("slots/r1"), 4)
+        clock.now = 10.1
+        self.assertEqual(a.limit("slots/r1"), 8)
+
+    def test_expires_without_a_confirmed_position(self):
+        """A separated entry must stop before its share is granted to others."""
+        clock = _Clock()
+        age = [0.0]
+        a = _shares("a", clock, lambda: age[0])
+        a.apply_grant(1, ["a", "b"])
+        self.assertTrue(a.take("slots/r1"))
+        age[0] = clock.now = 10.1
+        self.assertFalse(a.take("slots/r1"))
+        # with the store down for everyone, the others still agree on the grant
+        a.observe("b", 1)
+        self.assertTrue(a.take("slots/r1"))
+        a.observe("b", 2)
+        self.assertFalse(a.take("slots/r1"))
+
+    def test_idle_share_can_be_borrowed(self):
+        """A share that lies idle elsewhere must not make a caller wait."""
+        clock = _Clock()
+        a, b = _shares("a", clock), _shares("b", clock)
+        for part in (a, b):
+            part.apply_grant(1, ["a", "b"])
+        while amount := b.lend("slots/r1", 8, a.epoch, 8):
+            self.assertTrue(a.borrow("slots/r1", amount, 1, 8))
+        self.assertEqual((a.limit("slots/r1"), b.limit("slots/r1")), (8, 0))
+        self.assertTrue(a.take("slots/r1", 8))
+        self.assertEqual(a.lend("slots/r1", 1, 1, 8), 0)
+
+    def test_loan_ends_with_the_quota_it_was_made_under(self):
+        """A loan must not survive a smaller contract."""
+        clock = _Clock()
+        totals = {"running/a": 64}
+        a, b = _shares("a", clock, totals=totals), _shares("b", clock, totals=totals)
+        for part in (a, b):
+            part.apply_grant(1, ["a", "b"])
+        a.borrow("running/a", b.lend("running/a", 10, 1, 64), 1, 64)
+        self.assertEqual(a.limit("running/a"), 42)
+        totals["running/a"] = 4
+        self.assertLessEqual(a.limit("running/a") + b.limit("running/a"), 4)
+        self.assertFalse(a.borrow("running/a", 3, 1, 64))
+
+
+class _Entry:
+    def __init__(self, name, world):
+        self.name = name
+        self.world = world
+        self.confirmed = world.clock.now
+        self.separated = False
+        self.shares = _shares(name, world.clock, lambda: world.clock.now - self.confirmed)
+        self.confirm()
+
+    def confirm(self):
+        if not self.separated:
+            self.confirmed = self.world.clock.now
+            for epoch, entries in self.world.grants:
+                self.shares.apply_grant(epoch, entries)
+
+
+class _World:
+    """Entries with a journal, and messages that are lost, late and duplicated."""
+
+    def __init__(self, random_source):
+        self.random = random_source
+        self.clock = _Clock()
+        self.grants = []
+        self.entries = {}
+        self.messages = []
+        self.counter = 0
+        for _ in range(self.random.randint(2, 5)):
+            self.start()
+        self.grant()
+        for entry in self.entries.values():
+            entry.confirm()
+
+    def start(self):
+        self.counter += 1
+        entry = _Entry(f"e{self.counter}", self)
+        self.entries[entry.name] = entry
+
+    def grant(self):
+        names = sorted(self.entries)
+        if self.random.random() < 0.3:
+            names = self.random.sample(names, self.random.randint(1, len(names)))
+        # an entry that the grant before names makes the new one, as in a running region
+        known = set(self.grants[-1][1]) & set(self.entries) if self.grants else ()
+        names = sorted({*names, *list(known)[:1]})
+        self.grants.append((len(self.grants) + 1, names))
+
+    def send(self, deliver, longest=3.0):
+        if self.random.random() < 0.2:
+            return
+        for _ in range(1 + (self.random.random() < 0.1)):
+            due = self.clock.now + self.random.uniform(0, longest)
+            self.messages.append((due, self.random.random(), deliver))
+
+    def heartbeat(self, entry):
+        epoch = entry.shares.applied_epoch
+        for other in self.entries.values():
+            if other is not entry:
+                self.send(lambda o=other, n=entry.name, e=epoch: o.shares.observe(n, e))
+
+    def ask_loan(self, entry):
+        key = self.random.choice(list(KEYS))
+        lender = self.random.choice(list(self.entries.values()))
+        if lender is entry:
+            return
+        epoch, total, answered = entry.shares.epoch, KEYS[key], []
+
+        def lend():
+            amount = lender.shares.lend(key, self.random.randint(1, 4), epoch, total)
+            self.send(lambda: answer(amount), longest=20)
+
+        def answer(amount):
+            # the call that asked takes one answer
+            if not answered:
+                answered.append(amount)
+                entry.shares.borrow(key, amount, epoch, total)
+
+        self.send(lend, longest=20)
+
+    def use(self, entry):
+        key = self.random.choice(list(KEYS))
+        if self.random.random() < 0.6:
+            entry.shares.take(key, self.random.randint(1, 3))
+        elif entry.shares.used(key):
+            entry.shares.give_back(key)
+
+    def step(self):
+        self.clock.now += self.random.uniform(0, 0.4)
+        due = sorted(m for m in self.messages if m[0] <= self.clock.now)
+        self.messages = [m for m in self.messages if m[0] > self.clock.now]
+        for _, _, deliver in due:
+            deliver()
+        entry = self.random.choice(list(self.entries.values()))
+        action = self.random.random()
+        if action < 0.35:
+            self.heartbeat(entry)
+        elif action < 0.6:
+            entry.confirm()
+        elif action < 0.75:
+            self.use(entry)
+        elif action < 0.9:
+            self.ask_loan(entry)
+        elif action < 0.93:
+            entry.separated = not entry.separated
+        elif action < 0.96:
+            self.grant()
+        elif action < 0.98 and len(self.entries) > 1:
+            del self.entries[entry.name]
+        elif len(self.entries) < 8:
+            self.start()
+
+
+class SeveralEntriesTest(unittest.TestCase):
+    def test_usable_shares_never_exceed_the_quota(self):
+        """Lost, late and duplicated loans, deaths and new grants must not duplicate a share."""
+        reached = 0
+        for seed in range(60):
+            world = _World(random.Random(seed))
+            for _ in range(400):
+                world.step()
+                for key, total in KEYS.items():
+                    usable = sum(e.shares.limit(key) for e in world.entries.values())
+                    self.assertLessEqual(usable, total, f"seed {seed}, {key}")
+                    reached += usable == total
+        self.assertGreater(reached, 1000)
+
+
+if __name__ == "__main__":
+    unittest.main()
