--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/lease.py
@@ -0,0 +1,262 @@
+"""
+ibiscart_entry.lease
+~~~~~~~~~~~~~~~~~~~~
+
+Renews the leases of all running tasks, one call for each worker, and learns of their ends.
+"""
+
+import heapq
+import logging
+
+import trio
+
+from ibiscart_entry.gang import OPEN_STATES, OUTCOMES, STALE_SECONDS
+from ibiscart_entry.task import TaskError, parse_task_id
+from ibiscart_schema.generated.journal_pb2 import (
+    JOB_STATE_ENDED,
+    JOB_STATE_RUNNING,
+    JOB_STATE_STOPPING,
+    MEMBER_LAPSED,
+)
+from ibiscart_schema.generated.types_pb2 import TARGET_LEAVING, TARGET_LIVE, TARGET_LOST
+
+__all__ = ["WorkerLeases"]
+
+LOG = logging.getLogger("ibiscart.controller")
+TICK_SECONDS = 0.25
+PROBE_SECONDS = 2.0
+ANSWER_SECONDS = 2.0
+# a task that this entry cannot explain may belong to a decision it has not read yet
+UNEXPLAINED_SECONDS = 15.0
+# a member that is still held this long after its release was missed by its driver
+RELEASE_SECONDS = 5.0
+
+
+class _Contact:
+    """What this entry knows about its calls to one worker."""
+
+    __slots__ = ("answered_at", "answers", "busy", "due", "held_since", "owned_at", "unexplained")
+
+    def __init__(self, now):
+        self.owned_at = now
+        self.answered_at = now
+        self.answers = True
+        self.busy = False
+        self.due = now
+        self.held_since = {}
+        self.unexplained = {}
+
+
+class WorkerLeases:
+    """Renewals for the workers that ``peers.owner_of`` assigns to this entry.
+
+    While a worker does not answer, it is only asked for its list: the last renewal that can
+    have reached it then lies at a known time, and its leases end a lease after that.
+    """
+
+    def __init__(self, entry_id, journal, peers, calls, reports, settings, random):
+        self._entry_id = entry_id
+        self._journal = journal
+        self._peers = peers
+        self._calls = calls
+        self._reports = reports
+        self._settings = settings
+        self._random = random
+        self._contacts = {}
+        self._due = []
+        self._view = None
+
+    def renewing_since(self, worker_id):
+        """Returns since when this entry alone renews the worker's leases, inf if it does not."""
+        contact = self._contacts.get(worker_id)
+        return contact.owned_at if contact is not None else float("inf")
+
+    def may_extend(self):
+        """Whether the ledger is recent enough to extend leases by it.
+
+        An entry that is separated from the store and from all others would extend tasks that
+        the others have stopped long ago.
+        """
+        if self._journal.confirmed_age() <= STALE_SECONDS:
+            return True
+        others = set(self._journal.ledger.share_entries) - {self._entry_id}
+        return not others or len(self._peers.live()) > 1
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Renews until cancelled."""
+        task_status.started()
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._update_contacts()
+                now = trio.current_time()
+                while self._due and self._due[0][0] <= now:
+                    due, worker_id = heapq.heappop(self._due)
+                    contact = self._contacts.get(worker_id)
+                    if contact is not None and contact.due == due and not contact.busy:
+                        contact.busy = True
+                        nursery.start_soon(self._visit, worker_id, contact)
+                await trio.sleep(TICK_SECONDS)
+
+    def _update_contacts(self):
+        workers = self._journal.ledger.workers
+        view = (tuple(sorted(self._peers.live())), len(workers))
+        if view == self._view:
+            return
+        self._view = view
+        owned = {w for w in workers if self._peers.owner_of(f"worker/{w}") == self._entry_id}
+        for worker_id in set(self._contacts) - owned:
+            del self._contacts[worker_id]
+        for worker_id in sorted(owned - set(self._contacts)):
+            contact = _Contact(trio.current_time())
+            self._contacts[worker_id] = contact
+            self._schedule(worker_id, contact, self._random.uniform(0, 1))
+
+    def _schedule(self, worker_id, contact, seconds):
+        contact.due = trio.current_time() + seconds
+        heapq.heappush(self._due, (contact.due, worker_id))
+
+    async def _visit(self, worker_id, contact):
+        try:
+            worker = self._journal.ledger.workers.get(worker_id)
+            if worker is None:
+                return
+            if await self._contact(worker, contact):
+                seconds = self._settings.renew_seconds
+            else:
+                seconds = min(PROBE_SECONDS, self._settings.renew_seconds)
+                self._check_lost(worker, contact)
+            self._schedule(worker_id, contact, seconds * self._random.uniform(0.9, 1))
+        finally:
+            contact.busy = False
+
+    async def _contact(self, worker, contact):
+        """Calls a worker; returns whether it answered."""
+        try:
+            if not contact.answers:
+                await self._calls.tasks(worker, ANSWER_SECONDS)
+                contact.answers = True
+            ids = self._renewable(worker) if self.may_extend() else []
+            answer = await self._calls.renew(
+                worker, ids, self._settings.lease_seconds, ANSWER_SECONDS
+            )
+        except TaskError:
+            contact.answers = False
+            return False
+        contact.answered_at = trio.current_time()
+        self._check_state(worker, answer.leaving)
+        await self._check_tasks(worker, contact, answer, ids)
+        return True
+
+    def _renewable(self, worker):
+        ids = []
+        for key, attempt, rank in worker.members:
+            job = self._journal.ledger.jobs.get(key)
+            if job is not None and job.state == JOB_STATE_RUNNING and job.attempt == attempt:
+                ids.append(job.task_id(rank))
+        return ids
+
+    def _check_state(self, worker, leaving):
+        if leaving:
+            self._peers.signs.report(worker.id, TARGET_LEAVING, "own_answer")
+            if worker.state == TARGET_LIVE:
+                self._reports.add_worker(worker.id, TARGET_LEAVING, "own_answer")
+            return
+        refused = worker.state == TARGET_LEAVING and worker.cause == "connection_refused"
+        if worker.state == TARGET_LOST or refused:
+            self._peers.signs.report(worker.id, TARGET_LIVE, "answers")
+            self._reports.add_worker(worker.id, TARGET_LIVE, "answers")
+
+    def _check_lost(self, worker, contact):
+        now = trio.current_time()
+        if now < contact.answered_at + self._settings.lease_seconds:
+            return
+        if worker.state != TARGET_LOST:
+            self._peers.signs.report(worker.id, TARGET_LOST, "unreachable")
+            self._reports.add_worker(worker.id, TARGET_LOST, "unreachable")
+        # the owner before may have renewed until it saw the change; count a lease anew
+        anew = contact.owned_at + STALE_SECONDS + self._settings.lease_seconds
+        if now < max(anew, self._calls.extended_until(worker.id)):
+            return
+        for key, attempt, rank in list(worker.members):
+            job = self._journal.ledger.jobs.get(key)
+            if job is not None and job.state == JOB_STATE_STOPPING and job.attempt == attempt:
+                self._reports.add_member(key, attempt, rank, MEMBER_LAPSED)
+
+    async def _check_tasks(self, worker, contact, answer, renewed):
+        listed = set()
+        unexplained = {}
+        held = {}
+        for status in answer.tasks:
+            listed.add(status.task_id)
+            member = parse_task_id(status.task_id)
+            if member is not None and self._owns(worker, member):
+                self._check_member(member, status, contact, held)
+            elif status.state in OPEN_STATES:
+                since = contact.unexplained.get(status.task_id, trio.current_time())
+                unexplained[status.task_id] = since
+        contact.unexplained = unexplained
+        contact.held_since = held
+        self._check_missing(worker, listed, renewed)
+        await self._stop_unexplained(worker, unexplained)
+        await self._release_missed(worker, held)
+
+    def _owns(self, worker, member):
+        """Whether the ledger has this member on the worker, with its end not recorded."""
+        return member in worker.members
+
+    def _check_member(self, member, status, contact, held):
+        key, attempt, rank = member
+        job = self._journal.ledger.jobs[key]
+        if status.state in OUTCOMES:
+            outcome = OUTCOMES[status.state]
+            self._reports.add_member(key, attempt, rank, outcome, status.saved_seconds)
+        elif status.state == "held" and job.state == JOB_STATE_RUNNING:
+            since = contact.held_since.get(status.task_id, trio.current_time())
+            held[status.task_id] = since
+
+    def _check_missing(self, worker, listed, renewed):
+        """Reports running members that the worker does not know: it was started anew.
+
+        ``renewed`` are the tasks of released jobs before the call; all members of a job are
+        on their workers before its release.
+        """
+        for task_id in renewed:
+            if task_id not in listed:
+                key, attempt, rank = parse_task_id(task_id)
+                self._reports.add_member(key, attempt, rank, MEMBER_LAPSED)
+
+    async def _stop_unexplained(self, worker, unexplained):
+        for task_id, since in unexplained.items():
+            if self._is_past(task_id) or self._is_unknown(since):
+                LOG.warning(
+                    "controller: Stopped a task that no job owns.",
+                    extra={"task": task_id, "worker": worker.id},
+                )
+                try:
+                    await self._calls.stop(worker, task_id, self._settings.stop_seconds)
+                except TaskError:
+                    continue  # the next renewal finds it again
+
+    def _is_past(self, task_id):
+        """Whether the ledger has gone on from this attempt, so that no record can own it."""
+        member = parse_task_id(task_id)
+        if member is None:
+            return False
+        key, attempt, rank = member
+        job = self._journal.ledger.jobs.get(key)
+        if job is None or attempt > job.attempt:
+            return False
+        ended = rank < len(job.members) and job.members[rank].ended
+        return attempt < job.attempt or job.state == JOB_STATE_ENDED or ended
+
+    def _is_unknown(self, since):
+        waited = trio.current_time() - since
+        return waited >= UNEXPLAINED_SECONDS and self._journal.confirmed_age() <= STALE_SECONDS
+
+    async def _release_missed(self, worker, held):
+        for task_id, since in held.items():
+            if trio.current_time() - since >= RELEASE_SECONDS:
+                try:
+                    await self._calls.release(worker, task_id, self._settings.lease_seconds)
+                except TaskError:
+                    continue  # the next renewal finds it again
--- /dev/null
+++ b/tests/entry/test_controller.py
@@ -0,0 +1,406 @@
+"""Guards against partially running gangs, lost ends and places given away too early."""
+
+import random
+import unittest
+
+import trio
+import trio.testing
+
+from ibiscart_core.job import JobKey
+from ibiscart_core.lifecycle import Lifecycle
+from ibiscart_core.resource import Resources
+from ibiscart_entry.controller import Controller
+from ibiscart_entry.metric import Metrics
+from ibiscart_schema.generated.journal_pb2 import (
+    JOB_CANCELLED,
+    JOB_COMPLETED,
+    JOB_STATE_ENDED,
+    JOB_STATE_RUNNING,
+    MEMBER_NOT_STARTED,
+    STOP_PREEMPTED,
+    STOP_START_FAILED,
+)
+from ibiscart_schema.generated.peer_pb2 import Command
+from ibiscart_schema.generated.types_pb2 import RAN_NO, TARGET_LEAVING, TARGET_LIVE
+from tests.entry.fake import (
+    FakeJournal,
+    FakeNetwork,
+    FakePeers,
+    FakeRegion,
+    FakeWriter,
+    put_contract,
+    register_workers,
+    scheduler_settings,
+    submit_job,
+)
+from tests.standins.worker import WorkerDouble
+
+CAPACITY = Resources(8, 128_000, 256_000)
+
+
+class Entry:
+    def __init__(self, setup, name):
+        self.name = name
+        self.journal = FakeJournal(setup.region)
+        self.writer = FakeWriter(setup.region)
+        self.peers = FakePeers(name, setup.network)
+        self.metrics = Metrics()
+        self.scope = trio.CancelScope()
+        self.controller = Controller(
+            name,
+            scheduler_settings(),
+            self.journal,
+            self.writer,
+            self.peers,
+            self.metrics,
+            random=random.Random(setup.seed),
+            connect=setup.connect,
+        )
+
+    async def run(self, task_status):
+        with self.scope:
+            await self.controller.run(task_status)
+
+
+class Setup:
+    """Workers, entries and a region in virtual time."""
+
+    def __init__(self, nursery, seed=0):
+        self.nursery = nursery
+        self.seed = seed
+        self.region = FakeRegion()
+        self.network = FakeNetwork([])
+        self.workers = {}
+        self.entries = {}
+
+    async def start(self, workers=4, entries=("e1",), accelerators=8):
+        names = [f"w{n}" for n in range(workers)]
+        for name in names:
+            worker = WorkerDouble(name, Resources(accelerators, 128_000, 256_000))
+            self.workers[name] = worker
+            await self.nursery.start(worker.run)
+        self.region.decide(put_contract())
+        self.region.decide(put_contract("bert"))
+        self.region.decide(register_workers(names, accelerators))
+        for name in entries:
+            await self.start_entry(name)
+
+    async def start_entry(self, name):
+        self.network.live.append(name)
+        self.entries[name] = Entry(self, name)
+        await self.nursery.start(self.entries[name].run)
+
+    def kill(self, name, seen=True):
+        self.entries[name].scope.cancel()
+        if seen:
+            self.network.live.remove(name)
+
+    def connect(self, address):
+        client = self.workers[address.split(":")[0]].client()
+        client.address = address
+        return client
+
+    def submit(self, request_id, members=1, **values):
+        self.region.decide(submit_job(request_id, members, **values))
+        return JobKey(values.get("account", "acme"), request_id)
+
+    def job(self, key):
+        return self.region.working.jobs[key]
+
+    def owner(self, key):
+        peers = next(iter(self.entries.values())).peers
+        return peers.owner_of(f"job/{key.account}/{key.request_id}")
+
+    async def wait(self, check, seconds=120):
+        """Waits in virtual time; returns the seconds that passed."""
+        start = trio.current_time()
+        while not check():
+            if trio.current_time() - start > seconds:
+                raise AssertionError(f"not reached in {seconds} s, seed {self.seed}")
+            await trio.sleep(0.05)
+        return trio.current_time() - start
+
+    async def wait_state(self, key, state, seconds=120):
+        return await self.wait(lambda: self.job(key).state == state, seconds)
+
+    def running(self, key):
+        """Number of members that run on the workers."""
+        prefix = f"{key.account}/{key.request_id}/"
+        return sum(
+            state == "running" and task_id.startswith(prefix)
+            for worker in self.workers.values()
+            for task_id, state in worker.states().items()
+        )
+
+    def total(self, action, key=None):
+        pair = (key.account, key.request_id) if key else (None, None)
+        return sum(worker.record.count(action, *pair) for worker in self.workers.values())
+
+    def calls(self, ending):
+        return sum(
+            path.endswith(ending) for worker in self.workers.values() for _, path in worker.calls
+        )
+
+    def check_capacity(self):
+        return sum(worker.overcommitted for worker in self.workers.values())
+
+
+def in_virtual_time(test):
+    """Runs an async test with a clock that jumps over idle time."""
+
+    def run(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                await test(self, Setup(nursery))
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+class StartTest(unittest.TestCase):
+    @in_virtual_time
+    async def test_gang_is_held_released_and_completed(self, setup):
+        """A gang must run as a whole, and its end must be reported once per member."""
+        await setup.start()
+        key = setup.submit("j1", 4, accelerators=8, payload="run_seconds=25")
+        seconds = await setup.wait_state(key, JOB_STATE_RUNNING)
+        self.assertLess(seconds, 0.5)
+        await setup.wait(lambda: setup.running(key) == 4, 1)
+        await setup.wait_state(key, JOB_STATE_ENDED)
+        self.assertEqual(setup.job(key).outcome, JOB_COMPLETED)
+        self.assertEqual(setup.total("released", key), 4)
+        self.assertEqual(setup.region.count("report_member"), 4)
+        self.assertEqual(len(setup.region.events("job_released")), 1)
+
+    @in_virtual_time
+    async def test_answer_to_a_start_is_lost(self, setup):
+        """A start whose answer is lost must neither run twice nor hold up the gang (P2)."""
+        await setup.start()
+        setup.workers["w1"].faults.set(drop_answers=1)
+        key = setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.running(key) == 4, 5)
+        self.assertEqual(setup.total("started", key), 4)
+        self.assertEqual(setup.job(key).attempt, 1)
+
+    @in_virtual_time
+    async def test_one_member_refuses(self, setup):
+        """No member may run when one worker refuses (P2)."""
+        await setup.start()
+        setup.workers["w2"].faults.set(leaving=1)
+        key = setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.job(key).attempt == 2)
+        self.assertEqual(setup.total("released", key), 0)
+        self.assertEqual(setup.region.events("job_stopping")[0].cause, STOP_START_FAILED)
+        self.assertEqual(setup.region.working.workers["w2"].state, TARGET_LEAVING)
+        await setup.wait(lambda: "held" not in str([w.states() for w in setup.workers.values()]), 5)
+        self.assertIn(("w2", TARGET_LEAVING, "own_answer"), setup.entries["e1"].peers.signs.reports)
+
+    @in_virtual_time
+    async def test_cancellation_in_the_middle_of_the_start(self, setup):
+        """A start call that was under way must not leave a task behind (P2)."""
+        await setup.start()
+        setup.workers["w3"].faults.set(delay_seconds=0.6)
+        key = setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.total("started", key) == 3, 5)
+        setup.region.decide(Command(cancel_job={"job": key.to_message()}))
+        await setup.wait_state(key, JOB_STATE_ENDED)
+        self.assertEqual(setup.job(key).outcome, JOB_CANCELLED)
+        self.assertEqual(setup.job(key).ran, RAN_NO)
+        self.assertEqual(setup.total("released", key), 0)
+        # the places are free in the ledger, so no task may be left on a worker
+        open_tasks = [s for w in setup.workers.values() for s in w.states().values() if s == "held"]
+        self.assertEqual(open_tasks, [])
+
+    @in_virtual_time
+    async def test_driver_killed_between_held_and_released(self, setup):
+        """A takeover must release the whole gang or stop it (P2)."""
+        await setup.start(entries=("e1", "e2"))
+        key = JobKey("acme", "j1")
+        driver = setup.entries[setup.owner(key)]
+        driver.writer.hold = trio.Event()
+        setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.total("started", key) == 4, 5)
+        setup.kill(driver.name)
+        await setup.wait(lambda: setup.running(key) == 4)
+        self.assertEqual(setup.total("started", key), 4 * setup.job(key).attempt)
+        self.assertEqual(setup.total("released", key), 4)
+
+    @in_virtual_time
+    async def test_takeover_after_the_held_leases_have_run_out(self, setup):
+        """A member that lapsed before its release must keep the others from running (P2)."""
+        await setup.start(entries=("e1", "e2"))
+        key = JobKey("acme", "j1")
+        driver = setup.entries[setup.owner(key)]
+        driver.writer.hold = trio.Event()
+        setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.total("started", key) == 4, 5)
+        setup.kill(driver.name, seen=False)
+        await setup.wait(lambda: setup.total("lapsed", key) == 4, 10)
+        # the report of the killed entry arrives late and is appended
+        setup.region.decide(Command(report_held={"job": key.to_message(), "attempt": 1}))
+        setup.network.live.remove(driver.name)
+        await setup.wait(lambda: setup.job(key).attempt == 2)
+        self.assertEqual(setup.total("released", key), 0)
+
+    @in_virtual_time
+    async def test_stale_driver_resumes_late(self, setup):
+        """An entry that was paused must not run members of an attempt that is over (P2)."""
+        await setup.start(entries=("e1", "e2"))
+        key = JobKey("acme", "j1")
+        stale = setup.entries[setup.owner(key)]
+        other = next(e for e in setup.entries.values() if e is not stale)
+        setup.workers["w3"].faults.set(freeze=1)
+        setup.submit("j1", 4, accelerators=8, payload="run_seconds=5")
+        await setup.wait(lambda: setup.total("started", key) == 3, 5)
+        stale.journal.paused = True
+        setup.network.live.remove(stale.name)
+        setup.region.decide(Command(cancel_job={"job": key.to_message()}))
+        setup.workers["w3"].faults.set(freeze=0)
+        await setup.wait_state(key, JOB_STATE_ENDED)
+        # its ledger still has the job as placed, and it goes on to drive it
+        for _ in range(200):
+            await trio.sleep(0.1)
+            self.assertEqual(setup.running(key), 0)
+        self.assertEqual(setup.total("released", key), 0)
+        self.assertEqual(other.controller.gangs, [])
+
+    @in_virtual_time
+    async def test_two_entries_drive_the_same_job(self, setup):
+        """Entries whose views differ for a while must not start or release twice."""
+        await setup.start(entries=("e1", "e2"))
+        setup.entries["e1"].peers.view = ["e1"]
+        setup.entries["e2"].peers.view = ["e2"]
+        key = setup.submit("j1", 4, accelerators=8, payload="run_seconds=5")
+        await setup.wait_state(key, JOB_STATE_ENDED)
+        self.assertEqual(setup.job(key).outcome, JOB_COMPLETED)
+        self.assertEqual(setup.total("started", key), 4)
+        self.assertEqual(setup.total("released", key), 4)
+        self.assertEqual(len(setup.region.events("member_ended")), 4)
+
+    @in_virtual_time
+    async def test_start_waits_for_displaced_work(self, setup):
+        """A worker starts what it is given, so places must be clear before a start."""
+        await setup.start(workers=1)
+        ledger = setup.region.working
+        first = setup.submit("j1", 1, accelerators=8)
+        await setup.wait(lambda: setup.running(first) == 1, 5)
+        setup.workers["w0"].faults.set(delay_seconds=0.4)
+        second = setup.submit("j2", 1, accelerators=8)
+
+        class Displace:
+            def schedule(self, batch):
+                """Places the second job on the places that the first one leaves."""
+                if ledger.jobs[first].state == JOB_STATE_RUNNING:
+                    Lifecycle(batch, 3).stop(ledger.jobs[first], STOP_PREEMPTED, second)
+                    batch.emit(
+                        job_placed={"job": second.to_message(), "attempt": 1, "workers": ["w0"]}
+                    )
+
+        setup.region.scheduler._policy = Displace()
+        setup.region.decide(Command(register_workers={}))
+        seconds = await setup.wait(lambda: setup.running(second) == 1)
+        self.assertLess(seconds, 4.2)
+        self.assertEqual(setup.check_capacity(), 0)
+        self.assertEqual(setup.calls("/checkpoint"), 1)
+        self.assertGreater(ledger.jobs[first].saved_seconds, 0)
+
+
+class EndTest(unittest.TestCase):
+    @in_virtual_time
+    async def test_failing_member_stops_the_gang_and_it_runs_again(self, setup):
+        """Members must not go on without the one that failed (P2)."""
+        await setup.start()
+        setup.workers["w1"].faults.set(fail_everything=1)
+        key = setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.job(key).attempt == 2)
+        self.assertEqual(setup.running(key), 0)
+        self.assertEqual(setup.total("stopped", key), 3)
+
+    @in_virtual_time
+    async def test_worker_that_fails_everything(self, setup):
+        """A faulty worker must not use up the attempts of every job."""
+        await setup.start(workers=4, accelerators=8)
+        setup.workers["w0"].faults.set(fail_everything=1)
+        keys = [
+            setup.submit(f"j{n}", account=account, accelerators=2, payload="run_seconds=30")
+            for n in range(4)
+            for account in ("acme", "bert")
+        ]
+        await setup.wait(lambda: all(setup.job(key).state == JOB_STATE_ENDED for key in keys), 3600)
+        self.assertEqual([setup.job(key).outcome for key in keys], [JOB_COMPLETED] * 8)
+        quarantined = setup.region.events("worker_state_changed")[0]
+        self.assertEqual((quarantined.worker_id, quarantined.cause), ("w0", "tasks_fail"))
+
+    @in_virtual_time
+    async def test_ends_are_reported_after_a_store_outage(self, setup):
+        """Running work must go on without the store, and its end must not be lost."""
+        await setup.start()
+        key = setup.submit("j1", 4, accelerators=8, payload="run_seconds=100")
+        await setup.wait(lambda: setup.running(key) == 4, 5)
+        setup.region.outage = True
+        await trio.sleep(90)
+        self.assertEqual(setup.running(key), 4)
+        await trio.sleep(60)
+        self.assertEqual(setup.total("completed", key), 4)
+        self.assertEqual(setup.job(key).state, JOB_STATE_RUNNING)
+        setup.region.outage = False
+        await setup.wait_state(key, JOB_STATE_ENDED, 20)
+        self.assertEqual(setup.job(key).outcome, JOB_COMPLETED)
+
+    @in_virtual_time
+    async def test_takeover_reports_ends_again(self, setup):
+        """Ends that a killed entry had not reported must be reported by the next one."""
+        await setup.start(entries=("e1", "e2"))
+        key = setup.submit("j1", 4, accelerators=8, payload="run_seconds=3")
+        await setup.wait(lambda: setup.running(key) == 4, 5)
+        for entry in setup.entries.values():
+            entry.writer.hold = trio.Event()
+        await trio.sleep(20)
+        self.assertEqual(setup.job(key).state, JOB_STATE_RUNNING)
+        setup.kill("e1")
+        setup.kill("e2")
+        await setup.start_entry("e3")
+        await setup.wait_state(key, JOB_STATE_ENDED, 5)
+        self.assertEqual(setup.job(key).outcome, JOB_COMPLETED)
+
+    @in_virtual_time
+    async def test_cancel_stops_all_members(self, setup):
+        """A cancelled job must not keep any member."""
+        await setup.start()
+        key = setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.running(key) == 4, 5)
+        setup.workers["w1"].faults.set(drop_answers=1)
+        setup.region.decide(Command(cancel_job={"job": key.to_message()}))
+        self.assertLess(await setup.wait_state(key, JOB_STATE_ENDED), 4)
+        self.assertEqual(setup.running(key), 0)
+
+    @in_virtual_time
+    async def test_lost_answer_to_a_report(self, setup):
+        """A report whose answer is lost must take effect once."""
+        await setup.start()
+        setup.entries["e1"].writer.lose = 3
+        key = setup.submit("j1", 2, payload="run_seconds=1")
+        await setup.wait_state(key, JOB_STATE_ENDED)
+        self.assertEqual(setup.job(key).outcome, JOB_COMPLETED)
+        self.assertEqual(len(setup.region.events("job_released")), 1)
+
+    @in_virtual_time
+    async def test_never_started_member_frees_its_place_at_once(self, setup):
+        """A place that was never used must not wait for a lease."""
+        await setup.start(workers=1)
+        first = setup.submit("j1", 1, accelerators=8)
+        await setup.wait(lambda: setup.running(first) == 1, 5)
+        setup.workers["w0"].faults.set(refuse=1)
+        setup.region.decide(Command(cancel_job={"job": first.to_message()}))
+        second = setup.submit("j2", 1, accelerators=8)
+        await setup.wait(lambda: setup.job(second).attempt == 2, 10)
+        ended = setup.region.events("member_ended")
+        self.assertIn(MEMBER_NOT_STARTED, [e.outcome for e in ended])
+        self.assertEqual(setup.region.working.workers["w0"].state, TARGET_LIVE)
+
+
+if __name__ == "__main__":
+    unittest.main()
