--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -75,6 +75,7 @@
 
     async def start(self, workers=4, entries=("e1",), accelerators=8):
         names = [f"w{n}" for n in range(workers)]
+        await self.nursery.start(self.region.run)
         for name in names:
             worker = WorkerDouble(name, Resources(accelerators, 128_000, 256_000))
             self.workers[name] = worker
