--- a/packages/core/src/ibiscart_core/share.py
+++ b/packages/core/src/ibiscart_core/share.py
@@ -107,12 +107,16 @@
         self._epoch = epoch
         self._settle()
 
-    def observe(self, entry_id, epoch):
-        """Notes a heartbeat of another entry with the epoch that it has applied."""
+    def observe(self, entry_id, epoch, silence=0.0):
+        """Notes what is known about another entry.
+
+        ``epoch`` is the latest that it said to have applied, ``silence`` the seconds since
+        it was heard.
+        """
         known = self._heard.get(entry_id, (0, 0))[0]
         if known < self._epoch <= epoch:
             self._applied_at = self._clock()
-        self._heard[entry_id] = (max(known, epoch), self._clock())
+        self._heard[entry_id] = (max(known, epoch), self._clock() - silence)
         for old in [e for e, (_, at) in self._heard.items() if self._clock() - at > KEPT_SECONDS]:
             del self._heard[old]
 
--- a/tests/entry/fake.py
+++ b/tests/entry/fake.py
@@ -13,6 +13,8 @@
 from ibiscart_core.ledger import Ledger
 from ibiscart_core.policies.fifo import FifoPolicy
 from ibiscart_core.scheduler import Scheduler
+from ibiscart_entry.peer import PeerError
+from ibiscart_entry.table import Row, StoreError, Table, TableConflict
 from ibiscart_schema.generated.journal_pb2 import Record
 from ibiscart_schema.generated.peer_pb2 import Command
 from ibiscart_schema.generated.settings_pb2 import DispatchSettings, SchedulerSettings
@@ -229,14 +231,66 @@
     async def call(self, entry_id, path, message, reply_type, timeout):
         await trio.sleep(0.001)
         if entry_id not in self._network.live:
-            raise ConnectionError(entry_id)
+            raise PeerError("unreachable", False)
         reply = await self._network.peers[entry_id].routes[path](self.entry_id, message)
         if self._network.lose_loans:
             self._network.lose_loans -= 1
-            raise ConnectionError("lost")
+            raise PeerError("reset", True)
         return reply
 
 
+class FakeTable(Table):
+    """Rows in memory. ``lose`` answers are lost after their effect; ``down`` refuses all."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.lose = 0
+        self.down = False
+        self.unsent = False
+        self.transactions = []
+        self.seconds = 0.01
+        self.frozen = None
+
+    async def get(self, key, *, low=False):
+        await self._delay()
+        return self.rows.get(key)
+
+    async def scan(self, prefix, after="", limit=256, *, low=False):
+        await self._delay()
+        keys = sorted(k for k in self.rows if k.startswith(prefix) and k > after)
+        return [self.rows[key] for key in keys[:limit]]
+
+    async def transact(self, writes, *, low=False):
+        await self._delay()
+        writes = [clone(write) for write in writes]
+        unmet = []
+        for write in writes:
+            row = self.rows.get(write.key) or Row(write.key, b"", 0)
+            if write.HasField("expected_version") and write.expected_version != row.version:
+                unmet.append(row)
+        if not unmet:
+            self.transactions.append(writes)
+            self.version += 1
+            for write in writes:
+                self.rows[write.key] = Row(write.key, write.value, self.version)
+                if write.delete:
+                    del self.rows[write.key]
+        if self.lose:
+            self.lose -= 1
+            raise StoreError("timeout", True)
+        if unmet:
+            raise TableConflict(unmet)
+        return [Row(write.key, write.value, self.version) for write in writes]
+
+    async def _delay(self):
+        await trio.sleep(self.seconds)
+        if self.frozen is not None:
+            await self.frozen.wait()
+        if self.down:
+            raise StoreError("breaker_open" if self.unsent else "timeout", not self.unsent)
+
+
 def submit_job(request_id, members=1, *, account="acme", accelerators=1, payload="", **spec):
     return Command(
         submit_job={
