--- a/packages/entry/src/ibiscart_entry/claim.py
+++ b/packages/entry/src/ibiscart_entry/claim.py
@@ -16,8 +16,9 @@
 from google.protobuf.message import DecodeError
 
 from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_entry.group import Write, WriteGroups
 from ibiscart_entry.server import Response
-from ibiscart_entry.table import StoreError, TableConflict
+from ibiscart_entry.table import StoreError
 from ibiscart_schema.generated.store_pb2 import ClaimRow, TableWrite
 from ibiscart_schema.generated.types_pb2 import RAN_MAYBE, RAN_YES
 
@@ -25,7 +26,6 @@
 
 PREFIX = "claim/"
 ANSWER_BYTES = 64 * 1024
-WRITES_AT_ONCE = 64
 WRITES_WAITING = 10_000
 CLAIM_SECONDS = 3.0
 CLOSE_SECONDS = 2.0
@@ -35,8 +35,6 @@
 RECHECK_SECONDS = 1.0
 # no request runs longer than the largest request_timeout_seconds; its holder lost track of it
 LONGEST_REQUEST_US = 900 * 1_000_000
-FIRST_RETRY_SECONDS = 0.05
-LONGEST_RETRY_SECONDS = 1.0
 
 
 class Claim:
@@ -51,30 +49,6 @@
         self.checked_at = checked_at
 
 
-class _Write:
-    """A write that waits for its transaction.
-
-    ``same`` tells whether a row's value is the one written. ``unsure`` is set while the
-    write may have taken effect or may still do so. An ``optional`` write is given up when
-    the store cannot be reached.
-    """
-
-    def __init__(self, message, same, optional=False):
-        self.message = message
-        self.same = same
-        self.optional = optional
-        self.unsure = False
-        self.abandoned = False
-        self.version = None
-        self.conflict = None
-        self.done = trio.Event()
-
-    def settle(self, **values):
-        for name, value in values.items():
-            setattr(self, name, value)
-        self.done.set()
-
-
 class Claims:
     """Claims of this entry and answers stored by any entry.
 
@@ -86,19 +60,17 @@
         self._table = table
         self._live = live
         self._metrics = metrics
-        self._random = random
         self._now_us = now_us
         self._held = set()
         self._unsure = {}
-        self._waiting = []
-        self._added = trio.Event()
+        self._writes = WriteGroups(table, random)
         self._nursery = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Writes rows in groups until cancelled."""
         async with trio.open_nursery() as self._nursery:
             task_status.started()
-            await self._write_groups()
+            await self._writes.run()
 
     async def claim(self, account, request_id, body):
         """Creates the claim; returns a ``Claim``, or the stored ``Response`` of this request.
@@ -117,8 +89,8 @@
                 time_us=self._now_us(),
             )
             message = TableWrite(key=key, value=row.SerializeToString(), expected_version=0)
-            write = _Write(message, lambda value: _parse(value).token == row.token, True)
-            self._add(write)
+            write = Write(message, lambda value: _parse(value).token == row.token, True)
+            self._writes.add(write)
         start = trio.current_time()
         try:
             with trio.move_on_after(CLAIM_SECONDS if row.body_sha256 == digest else 0):
@@ -249,8 +221,8 @@
         message = TableWrite(
             key=row.key, value=claim.SerializeToString(), expected_version=row.version
         )
-        write = _Write(message, lambda value: _parse(value).closed, True)
-        self._add(write)
+        write = Write(message, lambda value: _parse(value).closed, True)
+        self._writes.add(write)
         with trio.move_on_after(CLOSE_SECONDS):
             await write.done.wait()
         if write.version is not None:
@@ -300,7 +272,7 @@
 
     def _write_later(self, claim, message):
         message.expected_version = claim.version
-        if len(self._waiting) >= WRITES_WAITING:
+        if len(self._writes) >= WRITES_WAITING:
             self._metrics.count("dropped", "claim_outcome")
             self._held.discard(claim.row.token)
             return
@@ -310,98 +282,21 @@
         def same(value):
             return value == message.value
 
-        write = _Write(message, same)
-        self._add(write)
+        write = Write(message, same)
+        self._writes.add(write)
         with trio.move_on_after(OUTCOME_SECONDS):
             await write.done.wait()
         if write.conflict is not None and not message.delete:
             # a caller was told "unknown" and the row was closed; the true outcome replaces it
             message.expected_version = write.conflict.version
             write.abandoned = True
-            write = _Write(message, same)
-            self._add(write)
+            write = Write(message, same)
+            self._writes.add(write)
             with trio.move_on_after(OUTCOME_SECONDS):
                 await write.done.wait()
         write.abandoned = True
         self._held.discard(claim.row.token)
 
-    def _add(self, write):
-        self._waiting.append(write)
-        self._added.set()
-
-    async def _write_groups(self):
-        seconds = FIRST_RETRY_SECONDS
-        while True:
-            self._waiting = [w for w in self._waiting if not w.abandoned]
-            if not self._waiting:
-                self._added = trio.Event()
-                await self._added.wait()
-                continue
-            if await self._write_group(self._next_group()):
-                seconds = FIRST_RETRY_SECONDS
-            else:
-                await trio.sleep(seconds * self._random.uniform(0.5, 1))
-                seconds = min(seconds * 2, LONGEST_RETRY_SECONDS)
-
-    def _next_group(self):
-        """Waiting writes of different rows, in order."""
-        group = {}
-        for write in self._waiting:
-            group.setdefault(write.message.key, write)
-            if len(group) == WRITES_AT_ONCE:
-                break
-        return list(group.values())
-
-    async def _write_group(self, group):
-        """Sends one transaction; returns whether any of its writes is settled.
-
-        After a lost answer the same transaction is sent again; rows that it wrote then
-        conflict and are known by their token.
-        """
-        before = {write: write.unsure for write in group}
-        for write in group:
-            write.unsure = True
-        try:
-            rows = await self._table.transact([write.message for write in group])
-        except TableConflict as conflict:
-            return self._settle_conflicts(group, conflict.rows)
-        except StoreError as error:
-            if not error.sent:
-                self._settle_unsent(group, before)
-            return False
-        versions = {row.key: row.version for row in rows}
-        for write in group:
-            self._settle(write, version=versions.get(write.message.key, 0))
-        return True
-
-    def _settle_unsent(self, group, before):
-        for write in group:
-            write.unsure = before[write]
-            if write.optional and not write.unsure:
-                self._settle(write)
-
-    def _settle_conflicts(self, group, rows):
-        present = {row.key: row for row in rows}
-        settled = False
-        for write in group:
-            row = present.get(write.message.key)
-            if row is None:
-                # it matched, but the transaction wrote nothing; no earlier one did either
-                write.unsure = False
-                continue
-            settled = True
-            if not row.version and write.message.delete:
-                self._settle(write, version=0)
-            elif row.version and not write.message.delete and write.same(row.value):
-                self._settle(write, version=row.version)
-            else:
-                self._settle(write, conflict=row)
-        return settled
-
-    def _settle(self, write, **values):
-        self._waiting.remove(write)
-        write.settle(**values)
-
 
 def _parse(value):
     try:
--- a/packages/entry/src/ibiscart_entry/dispatcher.py
+++ b/packages/entry/src/ibiscart_entry/dispatcher.py
@@ -12,17 +12,12 @@
 
 from ibiscart_core.error import ErrorKind, IbiscartError
 from ibiscart_core.estimate import Estimates
-from ibiscart_core.share import SILENCE_SECONDS, Shares
+from ibiscart_core.share import SILENCE_SECONDS
 from ibiscart_entry.claim import Claim
 from ibiscart_entry.client import HttpClient, TransportError
-from ibiscart_entry.lane import (
-    DEFAULT_CONNECTIONS,
-    DEFAULT_SLOTS,
-    SlotPool,
-    Ticket,
-    account_key,
-)
+from ibiscart_entry.lane import SlotPool, Ticket
 from ibiscart_entry.loan import Loans
+from ibiscart_entry.quota import Quotas, account_key
 from ibiscart_entry.server import Response
 from ibiscart_schema.generated.types_pb2 import (
     RAN_MAYBE,
@@ -34,7 +29,6 @@
 __all__ = ["Dispatcher"]
 
 LOG = logging.getLogger("ibiscart.dispatcher")
-SHARE_TICK_SECONDS = 0.5
 PROBE_SECONDS = 2.0
 RUN_PATH = "/v1/run"
 
@@ -82,8 +76,9 @@
         self._metrics = metrics
         self._budget = budget
         self._open = set()
-        self.shares = Shares(entry_id, self._total, trio.current_time, journal.confirmed_age)
-        self._loans = Loans(entry_id, self.shares, self._total, peers, metrics, random, self._pump)
+        self._quotas = Quotas(entry_id, settings, journal, peers, membership)
+        self.shares = self._quotas.shares
+        self._loans = Loans(self._quotas, peers, metrics, random)
         self._pool = SlotPool(
             data_centre,
             settings,
@@ -96,6 +91,7 @@
             self._loans.need,
             connect,
         )
+        self._loans.arrived = self._quotas.changed = self._pool.pump
 
     @property
     def waiting(self):
@@ -113,16 +109,9 @@
             await nursery.start(self._claims.run)
             await nursery.start(self._loans.run)
             await nursery.start(self._pool.run)
-            self._apply_grant()
-            task_status.started()
-            nursery.start_soon(self._follow)
+            await nursery.start(self._quotas.run)
             nursery.start_soon(self._probe_lost)
-            while True:
-                self._apply_grant()
-                for entry in {*self.shares.entries, *self._peers.live()}:
-                    silence = self._peers.silence(entry)
-                    self.shares.observe(entry, self._peers.share_epoch_of(entry), silence)
-                await trio.sleep(SHARE_TICK_SECONDS)
+            task_status.started()
 
     async def dispatch(self, account, request_id, kind, repeatable, body, content_type, timeout):
         """Serves one request; returns the runner's answer as a ``Response``.
@@ -191,7 +180,7 @@
                 ErrorKind.QUEUE_FULL,
                 "the client account has too many waiting requests; retry later",
                 field="queued_requests",
-                bound=self._total(key),
+                bound=self._quotas.total(key),
             )
 
     async def _acquire(self, ticket, deadline):
@@ -338,30 +327,10 @@
             )
         return IbiscartError(ErrorKind.TARGET_FAILED, f"the runner gave no answer ({reason})")
 
-    def _total(self, key):
-        """Quota over all entries of a share key."""
-        name, _, owner = key.partition("/")
-        if name in ("running", "queued"):
-            account = self._journal.ledger.accounts.get(owner)
-            return getattr(account.contract, f"{name}_requests") if account is not None else 0
-        machine = self._membership.machines.get(owner)
-        if machine is None:
-            return 0
-        slots = machine.slots or DEFAULT_SLOTS
-        if name == "long":
-            return min(self._settings.long_slots, slots)
-        return slots if name == "slots" else machine.connections or DEFAULT_CONNECTIONS
-
     def _weight(self, account):
         known = self._journal.ledger.accounts.get(account)
         return known.contract.weight if known is not None else 1
 
-    async def _follow(self):
-        while True:
-            async for _ in self._journal.subscribe():
-                self._apply_grant()
-            await trio.sleep(SHARE_TICK_SECONDS)
-
     async def _probe_lost(self):
         """Finds runners that accept connections again.
 
@@ -386,15 +355,6 @@
         finally:
             await client.aclose()
 
-    def _apply_grant(self):
-        ledger = self._journal.ledger
-        if ledger.share_epoch > self.shares.epoch:
-            self.shares.apply_grant(ledger.share_epoch, ledger.share_entries)
-            self._pool.pump()
-
-    def _pump(self):
-        self._pool.pump()
-
 
 class _Message:
     """A request as it is sent."""
--- a/packages/entry/src/ibiscart_entry/lane.py
+++ b/packages/entry/src/ibiscart_entry/lane.py
@@ -10,26 +10,15 @@
 from ibiscart_core.error import ErrorKind, IbiscartError
 from ibiscart_core.lane import Lane, LaneQueue
 from ibiscart_entry.client import HttpClient
+from ibiscart_entry.quota import account_key, runner_key, runner_keys
 
-__all__ = ["SlotPool", "Ticket", "account_key", "runner_key"]
+__all__ = ["SlotPool", "Ticket"]
 
-DEFAULT_SLOTS = 8
-DEFAULT_CONNECTIONS = 64
 # a runner that answered "full" gets nothing for this time
 FULL_SECONDS = 0.1
 TICK_SECONDS = 0.25
 
 
-def account_key(name, account):
-    """Returns the share key of an account's limit, ``running`` or ``queued``."""
-    return f"{name}/{account}"
-
-
-def runner_key(name, runner_id):
-    """Returns the share key of a runner's limit: ``slots``, ``long`` or ``connections``."""
-    return f"{name}/{runner_id}"
-
-
 class Ticket:
     """A request that waits for a slot."""
 
@@ -197,7 +186,7 @@
         for machine in self._runners():
             if not self._eligible(machine.id) or self._full_until.get(machine.id, 0) > now:
                 continue
-            free = min(self._shares.free(key) for key in _runner_keys(machine.id, lane))
+            free = min(self._shares.free(key) for key in runner_keys(machine.id, lane))
             if free <= 0:
                 continue
             rank = (machine.data_centre == self._data_centre, free, machine.id)
@@ -206,7 +195,7 @@
         return best[1] if best is not None else None
 
     def _grant(self, ticket, lane, machine):
-        keys = [account_key("running", ticket.account), *_runner_keys(machine.id, lane)]
+        keys = [account_key("running", ticket.account), *runner_keys(machine.id, lane)]
         for key in keys:
             self._shares.take(key)
         client = self._client(machine)
@@ -245,14 +234,7 @@
         machines.sort(key=lambda m: m.data_centre != self._data_centre)
         for machine in machines:
             for lane in lanes:
-                for key in _runner_keys(machine.id, lane):
+                for key in runner_keys(machine.id, lane):
                     if self._shares.free(key) <= 0:
                         keys[key] = True
         return list(keys)
-
-
-def _runner_keys(runner_id, lane):
-    keys = [runner_key("slots", runner_id), runner_key("connections", runner_id)]
-    if lane is Lane.LONG:
-        keys.append(runner_key("long", runner_id))
-    return keys
--- a/packages/entry/src/ibiscart_entry/loan.py
+++ b/packages/entry/src/ibiscart_entry/loan.py
@@ -28,14 +28,14 @@
     ``arrived`` is called after a loan was added.
     """
 
-    def __init__(self, entry_id, shares, total, peers, metrics, random, arrived):
-        self._entry_id = entry_id
-        self._shares = shares
-        self._total = total
+    def __init__(self, quotas, peers, metrics, random):
+        self._entry_id = quotas.entry_id
+        self._shares = quotas.shares
+        self._total = quotas.total
         self._peers = peers
         self._metrics = metrics
         self._random = random
-        self._arrived = arrived
+        self.arrived = lambda: None
         self._needed = {}
         self._wanted = trio.Event()
         self._lent = {}
@@ -63,7 +63,7 @@
             for key in keys:
                 got += await self.borrow(key)
             if got:
-                self._arrived()
+                self.arrived()
                 seconds = FIRST_RETRY_SECONDS
             else:
                 await trio.sleep(seconds * self._random.uniform(0.5, 1))
