--- a/packages/entry/src/ibiscart_entry/peer.py
+++ b/packages/entry/src/ibiscart_entry/peer.py
@@ -158,6 +158,11 @@
         peer = self._peers.get(entry_id)
         return peer.sequence if peer is not None else 0
 
+    def share_epoch_of(self, entry_id):
+        """Returns the share epoch that an entry said it has applied, 0 when unknown."""
+        peer = self._peers.get(entry_id)
+        return 0 if peer is None else peer.share_epoch
+
     def take_sequence(self, entry_id, sequence):
         """Notes the journal sequence that a peer's message showed."""
         peer = self._peers.get(entry_id)
--- a/packages/entry/src/ibiscart_entry/process.py
+++ b/packages/entry/src/ibiscart_entry/process.py
@@ -6,12 +6,16 @@
 """
 
 import logging
+import random
+import time
 
 import trio
 
 from ibiscart_core.policies.adaptive import AdaptivePolicy
 from ibiscart_core.policies.fifo import FifoPolicy
+from ibiscart_core.retry import RetryBudget
 from ibiscart_entry.api import Api
+from ibiscart_entry.claim import Claims
 from ibiscart_entry.client import HttpClient
 from ibiscart_entry.controller import Controller
 from ibiscart_entry.dispatcher import Dispatcher
@@ -20,6 +24,7 @@
 from ibiscart_entry.membership import Membership
 from ibiscart_entry.metric import Metrics
 from ibiscart_entry.peer import Peers
+from ibiscart_entry.recorder import Recorder
 from ibiscart_entry.server import HttpServer
 from ibiscart_entry.sign import TargetSigns
 from ibiscart_entry.store import ObjectStore, StoreBudget
@@ -73,11 +78,31 @@
             metrics,
             membership=self._membership,
         )
+        rng = random.SystemRandom()
+        claims = Claims(
+            settings.entry_id, table, self._peers.live, metrics, random=rng, now_us=_wall_clock_us
+        )
         self._dispatcher = Dispatcher(
-            self._journal, self._peers, self._membership, table, settings.dispatch, metrics
+            settings.entry_id,
+            settings.data_centre,
+            settings.dispatch,
+            self._journal,
+            self._peers,
+            self._membership,
+            claims,
+            metrics,
+            budget=RetryBudget(settings.dispatch.retry_budget_share),
+            random=rng,
         )
+        self._peers.position = self._position
         self._controller = Controller(
-            self._journal, self._writer, self._peers, settings.scheduler, metrics
+            settings.entry_id,
+            settings.scheduler,
+            self._journal,
+            self._writer,
+            self._peers,
+            metrics,
+            random=rng,
         )
         self._api = Api(
             settings,
@@ -88,21 +113,77 @@
             policy=policy,
             metrics=metrics,
         )
-        self._server = HttpServer(self._api.handle, settings.server)
+        self._server = HttpServer(
+            self._api.handle,
+            settings.server,
+            self._count_refusal,
+            answer_headers=self._api.answer_headers,
+        )
         self._peer_server = HttpServer(self._peers.handle, _peer_server_settings(settings))
+        self._recorder = Recorder.from_config(settings, self._journal, objects, metrics)
+        if self._recorder is not None:
+            self._writer.on_batch = self._recorder.add_commands
+        self._drain = Drain(
+            settings.drain,
+            self._server,
+            on_start=(self._api.set_draining, self._peers.set_leaving),
+        )
         self._register_gauges()
 
-    async def run(self, signals):
-        """Serves until a signal arrives through ``signals`` and the drain has ended.
+    async def run(self):
+        """Serves until SIGTERM or SIGINT, then drains.
 
         Raises ``OSError`` when an address cannot be bound.
         """
+        fields = {"region": self._settings.region, "address": self._settings.server.address}
         async with trio.open_nursery() as nursery:
             await nursery.start(self._peer_server.serve)
-            for part in (self._membership, self._peers, self._journal):
+            for part in self._parts():
                 await nursery.start(part.run)
-            LOG.info("process: Loading the journal.", extra={"region": self._settings.region})
-            nursery.start_soon(self._serve, nursery)
-            await self._drain.run(signals)
+            await nursery.start(self._server.serve)
+            LOG.info("The entry process listens.", extra=fields)
+            await self._drain.run()
             nursery.cancel_scope.cancel()
-        LOG.info("process: Stopped.")
+        LOG.info("The entry process has stopped.", extra=fields)
+
+    def _parts(self):
+        parts = [self._membership, self._peers, self._journal, self._writer]
+        parts += [self._dispatcher, self._controller]
+        if self._recorder is not None:
+            parts.append(self._recorder)
+        return parts
+
+    def _position(self):
+        return self._journal.sequence, self._dispatcher.shares.applied_epoch
+
+    def _count_refusal(self, kind):
+        self._metrics.count("refusals", kind.value)
+
+    def _register_gauges(self):
+        ledger = self._journal
+        gauges = {
+            "journal_sequence": lambda: ledger.sequence,
+            "journal_confirmed_age_seconds": lambda: round(min(ledger.confirmed_age(), 1e9), 3),
+            "queued_jobs": lambda: ledger.ledger.queued_jobs,
+            "active_jobs": lambda: len(ledger.ledger.active),
+            "waiting_requests": lambda: self._dispatcher.waiting,
+            "running_requests": lambda: self._dispatcher.running,
+            "open_connections": lambda: self._server.connections,
+            "live_entries": lambda: len(self._peers.live()),
+            "ready": lambda: int(not self._api.unready_cause()),
+        }
+        for name, read in gauges.items():
+            self._metrics.gauge(name, read)
+
+
+def _peer_server_settings(settings):
+    server = ServerSettings()
+    server.CopyFrom(settings.server)
+    server.address = settings.peer.address
+    server.max_connections = PEER_CONNECTIONS
+    server.max_body_bytes = PEER_BODY_BYTES
+    return server
+
+
+def _wall_clock_us():
+    return time.time_ns() // 1000
--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -246,11 +246,15 @@
                 request = Request(method, target, headers, body.take(), connection.remote)
             except ValueError as error:
                 raise _bad_target(target, error) from None
-            response = await self._handle(request)
+            return await self._answer(connection, request)
         finally:
             body.release()
+
+    async def _answer(self, connection, request):
+        """Answers one request; returns whether the connection can serve another."""
+        response = await self._handle(request)
         try:
-            await connection.respond(response, self._closing, head.method == b"HEAD")
+            await connection.respond(response, self._closing, request.method == "HEAD")
         except h11.LocalProtocolError:
             LOG.exception("server: An answer is not valid HTTP.", extra={"path": request.path})
             raise IbiscartError(ErrorKind.INTERNAL, "the answer could not be sent") from None
--- a/packages/entry/src/ibiscart_entry/writer.py
+++ b/packages/entry/src/ibiscart_entry/writer.py
@@ -129,6 +129,8 @@
         self._arrived = trio.Event()
         self._waiting = {}
         self._nursery = None
+        # called with the commands of each batch that is decided here
+        self.on_batch = lambda commands: None
         peers.route("commands", CommandBatch, self._answer_batch)
 
     @property
@@ -351,7 +353,9 @@
         scheduler = Scheduler(working, self._policy, self._attempts)
         self._dirty = True
         start = time.perf_counter()
-        events, replies = scheduler.decide([item.command for item in items], now_us)
+        commands = [item.command for item in items]
+        self.on_batch(commands)
+        events, replies = scheduler.decide(commands, now_us)
         self._metrics.observe("decision_seconds", "batch", time.perf_counter() - start)
         if not events:
             self._dirty = False
--- a/tests/demo/demo.py
+++ b/tests/demo/demo.py
@@ -76,6 +76,10 @@
             self._print_usage("under load", busy, time.monotonic() - busy_start)
             nursery.cancel_scope.cancel()
 
+    def add_problem(self, text):
+        """Adds a line that makes the demo fail."""
+        self._problems.append(text)
+
     def report(self):
         """Prints what happened; returns the exit code."""
         events = self._fleet.events()
@@ -259,18 +263,17 @@
     print(f"seed {SEED}")
     fleet = Fleet()
     try:
+        start = time.monotonic()
+        await fleet.start()
+        print(
+            f"started {len(fleet.entries)} entries, 6 workers, 4 runners "
+            f"in {time.monotonic() - start:.1f} s"
+        )
+        demo = Demo(fleet, random.Random(SEED))
         with trio.move_on_after(RUN_SECONDS_LIMIT) as limit:
-            start = time.monotonic()
-            await fleet.start()
-            print(
-                f"started {len(fleet.entries)} entries, 6 workers, 4 runners "
-                f"in {time.monotonic() - start:.1f} s"
-            )
-            demo = Demo(fleet, random.Random(SEED))
             await demo.run()
         if limit.cancelled_caught:
-            print(f"demo failed: not finished after {RUN_SECONDS_LIMIT} s")
-            return 1
+            demo.add_problem(f"not finished after {RUN_SECONDS_LIMIT} s")
         return demo.report()
     except FleetError as error:
         print(f"demo failed: {error}")
--- a/tests/standins/fault.py
+++ b/tests/standins/fault.py
@@ -93,14 +93,7 @@
         super().__init__(handler, settings)
         self._faults = faults
 
-    async def _serve_one(self, connection):
-        head = await self._read_head(connection)
-        if head is None:
-            return False
-        body = await self._read_body(connection, head)
-        headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
-        method, target = head.method.decode("latin-1"), head.target.decode("latin-1")
-        request = Request(method, target, headers, body, connection.remote)
+    async def _answer(self, connection, request):
         if request.path == FAULTS_PATH:
             await connection.respond(self._faults.answer(request), False)
             return connection.next_cycle()
