Quarantine a worker when the failed job was requeued at once

Cause: the failing member's worker was looked up in job.members after the requeue had emptied it, so the failure rule never ran. Ruled out: the rule itself (its own tests pass with the same failures). Change: the worker id is taken before the member's end is applied.

--- a/packages/core/src/ibiscart_core/scheduler.py
+++ b/packages/core/src/ibiscart_core/scheduler.py
@@ -99,9 +99,12 @@
         return Reply(job=job.snapshot())
 
     def _handle_report_member(self, batch, lifecycle, command):
-        job = self._job(command.ended.job)
-        if lifecycle.end_member(job, command.ended) and command.ended.outcome == MEMBER_FAILED:
-            self._check_health(batch, command.ended, job)
+        ended = command.ended
+        job = self._job(ended.job)
+        # a requeued job has no members any more
+        worker_id = job.members[ended.rank].worker_id if ended.rank < len(job.members) else ""
+        if lifecycle.end_member(job, ended) and ended.outcome == MEMBER_FAILED:
+            self._check_health(batch, worker_id)
         return Reply(job=job.snapshot())
 
     # contracts
@@ -255,8 +258,8 @@
             )
         return Reply()
 
-    def _check_health(self, batch, ended, job):
-        worker = self._ledger.workers.get(job.members[ended.rank].worker_id if job.members else "")
+    def _check_health(self, batch, worker_id):
+        worker = self._ledger.workers.get(worker_id)
         if worker is None or not worker.live:
             return
         if should_quarantine(worker, self._ledger.jobs, batch.now_us):
