--- a/tests/demo/demo.py
+++ b/tests/demo/demo.py
@@ -19,7 +19,7 @@
 from tests.demo.caller import Balancer, Caller
 from tests.demo.fleet import Fleet, FleetError, key_hash, usage
 
-__all__ = ["main"]
+__all__ = ["contract", "main", "shape"]
 
 SEED = 20261204
 REQUESTS = 300
--- a/tests/demo/fleet.py
+++ b/tests/demo/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import signal
 import socket
@@ -28,6 +29,8 @@
 
 START_SECONDS = 30
 POLL_SECONDS = 0.02
+# below the range that the system takes for outgoing connections
+PORTS = (20_000, 32_000)
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 WORKER_CAPACITY = {"accelerators": 8, "cpu_millis": 128_000, "memory_mb": 262_144}
 
@@ -76,13 +79,18 @@
 
 
 def free_ports(count):
-    """Returns port numbers that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Returns port numbers that nothing listens on at this moment."""
+    ports = []
+    rng = random.SystemRandom()
+    while len(ports) < count:
+        port = rng.randrange(*PORTS)
+        with socket.socket() as item:
+            try:
+                item.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -116,6 +124,11 @@
             for i in range(entries)
         ]
 
+    @property
+    def worker_count(self):
+        """Number of workers."""
+        return self._counts[0]
+
     async def start(self):
         """Starts everything and waits until all entries are ready."""
         for name in ("table", "objects", "members"):
