Hold places in time for the largest gang and for due jobs

Cause: small jobs took each place as it became free, so a gang that needs a whole rack never started.

Change: the largest waiting gang holds places from its earliest estimated start; jobs that end before, or fit beside it, backfill.

--- a/packages/core/src/ibiscart_core/ledger.py
+++ b/packages/core/src/ibiscart_core/ledger.py
@@ -41,8 +41,7 @@
 
     Applying the same records always builds the same state. ``accounts``, ``workers`` and
     ``jobs`` map names, ids and job keys to their objects; ``active`` holds the jobs that
-    hold places. While ``committed`` stays within the capacity of every live worker, each
-    reservation can be reclaimed.
+    hold places.
     """
 
     def __init__(self, region):
@@ -63,7 +62,10 @@
 
     @property
     def committed(self):
-        """Sum of all reservations and of fixed burst work, by worker id."""
+        """Sum of all reservations and of fixed burst work, by worker id.
+
+        While it stays within the capacity of the live workers, guarantees can be reclaimed.
+        """
         return self._usage.committed
 
     @property
@@ -239,10 +241,12 @@
         job.ever_released = True
         job.reason = "running"
         job.decided_sequence = self.sequence + 1
+        self._usage.touch_members(job)
 
     def _apply_job_stopping(self, event, time_us):
         job = self.job(event.job)
         job.state = JOB_STATE_STOPPING
+        self._usage.touch_members(job)
         job.stop_cause = event.cause
         job.preempted_by = (
             JobKey.from_message(event.preempted_by) if event.HasField("preempted_by") else None
--- a/packages/core/src/ibiscart_core/policies/backlog.py
+++ b/packages/core/src/ibiscart_core/policies/backlog.py
@@ -43,6 +43,11 @@
         """Due time of the first job."""
         return self.jobs[0][0]
 
+    @property
+    def size_key(self):
+        """Orders groups by size, the largest first, then by the due time of the first job."""
+        return (-self.shape.accelerators, -self.shape.total.cpu_millis, self.jobs[0][:2])
+
 
 class Backlog:
     """Groups of queued jobs for each client account, built again for changed accounts."""
--- a/packages/core/src/ibiscart_core/policies/view.py
+++ b/packages/core/src/ibiscart_core/policies/view.py
@@ -7,6 +7,7 @@
 
 from ibiscart_core.capacity import Capacity
 from ibiscart_core.policies.backlog import Backlog
+from ibiscart_core.policies.timeline import Timeline
 from ibiscart_core.resource import Resources
 from ibiscart_core.usage import Changes
 
@@ -28,6 +29,7 @@
         self.free = Capacity()
         self.clear = Capacity()
         self.fixed = Capacity()
+        self.timeline = Timeline(ledger)
         self._changes = Changes()
         ledger.watch(self._changes)
         for worker in ledger.workers.values():
@@ -39,6 +41,7 @@
         changed = self._changes.workers
         self._changes.workers = set()
         for worker_id in changed:
+            self.timeline.forget(worker_id)
             worker = self.ledger.workers.get(worker_id)
             if worker is not None:
                 self._set(worker)
@@ -50,6 +53,7 @@
         self._changes.accounts = set()
         for name in accounts:
             self.backlog.refresh(name)
+            self._forget_times(name)
         return self.sync_workers()
 
     def find_moved(self, reservation):
@@ -63,6 +67,13 @@
             self._set(self.ledger.workers[worker_id])
         return found
 
+    def _forget_times(self, name):
+        # a completed job may have changed the estimates of the account's other jobs
+        account = self.ledger.accounts.get(name)
+        for job in account.active.values() if account is not None else ():
+            for member in job.members:
+                self.timeline.forget(member.worker_id)
+
     def _set(self, worker, lifted=NOTHING):
         reserved = worker.reserved - lifted
         # a worker on probation with a reservation is tried with the job that claims it
--- a/packages/core/src/ibiscart_core/usage.py
+++ b/packages/core/src/ibiscart_core/usage.py
@@ -72,6 +72,11 @@
         if self.changes is not None:
             self.changes.workers.add(worker_id)
 
+    def touch_members(self, job):
+        """Notes a change of a job's state on its workers."""
+        for member in job.members:
+            self.touch_worker(member.worker_id)
+
     def touch_account(self, name):
         """Notes a change of a client account or of its queue."""
         if self.changes is not None:
