Quarantine workers whose single-member jobs fail

Cause: a failed member's worker was looked up after the job had been queued again, when its members are already forgotten. A job of one member, and the last member of any gang, never counted against its worker.

Change: the scheduler notes the workers before it ends the member.

Conclusion: the health rule now covers every shape.

--- a/packages/core/src/ibiscart_core/scheduler.py
+++ b/packages/core/src/ibiscart_core/scheduler.py
@@ -100,8 +100,10 @@
 
     def _handle_report_member(self, batch, lifecycle, command):
         job = self._job(command.ended.job)
+        # the members are forgotten when the job is queued again
+        workers = [member.worker_id for member in job.members]
         if lifecycle.end_member(job, command.ended) and command.ended.outcome == MEMBER_FAILED:
-            self._check_health(batch, command.ended, job)
+            self._check_health(batch, workers[command.ended.rank])
         return Reply(job=job.snapshot())
 
     # contracts
@@ -255,8 +257,8 @@
             )
         return Reply()
 
-    def _check_health(self, batch, ended, job):
-        worker = self._ledger.workers.get(job.members[ended.rank].worker_id if job.members else "")
+    def _check_health(self, batch, worker_id):
+        worker = self._ledger.workers.get(worker_id)
         if worker is None or not worker.live:
             return
         if should_quarantine(worker, self._ledger.jobs, batch.now_us):
