Explain why a queued job is not placed

Cause: callers and operators saw only "queued" for a waiting job.

Change: AdaptivePolicy.explain gives the order and its estimate, backoff, claimed or unmet guarantees, the burst limit with the amounts held, the largest domain against what is needed, and the gang or due job ahead with its estimated start. It works on any ledger, including the committed copy, and does not disturb the caches of the scheduling pass.

--- a/packages/core/src/ibiscart_core/policies/adaptive.py
+++ b/packages/core/src/ibiscart_core/policies/adaptive.py
@@ -7,6 +7,7 @@
 
 from ibiscart_core.policies.burst import BurstPass
 from ibiscart_core.policies.claim import claim_guarantees
+from ibiscart_core.policies.explanation import explain_job
 from ibiscart_core.policies.view import View
 from ibiscart_core.policy import Policy
 
@@ -31,3 +32,7 @@
         self._view.sync()
         claim_guarantees(batch, self._view)
         BurstPass(batch, self._view).run()
+
+    def explain(self, ledger, job, now_us):
+        """Returns lines with the figures that keep a queued job from being placed."""
+        return explain_job(View(ledger, watch=False), job, now_us)
--- a/packages/core/src/ibiscart_core/policies/burst.py
+++ b/packages/core/src/ibiscart_core/policies/burst.py
@@ -72,7 +72,23 @@
         self._hold_largest()
         self._place_shares()
 
+    def preview(self):
+        """Returns the holds of the jobs that cannot be placed now, without placing any."""
+        for job in self._due_jobs():
+            if self._find(job, self._holds) is None:
+                self._block(job)
+        self._hold_largest()
+        return self._holds
+
     def _place_due(self):
+        for job in self._due_jobs():
+            if self._placed >= PLACEMENTS_PER_PASS:
+                return
+            if not self._try(job, "due"):
+                self._block(job)
+
+    def _due_jobs(self):
+        """Yields the jobs that precede all others, the first due first."""
         now = self._now_us
         heap = []
         for name, groups in self._view.backlog.accounts.items():
@@ -80,12 +96,10 @@
                 if group.due_us <= now:
                     heap.append((*group.jobs[0][:2], name, index, 0))
         heapq.heapify(heap)
-        while heap and self._placed < PLACEMENTS_PER_PASS:
+        while heap:
             _, _, name, index, position = heap[0]
             group = self._view.backlog.groups(name)[index]
-            job = group.jobs[position][2]
-            if not self._try(job, "due"):
-                self._block(job)
+            yield group.jobs[position][2]
             position += 1
             if position < len(group.jobs) and group.jobs[position][0] <= now:
                 entry = (*group.jobs[position][:2], name, index, position)
--- a/packages/core/src/ibiscart_core/policies/view.py
+++ b/packages/core/src/ibiscart_core/policies/view.py
@@ -21,17 +21,19 @@
 
     ``free`` is what no task holds, ``clear`` the part of it that no reservation needs, and
     ``fixed`` what work that may not be preempted can take while every reservation still
-    fits. Workers that take no new task have none of these.
+    fits. Workers that take no new task have none of these. Without ``watch`` the view is
+    good only until the ledger changes.
     """
 
-    def __init__(self, ledger):
+    def __init__(self, ledger, watch=True):
         self.ledger = ledger
         self.free = Capacity()
         self.clear = Capacity()
         self.fixed = Capacity()
         self.timeline = Timeline(ledger)
         self._changes = Changes()
-        ledger.watch(self._changes)
+        if watch:
+            ledger.watch(self._changes)
         for worker in ledger.workers.values():
             self._set(worker)
         self.backlog = Backlog(ledger)
