--- a/packages/core/src/ibiscart_core/policies/burst.py
+++ b/packages/core/src/ibiscart_core/policies/burst.py
@@ -7,10 +7,10 @@
 
 import heapq
 
-from ibiscart_core.policies.hold import estimated_seconds, find_hold
+from ibiscart_core.policies.hold import find_hold, least_spare
 from ibiscart_schema.generated.journal_pb2 import JOB_STATE_QUEUED
 
-__all__ = ["BurstPass", "avoids_reservations_until_us", "over_limit", "share"]
+__all__ = ["BurstPass", "avoids_reservations_until_us"]
 
 # one record holds at most this many placements; the next batch goes on
 PLACEMENTS_PER_PASS = 200
@@ -22,17 +22,6 @@
 LONGEST_AVOIDANCE_SECONDS = 1800
 
 
-def over_limit(account, shape):
-    """Returns whether a burst job of ``shape`` exceeds the limits on accelerators and on cpu."""
-    contract = account.contract
-    accelerators = account.burst_accelerators + shape.accelerators
-    cpu_millis = account.burst_cpu_millis + shape.total.cpu_millis
-    return (
-        shape.accelerators > 0 and accelerators > contract.burst_accelerators,
-        shape.member.cpu_millis > 0 and cpu_millis > contract.burst_cpu_millis,
-    )
-
-
 def avoids_reservations_until_us(job):
     """Returns until when a preempted job is placed on clear places only; 0 for others."""
     if job.preempted_by is None:
@@ -41,15 +30,6 @@
     return job.not_before_us + int(min(seconds, LONGEST_AVOIDANCE_SECONDS) * 1e6)
 
 
-def share(account, accelerators, cpu_millis):
-    """Returns the account's larger share of burst capacity, divided by its weight."""
-    used = max(
-        account.burst_accelerators / max(1, accelerators),
-        account.burst_cpu_millis / max(1, cpu_millis),
-    )
-    return used / max(1, account.contract.weight)
-
-
 class BurstPass:
     """One pass over the queued jobs: due jobs first, then accounts by their weighted share."""
 
@@ -59,132 +39,168 @@
         self._ledger = batch.ledger
         self._view = view
         self._holds = []
+        self._holders = set()
+        # (class, bits of the binding holds) that found no place in this pass
+        self._dead = set()
         self._failed = {}
         self._closed = {}
         self._placed = 0
-        live = [w.capacity for w in self._ledger.workers.values() if w.live]
-        self._accelerators = sum(c.accelerators for c in live)
-        self._cpu_millis = sum(c.cpu_millis for c in live)
 
     def run(self):
         """Emits the placements."""
-        self._place_due()
+        for group, job in self._due_jobs():
+            if self._placed >= PLACEMENTS_PER_PASS:
+                break
+            if not self._try(group, job, "due"):
+                self._block(group, job)
         self._hold_largest()
         self._place_shares()
 
     def preview(self):
         """Returns the holds of the jobs that cannot be placed now, without placing any."""
-        for job in self._due_jobs():
-            if self._find(job, self._holds) is None:
-                self._block(job)
+        for group, job in self._due_jobs():
+            if not self._waits(job) or self._find(group, job, self._holds) is None:
+                self._block(group, job)
         self._hold_largest()
         return self._holds
 
-    def _place_due(self):
-        for job in self._due_jobs():
-            if self._placed >= PLACEMENTS_PER_PASS:
-                return
-            if not self._try(job, "due"):
-                self._block(job)
-
     def _due_jobs(self):
-        """Yields the jobs that precede all others, the first due first."""
+        """Yields the groups and jobs that precede all others, the first due first."""
         now = self._now_us
         heap = []
         for name, groups in self._view.backlog.accounts.items():
             for index, group in enumerate(groups):
-                if group.due_us <= now:
-                    heap.append((*group.jobs[0][:2], name, index, 0))
+                if group.due_us > now:
+                    break
+                heap.append((*group.jobs[0][:2], name, index, 0))
         heapq.heapify(heap)
         while heap:
             _, _, name, index, position = heap[0]
             group = self._view.backlog.groups(name)[index]
-            yield group.jobs[position][2]
+            yield group, group.jobs[position][2]
             position += 1
-            if position < len(group.jobs) and group.jobs[position][0] <= now:
+            rest = position < len(group.jobs) and group.jobs[position][0] <= now
+            if rest and (group.job_class, 0) not in self._dead:
                 entry = (*group.jobs[position][:2], name, index, position)
                 heapq.heapreplace(heap, entry)
             else:
                 heapq.heappop(heap)
 
-    def _block(self, job):
+    def _block(self, group, job):
         """Keeps younger jobs from what a due job waits for."""
-        if job.state != JOB_STATE_QUEUED or job.not_before_us > self._now_us:
+        if not self._waits(job):
             return
-        account = self._ledger.accounts[job.key.account]
-        over = over_limit(account, job.shape)
+        account = self._ledger.accounts[group.account]
+        job_class = group.job_class
+        over = job_class.over_limit(account)
         if any(over):
             contract = account.contract
             fits_alone = (
-                job.shape.accelerators <= contract.burst_accelerators
-                and job.shape.total.cpu_millis <= contract.burst_cpu_millis
+                job_class.accelerators <= contract.burst_accelerators
+                and job_class.cpu_millis <= contract.burst_cpu_millis
             )
             if fits_alone and account.name not in self._closed:
                 self._closed[account.name] = over
         elif not self._holds and avoids_reservations_until_us(job) <= self._now_us:
-            hold = find_hold(self._view, job, self._now_us, strict=True)
-            if hold is not None:
-                self._holds.append(hold)
+            self._add_hold(group, find_hold(self._view, job, self._now_us, strict=True))
 
     def _hold_largest(self):
-        groups = [g for groups in self._view.backlog.accounts.values() for g in groups]
-        largest = heapq.nsmallest(
-            GANGS_TRIED, filter(self._may_hold, groups), key=lambda g: g.size_key
-        )
         taken = {worker_id for hold in self._holds for worker_id in hold.spare}
-        for group in largest:
-            job = self._first_waiting(group)
+        tried = 0
+        for job_class in self._view.backlog.classes:
+            group, job = self._first_of(job_class)
+            if job is None:
+                continue
             if any(hold.job is job for hold in self._holds):
                 return
-            hold = find_hold(self._view, job, self._now_us, taken=taken)
-            if hold is not None:
-                self._holds.append(hold)
+            if self._add_hold(group, find_hold(self._view, job, self._now_us, taken=taken)):
+                return
+            tried += 1
+            if tried == GANGS_TRIED:
                 return
 
-    def _may_hold(self, group):
-        if any(over_limit(self._ledger.accounts[group.account], group.shape)):
+    def _add_hold(self, group, hold):
+        if hold is None:
             return False
-        return self._first_waiting(group) is not None
+        hold.bit = 1 << len(self._holders)
+        self._holds.append(hold)
+        self._holders.add(group)
+        return True
 
-    def _first_waiting(self, group):
-        for _, _, job in group.jobs:
-            start_us = max(job.not_before_us, avoids_reservations_until_us(job))
-            if job.state == JOB_STATE_QUEUED and start_us <= self._now_us:
-                return job
-        return None
+    def _first_of(self, job_class):
+        """Returns group and job of the first due job of a class that waits only for places."""
+        first = None
+        for name, groups in job_class.groups.items():
+            if any(job_class.over_limit(self._ledger.accounts[name])):
+                continue
+            for group in groups:
+                if first is not None and (*group.jobs[0][:2], name) >= first[:3]:
+                    continue
+                for due_us, request_id, job in group.jobs:
+                    if self._waits(job) and avoids_reservations_until_us(job) <= self._now_us:
+                        entry = (due_us, request_id, name, group, job)
+                        first = entry if first is None else min(first, entry)
+                        break
+        return (None, None) if first is None else first[3:]
 
     def _place_shares(self):
-        heap = [(self._share(name), name) for name in self._view.backlog.accounts]
+        live = [w.capacity for w in self._ledger.workers.values() if w.live]
+        whole = (sum(c.accelerators for c in live), sum(c.cpu_millis for c in live))
+        heap = [(self._share(name, whole), name) for name in self._view.backlog.accounts]
         heapq.heapify(heap)
         while heap and self._placed < PLACEMENTS_PER_PASS:
             _, name = heap[0]
             if self._place_next(name):
-                heapq.heapreplace(heap, (self._share(name), name))
+                heapq.heapreplace(heap, (self._share(name, whole), name))
             else:
                 heapq.heappop(heap)
 
+    def _share(self, name, whole):
+        """Returns the account's larger share of the live workers, divided by its weight."""
+        account = self._ledger.accounts[name]
+        used = max(
+            account.burst_accelerators / max(1, whole[0]),
+            account.burst_cpu_millis / max(1, whole[1]),
+        )
+        return used / max(1, account.contract.weight)
+
     def _place_next(self, name):
         """Places the account's first job that can be placed; tells whether there is one."""
+        account = self._ledger.accounts[name]
         for group in self._view.backlog.groups(name):
-            if any(over_limit(self._ledger.accounts[name], group.shape)):
+            if self._is_dead(group) or any(group.job_class.over_limit(account)):
                 continue
             for _, _, job in group.jobs:
-                if self._try(job, "fair_share"):
+                if self._try(group, job, "fair_share"):
                     return True
+                # the other jobs of the group find no place either, but for a preempted one
+                if self._waits(job) and avoids_reservations_until_us(job) <= self._now_us:
+                    break
         return False
 
-    def _share(self, name):
-        return share(self._ledger.accounts[name], self._accelerators, self._cpu_millis)
+    def _is_dead(self, group):
+        if (group.job_class, 0) in self._dead:
+            return True
+        if not self._holds or group in self._holders:
+            return False
+        return (group.job_class, self._bits(group)) in self._dead
+
+    def _bits(self, group):
+        end_us = self._now_us + int(group.seconds * 1e6)
+        return sum(hold.bit for hold in self._holds if hold.binds(None, end_us))
+
+    def _waits(self, job):
+        return job.state == JOB_STATE_QUEUED and job.not_before_us <= self._now_us
 
-    def _try(self, job, reason):
-        if job.state != JOB_STATE_QUEUED or job.not_before_us > self._now_us:
+    def _try(self, group, job, reason):
+        if not self._waits(job) or (group.job_class, 0) in self._dead:
             return False
-        account = self._ledger.accounts[job.key.account]
-        if any(over_limit(account, job.shape)) or self._is_closed(account, job):
+        account = self._ledger.accounts[group.account]
+        if any(group.job_class.over_limit(account)) or self._is_closed(account, group):
             return False
-        end_us = self._now_us + int(estimated_seconds(self._ledger, job) * 1e6)
+        end_us = self._now_us + int(group.seconds * 1e6)
         binding = [hold for hold in self._holds if hold.binds(job, end_us)]
-        workers = self._find(job, binding)
+        workers = self._find(group, job, binding)
         if workers is None:
             return False
         if len(binding) < sum(hold.job is not job for hold in self._holds):
@@ -204,20 +220,21 @@
         self._placed += 1
         return True
 
-    def _is_closed(self, account, job):
+    def _is_closed(self, account, group):
         accelerators, cpu = self._closed.get(account.name, (False, False))
-        return (accelerators and job.shape.accelerators > 0) or cpu
+        return (accelerators and group.job_class.accelerators > 0) or cpu
 
-    def _find(self, job, binding):
+    def _find(self, group, job, binding):
         mode = "free"
         if not job.spec.repeatable:
             mode = "fixed"
         elif avoids_reservations_until_us(job) > self._now_us:
             mode = "clear"
-        held = tuple(id(hold) for hold in binding)
-        if self._ruled_out(job.shape, mode, held):
+        bits = sum(hold.bit for hold in binding)
+        if self._ruled_out(job.shape, mode, bits):
+            self._note_failure(group, job.shape, mode, bits)
             return None
-        spare = _least_spare(binding)
+        spare = least_spare(binding)
         levels = (self._view.clear, self._view.free)
         if mode != "free":
             levels = (getattr(self._view, mode),)
@@ -227,25 +244,21 @@
                 workers = capacity.find(job.shape, spare, avoided)
                 if workers is not None:
                     return workers
-        self._failed.setdefault((mode, held), []).append(job.shape)
+        self._failed.setdefault((mode, bits), []).append(job.shape)
+        self._note_failure(group, job.shape, mode, bits)
         return None
 
-    def _ruled_out(self, shape, mode, held):
+    def _note_failure(self, group, shape, mode, bits):
+        if mode != "clear":
+            self._dead.add((group.job_class, bits))
+            if bits and self._ruled_out(shape, mode, 0):
+                self._dead.add((group.job_class, 0))
+
+    def _ruled_out(self, shape, mode, bits):
         # what fits nowhere rules out all that needs at least as much
         return any(
             shape.covers(failed)
             for kept_mode in {mode, "free"}
-            for kept_held in {held, ()}
-            for failed in self._failed.get((kept_mode, kept_held), ())
+            for kept_bits in {bits, 0}
+            for failed in self._failed.get((kept_mode, kept_bits), ())
         )
-
-
-def _least_spare(holds):
-    if not holds:
-        return None
-    spare = dict(holds[0].spare)
-    for hold in holds[1:]:
-        for worker_id, amounts in hold.spare.items():
-            known = spare.get(worker_id)
-            spare[worker_id] = amounts if known is None else tuple(map(min, known, amounts))
-    return spare
--- a/packages/core/src/ibiscart_core/policies/claim.py
+++ b/packages/core/src/ibiscart_core/policies/claim.py
@@ -31,10 +31,8 @@
     A job waits only for its backoff, or while a reserved worker that is tried again after a
     quarantine still runs another task.
     """
-    for name in sorted(view.backlog.accounts):
-        account = batch.ledger.accounts[name]
-        if any(r.job is None and r.workers for r in account.reservations.values()):
-            _claim_account(batch, view, account)
+    for name in sorted(view.backlog.claimants):
+        _claim_account(batch, view, batch.ledger.accounts[name])
 
 
 def _claim_account(batch, view, account):
@@ -43,7 +41,7 @@
     jobs = [
         entry
         for group in groups
-        if any(shape.covers(group.shape) for shape in shapes)
+        if any(shape.covers(group.job_class.shape) for shape in shapes)
         for entry in group.jobs
         if entry[2].not_before_us <= batch.now_us
     ]
--- a/packages/core/src/ibiscart_core/policies/explanation.py
+++ b/packages/core/src/ibiscart_core/policies/explanation.py
@@ -7,10 +7,9 @@
 
 from datetime import UTC, datetime
 
-from ibiscart_core.policies.backlog import due_us
-from ibiscart_core.policies.burst import BurstPass, avoids_reservations_until_us, over_limit
+from ibiscart_core.policies.backlog import JobClass, due_us, estimated_seconds
+from ibiscart_core.policies.burst import BurstPass, avoids_reservations_until_us
 from ibiscart_core.policies.claim import claimable
-from ibiscart_core.policies.hold import estimated_seconds
 from ibiscart_core.policy import Batch
 from ibiscart_core.resource import Resources
 from ibiscart_schema.generated.journal_pb2 import JOB_STATE_QUEUED, JobState
@@ -88,7 +87,8 @@
 
     def _limits(self):
         contract, account, total = self._account.contract, self._account, self._job.shape.total
-        over_accelerators, over_cpu = over_limit(account, self._job.shape)
+        job_class = JobClass(self._job.shape, self._job.spec.repeatable)
+        over_accelerators, over_cpu = job_class.over_limit(account)
         lines = []
         if over_accelerators:
             lines.append(
--- a/packages/core/src/ibiscart_core/policies/hold.py
+++ b/packages/core/src/ibiscart_core/policies/hold.py
@@ -5,7 +5,7 @@
 Places held for a waiting gang until the running work on them has ended.
 """
 
-__all__ = ["Hold", "estimated_seconds", "find_hold"]
+__all__ = ["Hold", "find_hold", "least_spare"]
 
 
 class Hold:
@@ -13,16 +13,17 @@
 
     ``spare`` maps the ids of the held workers to the amounts that other work may have
     beyond that time. A ``strict`` hold leaves only these to any other job; otherwise jobs
-    that end before the start may use the places too.
+    that end before the start may use the places too. ``bit`` tells the holds of a pass apart.
     """
 
-    __slots__ = ("job", "spare", "start_us", "strict")
+    __slots__ = ("bit", "job", "spare", "start_us", "strict")
 
     def __init__(self, job, start_us, spare, strict):
         self.job = job
         self.start_us = start_us
         self.spare = spare
         self.strict = strict
+        self.bit = 1
 
     def binds(self, job, end_us):
         """Tells whether a job that ends at ``end_us`` must leave the held places."""
@@ -40,12 +41,6 @@
                 )
 
 
-def estimated_seconds(ledger, job):
-    """Returns the remaining run time of a queued job by the 90 % quantile of its estimate."""
-    estimate = ledger.estimates.estimate(job.key.account, job.spec.kind, job.spec.declared_seconds)
-    return max(0.0, estimate.p90 - job.saved_seconds)
-
-
 def find_hold(view, job, now_us, strict=False, taken=()):
     """Returns the ``Hold`` in the domain where ``job`` can start first, or None.
 
@@ -98,3 +93,15 @@
             have[2] - need.memory_mb,
         )
     return spare
+
+
+def least_spare(holds):
+    """Returns, for each held worker, the amounts that all of ``holds`` leave; None for none."""
+    if not holds:
+        return None
+    spare = dict(holds[0].spare)
+    for hold in holds[1:]:
+        for worker_id, amounts in hold.spare.items():
+            known = spare.get(worker_id)
+            spare[worker_id] = amounts if known is None else tuple(map(min, known, amounts))
+    return spare
--- a/packages/core/src/ibiscart_core/policies/timeline.py
+++ b/packages/core/src/ibiscart_core/policies/timeline.py
@@ -80,7 +80,7 @@
         return (free.accelerators, free.cpu_millis, free.memory_mb)
 
     def _count(self, worker, shape, repeatable):
-        if not worker.live or worker.quarantines:
+        if not worker.live or worker.quarantines or not worker.capacity.covers(shape.member):
             return []
         free = worker.free
         room = worker.capacity - self._ledger.committed.get(worker.id, NOTHING)
@@ -106,7 +106,8 @@
                 start_us = job.released_us or job.placed_us
                 end_us = estimated_end_us(self._ledger, job)
                 ends.append((end_us, (*key.sort_key(), rank), start_us, amount, fixed))
-            ends.sort(key=lambda entry: entry[:2])
+            # the second field is unique, so that the others are never compared
+            ends.sort()
             self._ends[worker.id] = ends
         return ends
 
