Tests of committed and random traces, of the measures and of the commands

Cause: faults in combination (lost workers, contract changes, cancellations) were not covered. Change: random traces are replayed and audited; urgent work that never starts counts with its wait until the end of the replay.

--- a/packages/cli/src/ibiscart_cli/commands/measure.py
+++ b/packages/cli/src/ibiscart_cli/commands/measure.py
@@ -41,7 +41,10 @@
     if not paths:
         raise click.UsageError(f"no *.jsonl file in {folder}")
     names = dict.fromkeys([BASELINE, policy])
-    comparison = compare(map(_read, paths), [POLICIES[name] for name in names])
+    try:
+        comparison = compare(map(_read, paths), [POLICIES[name] for name in names])
+    except ReplayError as error:
+        raise click.UsageError(str(error)) from error
     page = format_markdown(comparison)
     click.echo(page, nl=False)
     if output:
@@ -53,6 +56,9 @@
 def _read(path):
     try:
         with path.open("rb") as file:
-            return list(read_trace(file))
+            events = list(read_trace(file))
+        if not events or not events[0].HasField("header"):
+            raise ReplayError("the trace does not start with a header")
+        return events
     except (ReplayError, TraceError) as error:
         raise click.UsageError(f"{path}: {error}") from error
--- a/packages/core/src/ibiscart_core/measure.py
+++ b/packages/core/src/ibiscart_core/measure.py
@@ -34,7 +34,7 @@
     jobs = trace_jobs(events)
     state = StateMeter()
     replay = Replay(iter(events), policy, (state.observe,)).run()
-    state.end(replay.ledger)
+    state.end(replay.now_us)
     timed = _job_times(jobs, replay.records)
     done = [job for job in timed if job.outcome == JOB_COMPLETED]
     completion = [(job.ended_us - job.at_us) / 1e6 for job in done]
@@ -148,10 +148,10 @@
         self._fragmented = _is_fragmented(ledger, sum(map(sum, free.values())), record.time_us)
         self._follow_urgent(ledger, record)
 
-    def end(self, ledger):
+    def end(self, now_us):
         """Ends the replay; work that is still due counts with its wait until now."""
-        self._advance(ledger.time_us)
-        self.urgent_waits += [(ledger.time_us - due) / 1e6 for due in self._due.values()]
+        self._advance(now_us)
+        self.urgent_waits += [(now_us - due) / 1e6 for due in self._due.values()]
 
     def _advance(self, now_us):
         if self._since_us is None:
--- a/packages/core/src/ibiscart_core/replay.py
+++ b/packages/core/src/ibiscart_core/replay.py
@@ -43,8 +43,8 @@
     ``events`` are the ``TraceEvent``s of the trace, with non-decreasing times; they are read
     as virtual time reaches them. ``policy`` is any ``Policy``. After ``run``, ``records``
     holds the decided records, ``events`` the recorded events of the replay (for the audit),
-    and ``header`` the trace's header. ``observers`` are called with (ledger, record) after
-    each record.
+    ``header`` the trace's header and ``now_us`` the virtual time reached. ``observers`` are
+    called with (ledger, record) after each record.
     """
 
     def __init__(self, events, policy, observers=()):
@@ -53,6 +53,7 @@
         self.events = []
         self.ledger = None
         self.commands = 0
+        self.now_us = 0
         self._policy = policy
         self._observers = observers
         self._trace = _in_order(events)
@@ -81,8 +82,8 @@
         self._changed_at = first.time_us
         self._next_input()
         while self._timers:
-            now_us, _, call, argument = heapq.heappop(self._timers)
-            call(now_us, argument)
+            self.now_us, _, call, argument = heapq.heappop(self._timers)
+            call(self.now_us, argument)
         return self
 
     @property
--- a/tests/core/test_replay.py
+++ b/tests/core/test_replay.py
@@ -3,12 +3,15 @@
 import unittest
 
 from ibiscart_core.audit import audit
+from ibiscart_core.policies.adaptive import AdaptivePolicy
 from ibiscart_core.policies.fifo import FifoPolicy
 from ibiscart_core.replay import Replay, ReplayError, first_difference
-from ibiscart_core.trace import format_event
+from ibiscart_core.trace import format_event, read_trace
 from ibiscart_schema.generated.journal_pb2 import Record
 from ibiscart_schema.generated.trace_pb2 import TraceEvent
 from ibiscart_schema.generated.types_pb2 import SCOPE_RACK, TARGET_LIVE, TARGET_LOST
+from tests.core.random_trace import random_trace
+from tests.core.trace_generator import FOLDER
 
 SECOND = 1_000_000
 MEMBER = {"accelerators": 4, "cpu_millis": 8000, "memory_mb": 1000}
@@ -182,6 +185,59 @@
         self.assert_outcomes(trace.replay(), jobs_unfinished=1)
 
 
+class CommittedTracesTest(unittest.TestCase):
+    """Guards the default policy against breaking a property or a stated outcome."""
+
+    def test_keeps_every_property_and_outcome(self):
+        for path in sorted(FOLDER.glob("*.jsonl")):
+            with self.subTest(path.name), path.open("rb") as file:
+                replay = Replay(read_trace(file), AdaptivePolicy()).run()
+                self.assertEqual(replay.outcome_differences(), [])
+                self.assertEqual(audit(replay.events), [])
+
+
+class RandomTracesTest(unittest.TestCase):
+    """Guards scheduler, ledger and policies against faults in combination.
+
+    Traces mix worker losses, cancellations, contract changes, and failing jobs or outages.
+    """
+
+    def test_keeps_every_property(self):
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                replay = Replay(iter(random_trace(seed)), AdaptivePolicy()).run()
+                self.assertEqual(audit(replay.events), [])
+
+    def test_leaves_no_job_that_could_run(self):
+        """A job that is forgotten in the queue never ends, with nothing to report it."""
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                ledger = Replay(iter(random_trace(seed)), AdaptivePolicy()).run().ledger
+                self.assertEqual(ledger.active, {})
+                self.assertEqual([job.key for job in waiting(ledger) if can_run(ledger, job)], [])
+
+
+def waiting(ledger):
+    return [job for account in ledger.accounts.values() for job in account.queued.values()]
+
+
+def can_run(ledger, job):
+    """Whether a job that may be preempted fits an empty region and its burst limits."""
+    contract = ledger.accounts[job.key.account].contract
+    total = job.shape.total
+    over = (
+        0 < total.accelerators > contract.burst_accelerators
+        or 0 < total.cpu_millis > contract.burst_cpu_millis
+    )
+    places = {}
+    for worker in ledger.workers.values():
+        if worker.live:
+            domain = worker.domain(job.shape.scope)
+            fits = job.shape.member.times_within(worker.capacity)
+            places[domain] = places.get(domain, 0) + fits
+    return job.spec.repeatable and not over and max(places.values(), default=0) >= job.shape.members
+
+
 def _action(event):
     return (event.target_action.action, event.target_action.rank)
 
