--- a/packages/core/src/ibiscart_core/policies/view.py
+++ b/packages/core/src/ibiscart_core/policies/view.py
@@ -7,6 +7,7 @@
 
 from ibiscart_core.capacity import Capacity
 from ibiscart_core.policies.backlog import Backlog
+from ibiscart_core.policies.timeline import Timeline
 from ibiscart_core.resource import Resources
 from ibiscart_core.usage import Changes
 
@@ -20,16 +21,19 @@
 
     ``free`` is what no task holds, ``clear`` the part of it that no reservation needs, and
     ``fixed`` what work that may not be preempted can take while every reservation still
-    fits. Workers that take no new task have none of these.
+    fits. Workers that take no new task have none of these. Without ``watch`` the view is
+    good only until the ledger changes.
     """
 
-    def __init__(self, ledger):
+    def __init__(self, ledger, watch=True):
         self.ledger = ledger
         self.free = Capacity()
         self.clear = Capacity()
         self.fixed = Capacity()
+        self.timeline = Timeline(ledger)
         self._changes = Changes()
-        ledger.watch(self._changes)
+        if watch:
+            ledger.watch(self._changes)
         for worker in ledger.workers.values():
             self._set(worker)
         self.backlog = Backlog(ledger)
@@ -39,6 +43,7 @@
         changed = self._changes.workers
         self._changes.workers = set()
         for worker_id in changed:
+            self.timeline.forget(worker_id)
             worker = self.ledger.workers.get(worker_id)
             if worker is not None:
                 self._set(worker)
@@ -50,6 +55,7 @@
         self._changes.accounts = set()
         for name in accounts:
             self.backlog.refresh(name)
+            self._forget_times(name)
         return self.sync_workers()
 
     def find_moved(self, reservation):
@@ -63,6 +69,13 @@
             self._set(self.ledger.workers[worker_id])
         return found
 
+    def _forget_times(self, name):
+        # a completed job may have changed the estimates of the account's other jobs
+        account = self.ledger.accounts.get(name)
+        for job in account.active.values() if account is not None else ():
+            for member in job.members:
+                self.timeline.forget(member.worker_id)
+
     def _set(self, worker, lifted=NOTHING):
         reserved = worker.reserved - lifted
         # a worker on probation with a reservation is tried with the job that claims it
