--- a/packages/core/src/ibiscart_core/measure.py
+++ b/packages/core/src/ibiscart_core/measure.py
@@ -34,7 +34,7 @@
     jobs = trace_jobs(events)
     state = StateMeter()
     replay = Replay(iter(events), policy, (state.observe,)).run()
-    state.end(replay.now_us)
+    state.end(replay.decided_us)
     timed = _job_times(jobs, replay.records)
     done = [job for job in timed if job.outcome == JOB_COMPLETED]
     completion = [(job.ended_us - job.at_us) / 1e6 for job in done]
--- a/packages/core/src/ibiscart_core/replay.py
+++ b/packages/core/src/ibiscart_core/replay.py
@@ -25,8 +25,9 @@
 APPEND_US = 5_000
 # the writer decides without commands this often while jobs wait, so that ageing takes effect
 PASS_US = 5_000_000
-# a replay ends when jobs wait and nothing has been decided for this long
-IDLE_US = 4 * 3600 * 1_000_000
+# a replay ends when jobs wait, none runs and nothing has been decided for this long; the
+# longest quarantine is half of it
+IDLE_US = 3600 * 1_000_000
 ACCEPTED_STATUS = 202
 ERROR_STATUS = 500
 # the played workers report by themselves
@@ -43,8 +44,8 @@
     ``events`` are the ``TraceEvent``s of the trace, with non-decreasing times; they are read
     as virtual time reaches them. ``policy`` is any ``Policy``. After ``run``, ``records``
     holds the decided records, ``events`` the recorded events of the replay (for the audit),
-    ``header`` the trace's header and ``now_us`` the virtual time reached. ``observers`` are
-    called with (ledger, record) after each record.
+    ``header`` the trace's header and ``decided_us`` the virtual time of the last batch.
+    ``observers`` are called with (ledger, record) after each record.
     """
 
     def __init__(self, events, policy, observers=()):
@@ -53,7 +54,7 @@
         self.events = []
         self.ledger = None
         self.commands = 0
-        self.now_us = 0
+        self.decided_us = 0
         self._policy = policy
         self._observers = observers
         self._trace = _in_order(events)
@@ -82,8 +83,8 @@
         self._changed_at = first.time_us
         self._next_input()
         while self._timers:
-            self.now_us, _, call, argument = heapq.heappop(self._timers)
-            call(self.now_us, argument)
+            now_us, _, call, argument = heapq.heappop(self._timers)
+            call(now_us, argument)
         return self
 
     @property
@@ -175,6 +176,7 @@
             self._wake(self._free_at)
             return
         self._batch_at = None
+        self.decided_us = now_us
         commands, self._waiting = self._waiting, []
         events, replies = self._scheduler.decide(commands, now_us)
         done_us = now_us
--- a/packages/core/src/ibiscart_core/report.py
+++ b/packages/core/src/ibiscart_core/report.py
@@ -143,7 +143,7 @@
     met = f"{len(values) - len(target['missed_on'])} of {len(values)} traces"
     if target["reached"]:
         return f"- reached: {target['target']}; {found}, {met}"
-    missed = ", ".join(f"{name} {target['values'][name]:.2f}" for name in target["missed_on"])
+    missed = ", ".join(f"{name} {target['values'][name]:.4f}" for name in target["missed_on"])
     return f"- not reached: {target['target']}; {found}, {met}; missed on {missed}"
 
 
--- a/tests/core/test_audit.py
+++ b/tests/core/test_audit.py
@@ -407,6 +407,24 @@
         rec.record(2, *map(rec.submitted, jobs), *(rec.placed(j, "w1", "w2") for j in jobs))
         self.assert_found("burst")
 
+    def test_passes_work_that_adds_nothing_to_an_exceeded_limit(self):
+        """A lowered accelerator limit must not keep work without accelerators waiting."""
+        rec = self.recording
+        rec.record(1, rec.submitted("j1"), rec.placed("j1", "w1", "w2"))
+        lowered = rec.contract(2)
+        lowered["contract_changed"]["contract"]["burst_accelerators"] = 4
+        plain = {"cpu_millis": 1000, "memory_mb": 1000}
+        rec.record(2, lowered, rec.submitted("j2", member=plain), rec.placed("j2", "w1", "w2"))
+        self.assert_found()
+        rec.record(3, rec.submitted("j3"), rec.placed("j3", "w1", "w2"))
+        self.assert_found("burst")
+
+    def test_finds_burst_processors_over_their_limit(self):
+        rec = self.recording
+        plain = {"cpu_millis": 40_000, "memory_mb": 1000}
+        rec.record(1, rec.submitted("j1", member=plain), rec.placed("j1", "w1", "w2"))
+        self.assert_found("burst")
+
     def test_finds_released_tasks_that_exceed_their_worker(self):
         rec = self.recording
         rec.record(1, *(rec.submitted(f"j{n}", members=1) for n in range(3)))
