--- a/packages/cli/src/ibiscart_cli/commands/__init__.py
+++ b/packages/cli/src/ibiscart_cli/commands/__init__.py
@@ -2,5 +2,5 @@
 ibiscart_cli.commands
 ~~~~~~~~~~~~~~~~~~~~~
 
-Groups of commands.
+Command groups, one module each.
 """
--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -67,7 +67,8 @@
 
 def error_response(error, **fields):
     """Returns the ``Response`` for an ``IbiscartError``; ``fields`` go next to the error."""
-    headers = []
+    # tells this body from one that a runner sent
+    headers = [("x-ibiscart-error", error.kind.value)]
     if error.answer.retry_after:
         headers.append(("retry-after", str(max(1, round(error.answer.retry_after)))))
     body = {**fields, "error": to_mapping(error.to_message())}
