Metrics survive a failing gauge; drain takes a signal receiver

Cause: a gauge that raised hid every other value of /metrics, and infinite gauges were written in a form that collectors reject. The process owns the signal receiver, so the drain accepts one.

--- a/packages/entry/src/ibiscart_entry/drain.py
+++ b/packages/entry/src/ibiscart_entry/drain.py
@@ -47,17 +47,23 @@
         """Number of requests that were still open at the deadline."""
         return self._cut
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Waits for a signal, drains, and returns when the process may exit."""
-        with trio.open_signal_receiver(*SIGNALS) as received:
-            task_status.started()
-            async for number in received:
-                LOG.info("The shutdown begins.", extra={"signal": number})
-                break
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._ignore, received)
-                await self.drain()
-                nursery.cancel_scope.cancel()
+    async def run(self, signals=None, task_status=trio.TASK_STATUS_IGNORED):
+        """Waits for a signal, drains, and returns when the process may exit.
+
+        ``signals`` is an open receiver of signal numbers; by default one for ``SIGNALS``.
+        """
+        if signals is None:
+            with trio.open_signal_receiver(*SIGNALS) as received:
+                await self.run(received, task_status=task_status)
+            return
+        task_status.started()
+        async for number in signals:
+            LOG.info("The shutdown begins.", extra={"signal": number})
+            break
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._ignore, signals)
+            await self.drain()
+            nursery.cancel_scope.cancel()
 
     async def drain(self):
         """Runs the steps of the shutdown; returns the number of requests that were cut."""
--- a/packages/entry/src/ibiscart_entry/metric.py
+++ b/packages/entry/src/ibiscart_entry/metric.py
@@ -5,10 +5,14 @@
 Counters by reason and latency histograms, in the text form that collectors read.
 """
 
+import logging
+import math
+
 from hdrh.histogram import HdrHistogram
 
 __all__ = ["Metrics"]
 
+LOG = logging.getLogger("ibiscart.metric")
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
@@ -73,9 +77,9 @@
             values.setdefault(label, HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS))
         values[label].record_value(min(HIGHEST_US, max(LOWEST_US, int(seconds * 1e6))))
 
-    def gauge(self, name, read):
+    def gauge(self, name, read, text=""):
         """Registers a function that returns the present value of a gauge."""
-        self._gauges[name] = read
+        self._gauges[name] = (read, text)
 
     def render(self):
         """Returns all values in the text exposition format."""
@@ -86,9 +90,10 @@
             lines.append(f"# TYPE ibiscart_{name}_total counter")
             for reason, value in sorted(values.items()):
                 lines.append(f'ibiscart_{name}_total{{{label}="{_escape(reason)}"}} {value}')
-        for name, read in sorted(self._gauges.items()):
+        for name, (read, text) in sorted(self._gauges.items()):
+            lines.append(f"# HELP ibiscart_{name} {text or name.replace('_', ' ')}")
             lines.append(f"# TYPE ibiscart_{name} gauge")
-            lines.append(f"ibiscart_{name} {read()}")
+            lines.append(f"ibiscart_{name} {_read(read)}")
         for name, values in self._latencies.items():
             lines.extend(self._render_latency(name, values))
         return "\n".join(lines) + "\n"
@@ -108,5 +113,17 @@
             yield f"ibiscart_{name}_count{{{pair}}} {count}"
 
 
+def _read(read):
+    # one part that fails must not hide the values of all others
+    try:
+        value = float(read())
+    except Exception:
+        LOG.exception("A gauge could not be read.")
+        return "NaN"
+    if math.isinf(value):
+        return "+Inf" if value > 0 else "-Inf"
+    return f"{value:.15g}" if value == value else "NaN"
+
+
 def _escape(value):
     return str(value).replace("\\", "\\\\").replace('"', '\\"').replace("\n", " ")
