--- a/packages/cli/src/ibiscart_cli/main.py
+++ b/packages/cli/src/ibiscart_cli/main.py
@@ -11,6 +11,8 @@
 
 from ibiscart_cli.commands.contract import contract
 from ibiscart_cli.commands.job import job
+from ibiscart_cli.commands.measure import measure
+from ibiscart_cli.commands.replay import replay
 from ibiscart_cli.commands.request import request
 from ibiscart_cli.commands.settings import settings
 from ibiscart_cli.commands.status import status
@@ -77,7 +79,7 @@
     context.obj = Session(addresses, key_file, as_json=as_json, timeout=timeout)
 
 
-for command in (contract, job, request, settings, status):
+for command in (contract, job, measure, replay, request, settings, status):
     main.add_command(command)
 
 
