Operator documentation with generated tables; polls end with their caller

Requests that repeat a name in the query are refused: of two dry_run values the last would have won. A handler can learn that its caller has gone, and long polls end then. The command line pauses when an entry answers a poll at once without a change.

--- a/packages/cli/src/ibiscart_cli/watch.py
+++ b/packages/cli/src/ibiscart_cli/watch.py
@@ -68,6 +68,7 @@
         start = trio.current_time()
         after = None
         while True:
+            asked = trio.current_time()
             try:
                 value = await self._poll(after)
             except CallError as error:
@@ -82,6 +83,12 @@
                 self._take(found)
             if found["state"] == "ended":
                 return value
+            if (
+                after == self._job["decided_sequence"]
+                and trio.current_time() < asked + RETRY_SECONDS
+            ):
+                # an entry with too many polls, or one that drains, answers at once
+                await trio.sleep(RETRY_SECONDS)
             after = self._job["decided_sequence"]
 
     async def _poll(self, after):
--- a/packages/entry/src/ibiscart_entry/connection.py
+++ b/packages/entry/src/ibiscart_entry/connection.py
@@ -53,6 +53,16 @@
         if not self.has_data:
             self._h11.receive_data(await self._stream.receive_some(READ_BYTES))
 
+    async def wait_closed(self):
+        """Waits until the caller has ended its side; for ever after bytes that came early."""
+        await trio.lowlevel.wait_readable(self._stream.socket)
+        try:
+            data = await self._stream.socket.recv(1, trio.socket.MSG_PEEK)
+        except OSError:
+            return
+        if data:
+            await trio.sleep_forever()
+
     async def next_event(self):
         """Returns the next h11 event."""
         while True:
--- a/packages/entry/src/ibiscart_entry/routes/job.py
+++ b/packages/entry/src/ibiscart_entry/routes/job.py
@@ -124,18 +124,25 @@
         self._polls += 1
         records = self._journal.subscribe()
         try:
-            while self._services.clock() < end and not self._services.draining:
-                job = self._ledger.jobs.get(key)
-                if job is not None and (job.ended or self._changed(job, before, after)):
-                    return
-                with trio.move_on_after(min(POLL_CHECK_SECONDS, end - self._services.clock())):
-                    await records.receive()
-        except (trio.EndOfChannel, trio.ClosedResourceError):
-            pass
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_when_closed, call.request, nursery.cancel_scope)
+                await self._follow(records, key, before, after, end)
+                nursery.cancel_scope.cancel()
         finally:
             self._polls -= 1
             records.close()
 
+    async def _follow(self, records, key, before, after, end):
+        while self._services.clock() < end and not self._services.draining:
+            job = self._ledger.jobs.get(key)
+            if job is not None and (job.ended or self._changed(job, before, after)):
+                return
+            with trio.move_on_after(min(POLL_CHECK_SECONDS, end - self._services.clock())):
+                try:
+                    await records.receive()
+                except trio.EndOfChannel:
+                    return
+
     def _changed(self, job, before, after):
         if after >= 0:
             return job.decided_sequence > after
@@ -160,3 +167,9 @@
             field="request_id",
             value=call.item,
         )
+
+
+async def _cancel_when_closed(request, scope):
+    # a poll whose caller has gone would hold its place until the end of its wait
+    await request.wait_closed()
+    scope.cancel()
--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -33,19 +33,27 @@
 
 
 class Request:
-    """One request; ``query`` maps names to their last value, header names are lower case."""
+    """One request; ``query`` maps names to values, header names are lower case.
 
-    __slots__ = ("body", "headers", "method", "path", "query", "remote")
+    ``wait_closed`` is an async function that returns when the caller has gone. Raises
+    ``ValueError`` for a target that cannot be read or repeats a name in its query.
+    """
+
+    __slots__ = ("body", "headers", "method", "path", "query", "remote", "wait_closed")
 
-    def __init__(self, method, target, headers, body, remote):
+    def __init__(self, method, target, headers, body, remote, wait_closed=trio.sleep_forever):
         parts = urlsplit(target)
         query = parse_qs(parts.query, keep_blank_values=True, max_num_fields=MAX_QUERY_FIELDS)
+        for name, values in query.items():
+            if len(values) > 1:
+                raise ValueError(f"{name[:SHOWN_CHARACTERS]} is given twice")
         self.method = method
         self.path = unquote(parts.path)
         self.query = {name: values[-1] for name, values in query.items()}
         self.headers = headers
         self.body = body
         self.remote = remote
+        self.wait_closed = wait_closed
 
 
 class Response:
@@ -243,8 +251,9 @@
             headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
             target = head.target.decode("latin-1")
             method = head.method.decode("latin-1")
+            remote, wait_closed = connection.remote, connection.wait_closed
             try:
-                request = Request(method, target, headers, body.take(), connection.remote)
+                request = Request(method, target, headers, body.take(), remote, wait_closed)
             except ValueError as error:
                 raise _bad_target(target, error) from None
             response = await self._handle(request)
--- a/tests/entry/test_api.py
+++ b/tests/entry/test_api.py
@@ -429,6 +429,25 @@
 
         self.run_case(case)
 
+    def test_long_poll_ends_when_its_caller_has_gone(self):
+        """Polls of callers that have gone must not use up the places of others."""
+
+        async def case():
+            await self.submit()
+            gone = trio.Event()
+            target = "/v1/accounts/reports/jobs/j1?wait=60"
+            headers = {"authorization": f"Bearer {CALLER}"}
+            request = Request("GET", target, headers, b"", "127.0.0.1", gone.wait)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.api.handle, request)
+                await trio.sleep(1)
+                self.assertEqual(self.api.polls, 1)
+                gone.set()
+                await trio.sleep(0.1)
+                self.assertEqual(self.api.polls, 0)
+
+        self.run_case(case)
+
     def test_poll_after_a_sequence(self):
         """A change between two polls must not be missed."""
 
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -1,9 +1,11 @@
 """Guards the server against callers that break, flood or hold up connections."""
 
+import errno
 import json
 import logging
 import unittest
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import trio
 
@@ -198,6 +200,7 @@
             b"GET /x?"
             + b"&".join(b"a%d=1" % n for n in range(40))
             + b" HTTP/1.1\r\nhost: a\r\n\r\n",
+            b"GET /x?dry_run=1&dry_run=0 HTTP/1.1\r\nhost: a\r\n\r\n",
             b"GET /x HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 70_000 + b"\r\n\r\n",
             b"GET /x HTTP/1.1\r\nhost: a\r\n" + b"a: b\r\n" * 12_000,
         )
@@ -386,6 +389,49 @@
 
         trio.run(main)
 
+    def test_handler_can_learn_that_the_caller_has_gone(self):
+        """Long waits for callers that have gone must be able to end."""
+        ended = []
+
+        async def handler(request):
+            if request.path == "/wait":
+                await request.wait_closed()
+                ended.append(trio.current_time())
+            return Response(200)
+
+        async def case(rig):
+            stream = await rig.connect()
+            await stream.send_all(GET.replace(b"/x", b"/wait"))
+            await trio.sleep(0.1)
+            self.assertEqual((ended, rig.server.requests), ([], 1))
+            await stream.aclose()
+            await trio.sleep(0.1)
+            self.assertEqual((len(ended), rig.server.requests), (1, 0))
+
+        self.run_case(case, handler)
+
+    def test_server_goes_on_when_files_run_out(self):
+        """Too many open files must pass, not end the process."""
+
+        async def case(rig):
+            original = trio.SocketListener.accept
+            failures = [OSError(errno.EMFILE, "x"), OSError(errno.ENFILE, "x")]
+
+            async def accept(listener):
+                await trio.lowlevel.checkpoint()
+                if failures:
+                    raise failures.pop()
+                return await original(listener)
+
+            with mock.patch.object(trio.SocketListener, "accept", accept):
+                with self.assertLogs("ibiscart.server", logging.ERROR):
+                    self.assertTrue(await rig.healthy())
+                    self.assertTrue(await rig.healthy())
+                    self.assertTrue(await rig.healthy())
+            self.assertEqual(failures, [])
+
+        self.run_case(case)
+
     def test_several_waiters_are_woken(self):
         """A second waiter must not replace the event of the first."""
 
--- /dev/null
+++ b/tools/operator_docs.py
@@ -0,0 +1,225 @@
+"""Writes the generated tables of docs/operators; with --check only compares them."""
+
+import pathlib
+import re
+import sys
+
+from ibiscart_cli.outcome import EXIT_MEANINGS
+from ibiscart_core.error import ANSWERS, ErrorKind
+from ibiscart_entry.routes.contract import ContractRoutes
+from ibiscart_entry.routes.job import JobRoutes
+from ibiscart_entry.routes.probe import ProbeRoutes
+from ibiscart_entry.routes.request import RequestRoutes
+from ibiscart_schema.check import bound_text, enum_names
+from ibiscart_schema.generated.bounds_pb2 import bounds
+from ibiscart_schema.generated.settings_pb2 import EntrySettings
+from ibiscart_schema.generated.types_pb2 import Contract, Guarantee, JobSpec, Ran, Resources, Shape
+
+DIRECTORY = pathlib.Path(__file__).resolve().parent.parent / "docs" / "operators"
+BLOCK = re.compile(r"(<!-- begin (\w+) -->\n).*?(<!-- end \2 -->)", re.DOTALL)
+
+SETTINGS = {
+    "entry_id": "Name of this entry, unique in the region.",
+    "region": "Region, the name of its journal.",
+    "data_centre": "Data centre of this entry.",
+    "server.address": "Address for callers, operators and the load balancer.",
+    "server.max_connections": "Open connections; further ones get `overloaded`. Half of it bounds "
+    "the long polls.",
+    "server.max_body_bytes": "Longest request body.",
+    "server.header_timeout_seconds": "Time for a request's header to arrive.",
+    "server.body_timeout_seconds": "Time for a request's body to arrive, and for an answer to be "
+    "taken.",
+    "peer.address": "Address for other entries only.",
+    "peer.key": "Key that all entries of the region share; prefer `key_file`.",
+    "peer.key_file": "File that holds the key, relative to the settings file.",
+    "peer.heartbeat_seconds": "Time between heartbeats to each entry.",
+    "peer.silence_seconds": "An entry that is silent for so long is not live.",
+    "store.table_url": "Table service.",
+    "store.object_url": "Object store.",
+    "store.timeout_seconds": "Time for one operation.",
+    "store.writes_per_second": "This entry's part of the store's writes.",
+    "store.reads_per_second": "This entry's part of the store's reads.",
+    "store.snapshot_records": "Records between snapshots of the state.",
+    "membership.url": "Membership list of the platform.",
+    "membership.poll_seconds": "Time between reads of the list.",
+    "operators.key_sha256": "Hashes of the operators' keys, from `ibiscart contract hash-key`.",
+    "scheduler.policy": "Scheduling policy; `fifo` is the baseline for comparisons.",
+    "scheduler.batch_seconds": "Longest time to collect commands for one record.",
+    "scheduler.lease_seconds": "Lease of running tasks.",
+    "scheduler.held_lease_seconds": "Lease of tasks that wait for their gang.",
+    "scheduler.renew_seconds": "Time between renewals; at most half of the lease.",
+    "scheduler.checkpoint_seconds": "Time for a checkpoint before a preemption.",
+    "scheduler.stop_seconds": "Time for a task to stop.",
+    "scheduler.attempts": "Failed attempts after which a job ends.",
+    "dispatch.request_timeout_seconds": "Deadline of calls without `x-remaining-ms`.",
+    "dispatch.long_slots": "Slots of a runner that long requests may use.",
+    "dispatch.long_request_seconds": "Requests with a longer estimate are long.",
+    "dispatch.retry_budget_share": "Retries as a share of requests.",
+    "dispatch.attempts": "Attempts of one request.",
+    "drain.balancer_lag_seconds": "Time that the load balancer needs to notice that an entry is "
+    "not ready.",
+    "drain.deadline_seconds": "Longest time from the signal to the exit; at least 1 s more than "
+    "the lag.",
+    "log.level": "Lowest level that is logged.",
+    "log.trace_objects": "Stores recorded events in the object store.",
+    "log.trace_path": "File for recorded events; none when empty.",
+}
+
+ADVICE = {
+    "bad_request": "The request is not valid HTTP, JSON or UTF-8. Correct the caller.",
+    "bad_field": "Correct the named field; `details` lists every problem of the body.",
+    "body_too_large": "Send less, or raise `server.max_body_bytes`.",
+    "request_timeout": "The request arrived too slowly or its deadline had passed. Send it again "
+    "with more time.",
+    "unauthorized": "Check the key; an operator adds its hash to the contract's `key_sha256`.",
+    "forbidden": "The key is valid, but for another account or without operator rights. Use the "
+    "right key.",
+    "not_found": "Check path and id; ended jobs are kept for 24 h.",
+    "method_not_allowed": "Use one of the methods that the error names.",
+    "unknown_account": "Create a contract for the account.",
+    "id_reused": "Another body came under this id before. Use a new id for new work.",
+    "impossible_shape": "No worker, rack or data centre can hold the job. Use smaller members, "
+    "fewer of them or a wider scope.",
+    "over_limit": "The contract does not allow it. Change the contract or the job.",
+    "queue_full": "The account's queue is full. Wait, or raise `queued_jobs` or "
+    "`queued_requests`.",
+    "overloaded": "This entry is at a bound of its own. Retry, also at another entry; check the "
+    "gauge of connections when it lasts.",
+    "draining": "This entry is leaving. Retry at another entry.",
+    "not_ready": "This entry has not loaded or confirmed the state. Retry at another entry; see "
+    "`ibiscart status` when it lasts.",
+    "store_unavailable": "The store does not confirm the position. Retry; check the store when it "
+    "lasts. Running jobs go on.",
+    "commit_unknown": "The decision may have been recorded. Send the same id again, or read the "
+    "contract before changing it again.",
+    "no_target": "No eligible runner. Retry; check runners and membership list when it lasts.",
+    "queue_timeout": "No runner slot was free in time. Retry, or raise the runners or the "
+    "account's share.",
+    "target_failed": "The runner failed with the request. Repeatable work may be sent again.",
+    "outcome_unknown": "Work that must run only once may have run. It is never sent again; find "
+    "out from its effects.",
+    "in_progress": "The same id is being worked on. Ask again later with the same id.",
+    "already_ended": "The job has ended; read it with `ibiscart job show`.",
+    "version_conflict": "Another operator changed the contract. Read it, apply the change again; "
+    "`details` lists the differences.",
+    "contract_unpackable": "The guarantees of all contracts do not fit at once. Lower a count, "
+    "shrink a shape or widen a scope; `details` names what does not fit.",
+    "internal": "A fault of ibiscart. Send the same id again, and report the request id with the "
+    "entry's log.",
+}
+
+GROUPS = (JobRoutes, RequestRoutes, ContractRoutes, ProbeRoutes)
+
+
+def table(header, rows):
+    lines = ["| " + " | ".join(header) + " |", "|" + " --- |" * len(header)]
+    for row in rows:
+        cells = (str(cell).replace("|", "\\|") for cell in row)
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines) + "\n"
+
+
+def field_rows(descriptor, prefix=""):
+    """Yields the name, bounds, default and whether it is required of each plain field."""
+    for field in descriptor.fields:
+        name = prefix + field.name
+        if field.message_type is not None and not field.is_repeated:
+            yield from field_rows(field.message_type, name + ".")
+            continue
+        yield name, bound_text(field), default_of(field)
+
+
+def default_of(field):
+    """Returns what the default column shows."""
+    options = field.GetOptions().Extensions[bounds]
+    if options.required:
+        return "required"
+    if options.default_value:
+        return f"`{options.default_value}`"
+    if field.is_repeated or field.message_type is not None:
+        return ""
+    if field.type == field.TYPE_ENUM:
+        return f"`{next(iter(enum_names(field.enum_type)))}`"
+    if field.type == field.TYPE_BOOL:
+        return "`false`"
+    return "" if field.type == field.TYPE_STRING else "`0`"
+
+
+def settings_table():
+    rows = []
+    for name, bound, default in field_rows(EntrySettings.DESCRIPTOR):
+        rows.append((f"`{name}`", SETTINGS[name], f"`{bound}`", default))
+    return table(("setting", "meaning", "allowed", "default"), rows)
+
+
+def fields_table():
+    rows = []
+    for message in (Contract, Guarantee, Shape, Resources, JobSpec):
+        for field in message.DESCRIPTOR.fields:
+            if field.name in ("body_sha256", "version"):
+                continue
+            kind = field.message_type.name if field.message_type else bound_text(field)
+            name = f"`{field.name}`"
+            rows.append((message.DESCRIPTOR.name, name, f"`{kind}`", default_of(field)))
+    return table(("message", "field", "allowed", "default"), rows)
+
+
+def error_table():
+    rows = []
+    for kind in ErrorKind:
+        answer = ANSWERS[kind]
+        ran = Ran.Name(answer.ran).removeprefix("RAN_").lower()
+        retry = f"after {answer.retry_after:g} s" if answer.retryable else "no"
+        rows.append((f"`{kind.value}`", answer.status, ran, retry, ADVICE[kind.value]))
+    return table(("kind", "status", "ran", "retry", "what to do"), rows)
+
+
+def exit_table():
+    return table(("code", "meaning"), ((int(c), text) for c, text in EXIT_MEANINGS.items()))
+
+
+def path_table():
+    rows = []
+    for group in GROUPS:
+        for route in group.ROUTES:
+            text = getattr(group, route.handler).__doc__.split("\n\n")[0].replace("``", "`")
+            path = "/" + "/".join(route.parts)
+            query = ", ".join(f"`{name}`" for name in route.query)
+            rows.append((route.method, f"`{path}`", route.access or "open", query, text))
+    return table(("method", "path", "key", "query", "purpose"), rows)
+
+
+TABLES = {
+    "settings": settings_table,
+    "fields": fields_table,
+    "errors": error_table,
+    "exits": exit_table,
+    "paths": path_table,
+}
+
+
+def rendered(text):
+    """Returns a page's text with its generated blocks written anew."""
+    return BLOCK.sub(lambda match: match[1] + "\n" + TABLES[match[2]]() + "\n" + match[3], text)
+
+
+def stale_pages():
+    """Returns the pages whose generated blocks are not up to date."""
+    pages = sorted(DIRECTORY.glob("*.md"))
+    return [page for page in pages if rendered(page.read_text()) != page.read_text()]
+
+
+def main():
+    stale = stale_pages()
+    if "--check" in sys.argv[1:]:
+        for page in stale:
+            print(f"{page}: generated tables are out of date; run tools/operator_docs.py")
+        return 1 if stale else 0
+    for page in stale:
+        page.write_text(rendered(page.read_text()))
+        print(f"wrote {page}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
