Command line: JSON errors and interrupts; more server tests

Server tests cover damaged requests (300, seeded), bad callers beside good ones, files that run out, and the headers of answers without the handler.

--- a/packages/cli/src/ibiscart_cli/outcome.py
+++ b/packages/cli/src/ibiscart_cli/outcome.py
@@ -5,6 +5,7 @@
 Exit codes of the command line, and the errors that end a command with them.
 """
 
+import json
 from enum import IntEnum
 
 import click
@@ -42,15 +43,25 @@
 
 
 class CallError(click.ClickException):
-    """Ends the command with an exit code and lines on standard error."""
+    """Ends the command with an exit code and lines on standard error.
+
+    ``error`` is the error body of an entry, where there is one. With ``as_json`` one JSON
+    object is printed in place of the lines.
+    """
 
     def __init__(self, code, message, lines=()):
         super().__init__(message)
         self.exit_code = int(code)
         self.lines = tuple(lines)
+        self.error = None
+        self.as_json = False
 
     def show(self, file=None):
         """Prints the message and its lines."""
+        if self.as_json:
+            value = {"exit_code": self.exit_code, "message": self.message, "error": self.error}
+            click.echo(json.dumps(value, indent=2), err=True)
+            return
         click.echo(f"ibiscart: {self.message}", err=True)
         for line in self.lines:
             click.echo(f"  {line}", err=True)
@@ -61,8 +72,8 @@
 
     def __init__(self, error, request_id):
         self.kind = error["code"]
-        self.error = error
         super().__init__(_exit_code(error), f"{self.kind}: {error['message']}", _lines(error))
+        self.error = error
         if request_id:
             self.lines += (f"request id: {request_id}",)
 
--- a/packages/cli/src/ibiscart_cli/session.py
+++ b/packages/cli/src/ibiscart_cli/session.py
@@ -56,6 +56,9 @@
         self._key = _read_key(self._key_file) if self._key_file else ""
         try:
             return trio.run(self._main, main, *arguments)
+        except CallError as error:
+            error.as_json = self.as_json
+            raise
         except KeyboardInterrupt:
             raise CallError(ExitCode.INTERRUPTED, "interrupted") from None
         except BaseExceptionGroup as group:
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -434,6 +434,21 @@
         self.assertIn("forbidden", result.stderr)
         self.assertIn("request id: ", result.stderr)
 
+    def test_json_errors(self):
+        """Scripts that read JSON need the kind of a refusal without parsing text."""
+        self.create()
+        arguments = ("--json", "job", "show", "reports", "none")
+        value = json.loads(self.run_command(*arguments, key="caller", code=3).stderr)
+        self.assertEqual((value["exit_code"], value["error"]["code"]), (3, "not_found"))
+        value = json.loads(self.run_command(*arguments, entries=["127.0.0.1:1"], code=5).stderr)
+        self.assertIsNone(value["error"])
+
+    def test_interrupt(self):
+        """Scripts must tell an interrupt from a failure, also when trio wraps it."""
+        for error in (KeyboardInterrupt(), BaseExceptionGroup("x", [KeyboardInterrupt()])):
+            with mock.patch.object(Session, "_main", side_effect=error):
+                self.run_command("status", code=130)
+
     # the rest
 
     def test_status(self):
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -3,6 +3,7 @@
 import errno
 import json
 import logging
+import random
 import unittest
 from contextlib import asynccontextmanager
 from unittest import mock
@@ -432,6 +433,106 @@
 
         self.run_case(case)
 
+    def test_mutated_requests(self):
+        """Damage at any byte must end in an answer or a closed connection, and nothing else."""
+        generator = random.Random(11)
+        good = (
+            b"POST /x?a=1 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n0\r\n\r\n",
+            b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\nconnection: close\r\n\r\nabc",
+        )
+
+        async def case(rig):
+            async def send(data):
+                stream = await rig.connect()
+                try:
+                    await stream.send_all(data)
+                    await stream.send_eof()
+                    answer = await read_end(stream)
+                    if answer:
+                        self.assertRegex(answer, rb"^HTTP/1.1 (100|[245]\d\d) ")
+                except trio.BrokenResourceError:
+                    pass
+                finally:
+                    await trio.aclose_forcefully(stream)
+
+            for _ in range(60):
+                async with trio.open_nursery() as nursery:
+                    for _ in range(5):
+                        data = bytearray(generator.choice(good))
+                        for _ in range(generator.randint(1, 4)):
+                            place = generator.randrange(len(data))
+                            data[place : place + generator.randint(0, 3)] = generator.randbytes(
+                                generator.randint(0, 3)
+                            )
+                        nursery.start_soon(send, bytes(data))
+            await trio.sleep(0.05)
+            self.assertEqual(rig.server._buffered, 0)
+
+        with self.assertNoLogs("ibiscart.server", logging.ERROR):
+            self.run_case(case)
+
+    def test_bad_connections_do_not_harm_good_ones(self):
+        """Stalled, broken and flooding callers must not delay or cut the others."""
+        head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: "
+
+        async def bad(rig, data, end):
+            while trio.current_time() < end:
+                stream = await rig.connect()
+                try:
+                    await stream.send_all(data)
+                    # stalled callers stay beyond the end of the good ones
+                    with trio.move_on_after(3):
+                        await read_end(stream)
+                except trio.BrokenResourceError:
+                    pass
+                await trio.aclose_forcefully(stream)
+
+        async def case(rig):
+            answered = []
+
+            async def good():
+                stream = await rig.connect()
+                while trio.current_time() < end:
+                    start = trio.current_time()
+                    await stream.send_all(head + b"3\r\n\r\nabc")
+                    self.assertIn(b"POST /x 3", await read_some(stream))
+                    answered.append(trio.current_time() - start)
+                    await trio.sleep(0.01)
+                await stream.aclose()
+
+            end = trio.current_time() + 1.5
+            async with trio.open_nursery() as nursery:
+                for _ in range(5):
+                    nursery.start_soon(good)
+                for data in (
+                    b"GET /",
+                    head + b"9999999\r\n\r\n",
+                    head + b"9\r\n\r\n1",
+                    b"\x00" * 999,
+                ):
+                    for _ in range(4):
+                        nursery.start_soon(bad, rig, data, end)
+            self.assertGreater(len(answered), 100)
+            self.assertLess(max(answered), 1)
+
+        self.run_case(case, max_connections=40, header_timeout_seconds=2, body_timeout_seconds=2)
+
+    def test_answers_without_the_handler_carry_headers(self):
+        """Refusals by the server itself need the request id and sequence too (P3)."""
+
+        async def main():
+            headers = [("x-request-id", "r1"), ("x-journal-sequence", "7")]
+            server = HttpServer(echo, settings(), answer_headers=lambda: headers)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.serve)
+                answer = await Rig(server, port, []).exchange(b"garbage\r\n\r\n")
+                for text in (b"x-request-id: r1", b"x-journal-sequence: 7", b"x-ibiscart-error: "):
+                    self.assertIn(text, answer)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     def test_several_waiters_are_woken(self):
         """A second waiter must not replace the event of the first."""
 
