A miss on a job is confirmed before it is answered

Cause: a replica that had not yet applied the record answered not_found for a job that another entry had just taken.

--- a/packages/cli/src/ibiscart_cli/outcome.py
+++ b/packages/cli/src/ibiscart_cli/outcome.py
@@ -77,7 +77,7 @@
         if request_id:
             self.lines += (f"request id: {request_id}",)
 
-    def doubt(self):
+    def mark_unknown(self):
         """Takes back that the work did not run, after an earlier try that may have run."""
         if self.error.get("ran") == "no":
             self.exit_code = int(ExitCode.UNKNOWN)
--- a/packages/cli/src/ibiscart_cli/session.py
+++ b/packages/cli/src/ibiscart_cli/session.py
@@ -111,7 +111,7 @@
             last = index == len(self._addresses) - 1
             if refusal.kind not in OTHER_ENTRY_KINDS or refusal.error["ran"] != "no" or last:
                 if self.broken and method != "GET":
-                    refusal.doubt()
+                    refusal.mark_unknown()
                 raise refusal
             failures.append(f"{address}: {refusal.kind}")
         raise self._failure(method, failures)
--- a/packages/entry/src/ibiscart_entry/routes/job.py
+++ b/packages/entry/src/ibiscart_entry/routes/job.py
@@ -20,6 +20,9 @@
 LONGEST_WAIT_SECONDS = 60
 # how often a long poll looks at the drain state while no record arrives
 POLL_CHECK_SECONDS = 1.0
+# the journal is polled each second
+CONFIRM_SECONDS = 3.0
+CONFIRM_CHECK_SECONDS = 0.05
 JOBS_LISTED = 100
 MOST_JOBS_LISTED = 1000
 HIGHEST_SEQUENCE = 2**63 - 1
@@ -91,7 +94,7 @@
         after = read_int(call.request.query, "after", -1, 0, HIGHEST_SEQUENCE)
         if wait:
             await self._wait_change(call, wait, after)
-        return self._reply(call, {"job": job_view(self._find_job(call).snapshot())})
+        return self._reply(call, {"job": job_view((await self._find_job(call)).snapshot())})
 
     async def cancel(self, call):
         """Cancels a job in whatever state."""
@@ -102,7 +105,7 @@
 
     async def explain(self, call):
         """Returns why a job is where it is."""
-        job = self._find_job(call)
+        job = await self._find_job(call)
         lines = [f"state {job_state(job)}, attempt {job.attempt}, reason: {job.reason}"]
         if job.state == JOB_STATE_QUEUED:
             lines += self._services.policy.explain(self._ledger, job, self._services.now_us())
@@ -154,19 +157,33 @@
             return None
         return job.decided_sequence, job.state, job.attempt, len(job.open_members)
 
-    def _find_job(self, call):
+    async def _find_job(self, call):
+        """Returns the job; a miss is answered once the position was confirmed after the call.
+
+        Another entry may have taken the job a moment ago, and the caller must not read that
+        it does not exist.
+        """
         self._account(call)
-        job = self._ledger.jobs.get(JobKey(call.account, call.item))
-        if job is not None:
-            return job
-        # a replica that lags may not know the job yet
-        self._require_durable()
-        raise IbiscartError(
-            ErrorKind.NOT_FOUND,
-            "no such job; ended jobs are kept for 24 h",
-            field="request_id",
-            value=call.item,
-        )
+        clock = self._services.clock
+        end = call.capped(clock() + CONFIRM_SECONDS)
+        while (job := self._ledger.jobs.get(JobKey(call.account, call.item))) is None:
+            self._require_durable()
+            if self._journal.confirmed_age() <= clock() - call.started:
+                raise IbiscartError(
+                    ErrorKind.NOT_FOUND,
+                    "no such job; ended jobs are kept for 24 h",
+                    field="request_id",
+                    value=call.item,
+                )
+            if clock() >= end:
+                raise IbiscartError(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    "the store did not confirm in time that there is no such job; retry later",
+                    field="request_id",
+                    value=call.item,
+                )
+            await trio.sleep(CONFIRM_CHECK_SECONDS)
+        return job
 
 
 async def _cancel_when_closed(request, scope):
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -188,7 +188,7 @@
         self.run_command("contract", "show", "reports", code=3)
 
     def test_contract_file_is_checked_before_it_is_sent(self):
-        """Every mistake is shown with its line, and no entry is troubled."""
+        """Every mistake is shown with its line, and no entry is called."""
         path = self.write("bad.yaml", "account: A\nweight: 0\nwat: 1\n")
         result = self.run_command("contract", "create", path, code=2)
         for text in ("line 1: account", "line 2: weight", "line 3: wat"):
--- a/tests/cli/test_operator_docs.py
+++ b/tests/cli/test_operator_docs.py
@@ -51,7 +51,7 @@
         self.assertEqual(set(operator_docs.SETTINGS), names)
 
     def test_examples_pass_the_check(self):
-        """An example that is refused costs trust."""
+        """An example in the documentation must not be refused."""
         check_yaml(blocks("settings.md")[0], EntrySettings)
         self.assertEqual(len(blocks("contracts.md", "# contract")), 2)
         for text in blocks("contracts.md", "# contract"):
--- a/tests/entry/test_api.py
+++ b/tests/entry/test_api.py
@@ -463,6 +463,37 @@
 
         self.run_case(case)
 
+    def test_a_miss_is_confirmed_before_it_is_answered(self):
+        """A job that another entry took a moment ago must not be denied."""
+
+        async def case():
+            confirmed = trio.current_time()
+            self.journal.confirmed_age = lambda: trio.current_time() - confirmed
+            target = "/v1/accounts/reports/jobs/j1"
+            answers = []
+
+            async def get():
+                response = await self.call("GET", target, key=CALLER)
+                answers.append((response.status, round(trio.current_time() - start, 1)))
+
+            await trio.sleep(0.5)
+            start = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(get)
+                await trio.sleep(0.3)
+                await self.submit()
+            target = "/v1/accounts/reports/jobs/none"
+            start = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(get)
+                await trio.sleep(0.7)
+                confirmed = trio.current_time()
+            start = trio.current_time()
+            await get()
+            self.assertEqual(answers, [(200, 0.3), (404, 0.7), (503, 3.0)])
+
+        self.run_case(case)
+
     # deadlines and stale views
 
     def test_remaining_time_is_the_deadline(self):
