--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -1,9 +1,12 @@
 """Guards the server against callers that break, flood or hold up connections."""
 
+import errno
 import json
 import logging
+import random
 import unittest
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import trio
 
@@ -198,6 +201,7 @@
             b"GET /x?"
             + b"&".join(b"a%d=1" % n for n in range(40))
             + b" HTTP/1.1\r\nhost: a\r\n\r\n",
+            b"GET /x?dry_run=1&dry_run=0 HTTP/1.1\r\nhost: a\r\n\r\n",
             b"GET /x HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 70_000 + b"\r\n\r\n",
             b"GET /x HTTP/1.1\r\nhost: a\r\n" + b"a: b\r\n" * 12_000,
         )
@@ -386,6 +390,149 @@
 
         trio.run(main)
 
+    def test_handler_can_learn_that_the_caller_has_gone(self):
+        """Long waits for callers that have gone must be able to end."""
+        ended = []
+
+        async def handler(request):
+            if request.path == "/wait":
+                await request.wait_closed()
+                ended.append(trio.current_time())
+            return Response(200)
+
+        async def case(rig):
+            stream = await rig.connect()
+            await stream.send_all(GET.replace(b"/x", b"/wait"))
+            await trio.sleep(0.1)
+            self.assertEqual((ended, rig.server.requests), ([], 1))
+            await stream.aclose()
+            await trio.sleep(0.1)
+            self.assertEqual((len(ended), rig.server.requests), (1, 0))
+
+        self.run_case(case, handler)
+
+    def test_server_goes_on_when_files_run_out(self):
+        """Too many open files must pass, not end the process."""
+
+        async def case(rig):
+            original = trio.SocketListener.accept
+            failures = [OSError(errno.EMFILE, "x"), OSError(errno.ENFILE, "x")]
+
+            async def accept(listener):
+                await trio.lowlevel.checkpoint()
+                if failures:
+                    raise failures.pop()
+                return await original(listener)
+
+            with mock.patch.object(trio.SocketListener, "accept", accept):
+                with self.assertLogs("ibiscart.server", logging.ERROR):
+                    self.assertTrue(await rig.healthy())
+                    self.assertTrue(await rig.healthy())
+                    self.assertTrue(await rig.healthy())
+            self.assertEqual(failures, [])
+
+        self.run_case(case)
+
+    def test_mutated_requests(self):
+        """Damage at any byte must end in an answer or a closed connection, and nothing else."""
+        generator = random.Random(11)
+        good = (
+            b"POST /x?a=1 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n0\r\n\r\n",
+            b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\nconnection: close\r\n\r\nabc",
+        )
+
+        async def case(rig):
+            async def send(data):
+                stream = await rig.connect()
+                try:
+                    await stream.send_all(data)
+                    await stream.send_eof()
+                    answer = await read_end(stream)
+                    if answer:
+                        self.assertRegex(answer, rb"^HTTP/1.1 (100|[245]\d\d) ")
+                except trio.BrokenResourceError:
+                    pass
+                finally:
+                    await trio.aclose_forcefully(stream)
+
+            for _ in range(60):
+                async with trio.open_nursery() as nursery:
+                    for _ in range(5):
+                        data = bytearray(generator.choice(good))
+                        for _ in range(generator.randint(1, 4)):
+                            place = generator.randrange(len(data))
+                            data[place : place + generator.randint(0, 3)] = generator.randbytes(
+                                generator.randint(0, 3)
+                            )
+                        nursery.start_soon(send, bytes(data))
+            await trio.sleep(0.05)
+            self.assertEqual(rig.server._buffered, 0)
+
+        with self.assertNoLogs("ibiscart.server", logging.ERROR):
+            self.run_case(case)
+
+    def test_bad_connections_do_not_harm_good_ones(self):
+        """Stalled, broken and flooding callers must not delay or cut the others."""
+        head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: "
+
+        async def bad(rig, data, end):
+            while trio.current_time() < end:
+                stream = await rig.connect()
+                try:
+                    await stream.send_all(data)
+                    # stalled callers stay beyond the end of the good ones
+                    with trio.move_on_after(3):
+                        await read_end(stream)
+                except trio.BrokenResourceError:
+                    pass
+                await trio.aclose_forcefully(stream)
+
+        async def case(rig):
+            answered = []
+
+            async def good():
+                stream = await rig.connect()
+                while trio.current_time() < end:
+                    start = trio.current_time()
+                    await stream.send_all(head + b"3\r\n\r\nabc")
+                    self.assertIn(b"POST /x 3", await read_some(stream))
+                    answered.append(trio.current_time() - start)
+                    await trio.sleep(0.01)
+                await stream.aclose()
+
+            end = trio.current_time() + 1.5
+            async with trio.open_nursery() as nursery:
+                for _ in range(5):
+                    nursery.start_soon(good)
+                for data in (
+                    b"GET /",
+                    head + b"9999999\r\n\r\n",
+                    head + b"9\r\n\r\n1",
+                    b"\x00" * 999,
+                ):
+                    for _ in range(4):
+                        nursery.start_soon(bad, rig, data, end)
+            self.assertGreater(len(answered), 100)
+            self.assertLess(max(answered), 1)
+
+        self.run_case(case, max_connections=40, header_timeout_seconds=2, body_timeout_seconds=2)
+
+    def test_answers_without_the_handler_carry_headers(self):
+        """Refusals by the server itself need the request id and sequence too (P3)."""
+
+        async def main():
+            headers = [("x-request-id", "r1"), ("x-journal-sequence", "7")]
+            server = HttpServer(echo, settings(), answer_headers=lambda: headers)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.serve)
+                answer = await Rig(server, port, []).exchange(b"garbage\r\n\r\n")
+                for text in (b"x-request-id: r1", b"x-journal-sequence: 7", b"x-ibiscart-error: "):
+                    self.assertIn(text, answer)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     def test_several_waiters_are_woken(self):
         """A second waiter must not replace the event of the first."""
 
