--- a/packages/entry/src/ibiscart_entry/journal.py
+++ b/packages/entry/src/ibiscart_entry/journal.py
@@ -80,6 +80,7 @@
         self._subscribers = []
         self._confirmed = -math.inf
         self._undecided = None
+        self._answer_lost = False
         self._append_lock = trio.Lock()
         self._poll_lock = trio.Lock()
         self._wake = trio.Event()
@@ -103,8 +104,8 @@
 
     @property
     def undecided(self):
-        """Whether an append was sent whose outcome is not known yet."""
-        return self._undecided is not None and self._undecided[2]
+        """Whether an append was sent and its answer was lost, so that its outcome is unknown."""
+        return self._undecided is not None and self._answer_lost
 
     def confirmed_age(self):
         """Returns the seconds since the store last confirmed the position; inf if never.
@@ -183,6 +184,7 @@
                 events=events,
             )
             self._undecided = (record, version, False)
+            self._answer_lost = False
             return await self._resolve()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
@@ -227,6 +229,7 @@
                 if not self._undecided[2]:
                     self._undecided = None
                     raise
+                self._answer_lost = True
                 self._metrics.count("retries", f"append_{error.reason}")
             await trio.sleep(full_jitter(attempt, self._rng))
             attempt += 1
--- a/packages/entry/src/ibiscart_entry/writer.py
+++ b/packages/entry/src/ibiscart_entry/writer.py
@@ -32,8 +32,9 @@
 # entries that are tried for one command before its caller is told to retry later
 ENTRIES_TRIED = 3
 LIVENESS_CHECK_SECONDS = 0.25
-# commands behind an append of unknown outcome go to other entries after this time
-BLOCKED_SECONDS = 1.0
+# commands behind an append of unknown outcome go to other entries after this time; it
+# leaves room for a second attempt after the store's default timeout of 2 s
+BLOCKED_SECONDS = 3.0
 # a decision without events is answered only from a position confirmed this recently
 FRESH_SECONDS = 2.0
 CATCH_UP_SECONDS = 2.0
@@ -179,7 +180,8 @@
         if me not in item.tried and len(item.tried) == ENTRIES_TRIED - 1 and me in untried:
             untried = [me]
         if not untried or len(item.tried) >= ENTRIES_TRIED or self._nursery is None:
-            item.error = item.error or _not_ready()
+            if item.error is None and not self._journal.ready:
+                item.error = _not_ready()
             item.event.set()
         elif untried[0] == me:
             self._enqueue(item)
@@ -310,15 +312,14 @@
     async def _collect(self):
         """Waits for commands or a due scheduling pass; returns the next batch."""
         while not self._local and not self._pass_due:
+            # blocked commands may have been given to other entries since the last event
+            self._arrived = trio.Event()
             await self._arrived.wait()
         if self._local:
             wait = self._local[0].queued + self._batch_seconds - self._clock()
             if wait > 0 and len(self._local) < BATCH_COMMANDS:
                 await trio.sleep(wait)
-        self._arrived = trio.Event()
         batch, self._local = _split([i for i in self._local if not i.abandoned])
-        if self._local:
-            self._arrived.set()
         self._pass_due = False
         return batch
 
--- a/tests/entry/test_journal.py
+++ b/tests/entry/test_journal.py
@@ -44,7 +44,7 @@
         cluster.table.faults.lose = 1.0
         async with trio.open_nursery() as inner:
             inner.start_soon(a.journal.append, change(1), now_us(), 0)
-            await trio.sleep(1)
+            await trio.sleep(2.5)
             self.assertTrue(a.journal.undecided)
             self.assertEqual(a.journal.sequence, 0)
             cluster.table.faults.lose = 0.0
