--- a/packages/entry/src/ibiscart_entry/journal.py
+++ b/packages/entry/src/ibiscart_entry/journal.py
@@ -81,6 +81,7 @@
         self._confirmed = -math.inf
         self._undecided = None
         self._answer_lost = False
+        self._store_answers = True
         self._append_lock = trio.Lock()
         self._poll_lock = trio.Lock()
         self._wake = trio.Event()
@@ -284,7 +285,7 @@
                 await self._poll()
                 return
             except StoreError as error:
-                LOG.warning("journal: The store is unavailable.", extra={"cause": error.reason})
+                self._note_store(error)
             if await self._catch_up_from_peer():
                 return
             await trio.sleep(0.1 + full_jitter(attempt, self._rng, cap=2.0))
@@ -309,10 +310,21 @@
     async def _poll_quietly(self):
         try:
             await self._poll()
-            return True
         except StoreError as error:
-            LOG.warning("journal: A poll failed.", extra={"cause": error.reason})
+            self._note_store(error)
             return False
+        self._note_store(None)
+        return True
+
+    def _note_store(self, error):
+        """Logs when the store becomes unavailable or available."""
+        if (error is None) == self._store_answers:
+            return
+        self._store_answers = error is None
+        if error is None:
+            LOG.info("journal: The store answers again.")
+        else:
+            LOG.warning("journal: The store is unavailable.", extra={"cause": error.reason})
 
     async def _poll(self):
         async with self._poll_lock:
--- a/packages/entry/src/ibiscart_entry/membership.py
+++ b/packages/entry/src/ibiscart_entry/membership.py
@@ -45,6 +45,7 @@
         self._missing = {}
         self._version = 0
         self._stale = 0
+        self._readable = True
         self._changed = trio.Event()
         self.machines = {}
 
@@ -90,8 +91,11 @@
                 raise TransportError(f"status_{response.status}", True)
             members = Parse(response.body, MembershipList(), ignore_unknown_fields=True)
         except (TransportError, ParseError, UnicodeDecodeError) as error:
-            LOG.warning("membership: The list could not be read.", extra={"cause": str(error)})
+            if self._readable:
+                LOG.warning("membership: The list is unreadable.", extra={"cause": str(error)})
+            self._readable = False
             return False
+        self._readable = True
         if members.version < self._version and self._stale < STALE_POLLS:
             self._stale += 1
             LOG.info("membership: A stale list was ignored.", extra={"version": members.version})
--- a/packages/entry/src/ibiscart_entry/writer.py
+++ b/packages/entry/src/ibiscart_entry/writer.py
@@ -334,7 +334,8 @@
                 items = [item for item in items if not item.abandoned]
                 decided = await self._decide(items)
         except StoreError as error:
-            LOG.warning("writer: The store is unavailable.", extra={"cause": error.reason})
+            # the journal logs an outage once; each refused batch is of interest only in detail
+            LOG.debug("writer: A batch was refused.", extra={"cause": error.reason})
             self._working = None
             self._refuse(items, None)
         except AppendLost:
