--- a/packages/entry/src/ibiscart_entry/claim.py
+++ b/packages/entry/src/ibiscart_entry/claim.py
@@ -68,9 +68,12 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Writes rows in groups until cancelled."""
-        async with trio.open_nursery() as self._nursery:
-            task_status.started()
-            await self._writes.run()
+        try:
+            async with trio.open_nursery() as self._nursery:
+                task_status.started()
+                await self._writes.run()
+        finally:
+            self._nursery = None
 
     async def claim(self, account, request_id, body):
         """Creates the claim; returns a ``Claim``, or the stored ``Response`` of this request.
@@ -245,6 +248,8 @@
         if not write.unsure:
             write.abandoned = True
             return
+        if self._nursery is None:
+            return
         self._unsure[key] = (row, write)
         self._nursery.start_soon(self._remove_unused, key, row, write)
 
@@ -272,7 +277,7 @@
 
     def _write_later(self, claim, message):
         message.expected_version = claim.version
-        if len(self._writes) >= WRITES_WAITING:
+        if self._nursery is None or len(self._writes) >= WRITES_WAITING:
             self._metrics.count("dropped", "claim_outcome")
             self._held.discard(claim.row.token)
             return
