Idle connections follow their share; tests for gaps that switched-off mechanisms showed

Cause: each mechanism was switched off in a scratch copy. Four of them made no test fail, and an entry kept idle connections that its smaller share no longer allowed. A claim's outcome after the end of its entry raised an error. Change: idle connections close before a loan is answered and after a new grant; tests for a start that takes effect after the stop, one lapsed member, an outage before the release, crossed connections, idle connections.

--- a/packages/entry/src/ibiscart_entry/claim.py
+++ b/packages/entry/src/ibiscart_entry/claim.py
@@ -68,12 +68,13 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Writes rows in groups until cancelled."""
-        try:
-            async with trio.open_nursery() as self._nursery:
-                task_status.started()
+        async with trio.open_nursery() as self._nursery:
+            task_status.started()
+            try:
                 await self._writes.run()
-        finally:
-            self._nursery = None
+            finally:
+                # requests that end after this entry stopped can store nothing any more
+                self._nursery = None
 
     async def claim(self, account, request_id, body):
         """Creates the claim; returns a ``Claim``, or the stored ``Response`` of this request.
--- a/packages/entry/src/ibiscart_entry/dispatcher.py
+++ b/packages/entry/src/ibiscart_entry/dispatcher.py
@@ -91,7 +91,9 @@
             self._loans.need,
             connect,
         )
-        self._loans.arrived = self._quotas.changed = self._pool.pump
+        self._loans.arrived = self._pool.pump
+        self._loans.lent = self._pool.trim
+        self._quotas.changed = self._pool.apply_grant
 
     @property
     def waiting(self):
--- a/packages/entry/src/ibiscart_entry/lane.py
+++ b/packages/entry/src/ibiscart_entry/lane.py
@@ -78,6 +78,7 @@
         self._queue = LaneQueue(trio.current_time, weight, self.expected, self._long_seconds)
         self._clients = {}
         self._closing = []
+        self._dropped = trio.Event()
         self._full_until = {}
         # slots in use by (account, kind), the oldest first
         self._slots = {}
@@ -154,16 +155,31 @@
         client = self._clients.pop(runner_id, None)
         if client is not None:
             self._closing.append(client[0])
+            self._dropped.set()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Closes connections and looks for slots that became free elsewhere."""
         task_status.started()
         while True:
-            await trio.sleep(TICK_SECONDS)
-            while self._closing:
-                await self._closing.pop().aclose()
+            with trio.move_on_after(TICK_SECONDS):
+                await self._dropped.wait()
+            self._dropped = trio.Event()
+            await self.trim()
             self.pump()
 
+    async def trim(self):
+        """Closes idle connections beyond a share that became smaller."""
+        for runner_id, (_, limit) in list(self._clients.items()):
+            if self._shares.limit(runner_key("connections", runner_id)) < limit:
+                self.drop_connections(runner_id)
+        while self._closing:
+            await self._closing.pop().aclose()
+
+    def apply_grant(self):
+        """Adapts to shares that have changed."""
+        self._dropped.set()
+        self.pump()
+
     def pump(self):
         """Starts every waiting request for which there is a slot."""
         while len(self._queue):
--- a/packages/entry/src/ibiscart_entry/loan.py
+++ b/packages/entry/src/ibiscart_entry/loan.py
@@ -25,7 +25,7 @@
 class Loans:
     """Borrows what this entry lacks, and lends what lies idle here.
 
-    ``arrived`` is called after a loan was added.
+    ``arrived`` is called after a loan was added, ``lent`` awaited before one is answered.
     """
 
     def __init__(self, quotas, peers, metrics, random):
@@ -36,6 +36,7 @@
         self._metrics = metrics
         self._random = random
         self.arrived = lambda: None
+        self.lent = trio.lowlevel.checkpoint
         self._needed = {}
         self._wanted = trio.Event()
         self._lent = {}
@@ -120,5 +121,8 @@
         amount = 0
         if total.isdecimal():
             amount = self._shares.lend(key, request.amount, request.epoch, int(total))
+        if amount:
+            # the borrower may open the connections that this entry keeps idle
+            await self.lent()
         self._metrics.count("share_loans", "lent" if amount else "refused")
         return ShareLoanReply(amount=amount)
--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -215,6 +215,64 @@
         open_tasks = [s for w in setup.workers.values() for s in w.states().values() if s == "held"]
         self.assertEqual(open_tasks, [])
 
+    @in_virtual_time
+    async def test_start_that_takes_effect_after_the_stop(self, setup):
+        """Places must not be given away while a start call may still take effect (P2)."""
+        await setup.start(workers=1)
+        worker = setup.workers["w0"]
+        handle = worker.handle
+
+        async def slow_start(request):
+            if request.path == "/v1/tasks" and b"acme/j1" in request.body:
+                await trio.sleep(3)
+            return await handle(request)
+
+        worker.handle = slow_start
+        first = setup.submit("j1", 1, accelerators=8)
+        await trio.sleep(0.5)
+        setup.region.decide(Command(cancel_job={"job": first.to_message()}))
+        second = setup.submit("j2", 1, accelerators=8)
+        await setup.wait(lambda: setup.running(second) == 1, 30)
+        self.assertEqual(setup.total("started", first), 1)
+        self.assertEqual(setup.check_capacity(), 0)
+
+    @in_virtual_time
+    async def test_one_member_lapses_before_the_release(self, setup):
+        """The members that are still held must not run without the one that is gone (P2)."""
+        await setup.start(entries=("e1", "e2"))
+        key = JobKey("acme", "j1")
+        driver = setup.entries[setup.owner(key)]
+        other = next(e for e in setup.entries.values() if e is not driver)
+        driver.writer.hold = trio.Event()
+        other.journal.paused = True
+        setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.total("started", key) == 4, 5)
+        setup.kill(driver.name)
+        for name in ("w0", "w1", "w2"):
+            task = next(iter(setup.workers[name].tasks.values()))
+            task.lease_until += 20
+        await setup.wait(lambda: setup.total("lapsed", key) == 1, 10)
+        setup.region.decide(Command(report_held={"job": key.to_message(), "attempt": 1}))
+        other.journal.paused = False
+        other.journal.follow()
+        await setup.wait(lambda: setup.job(key).attempt == 2)
+        self.assertEqual(setup.total("released", key), 0)
+
+    @in_virtual_time
+    async def test_store_outage_between_held_and_released(self, setup):
+        """A gang that is held when the store fails must run once it is back."""
+        await setup.start()
+        setup.entries["e1"].writer.hold = trio.Event()
+        key = setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.total("started", key) == 4, 5)
+        setup.region.outage = True
+        setup.entries["e1"].writer.hold.set()
+        await trio.sleep(40)
+        self.assertEqual(setup.total("released", key), 0)
+        setup.region.outage = False
+        await setup.wait(lambda: setup.running(key) == 4, 5)
+        self.assertEqual(setup.total("started", key), 4)
+
     @in_virtual_time
     async def test_driver_killed_between_held_and_released(self, setup):
         """A takeover must release the whole gang or stop it (P2)."""
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -101,6 +101,7 @@
         self.membership = FakeMembership()
         self.runners = {}
         self.entries = {}
+        self.clients = []
         self.sockets = False
 
     async def start(self, entries=("e1",), runners=1, accounts=("acme",), slots=8, **contract):
@@ -147,6 +148,7 @@
             return HttpClient(address, max_connections=max_connections)
         client = self.runners[address.split(":")[0]].client()
         client.address = address
+        self.clients.append(client)
         return client
 
     def starts(self, request_id, account="acme"):
@@ -241,6 +243,16 @@
         for number in range(2, 20):
             await self.answer(entry, f"i{number}")
 
+    @in_virtual_time
+    async def test_connections_of_a_crossed_answer_are_closed(self, setup):
+        """A connection whose answers are out of step must carry no more requests (P3)."""
+        entry = await setup.start()
+        await entry.ask("i0")
+        setup.runners["r0"].faults.set(cross_answers=1)
+        await entry.ask("i1")
+        await trio.sleep(1)
+        self.assertEqual([client.closed for client in setup.clients], [1, 0])
+
     @over_sockets
     async def test_many_mixed_up_answers(self, setup):
         """Answers under load and faults must match their requests, whatever arrives (P3)."""
@@ -583,7 +595,6 @@
         """Entries together must not open more connections than a runner has."""
         await setup.start(entries=("e1", "e2", "e3"))
         setup.membership.machines["r0"].connections = 6
-        open_now = []
         calls = [
             entry.ask(f"{name}-{n}", body=b"run_seconds=0.01", timeout=20)
             for name, entry in setup.entries.items()
@@ -591,11 +602,25 @@
         ]
         results = await gather(calls)
         self.assertTrue(all(getattr(r, "status", 0) == 200 for r in results))
-        for entry in setup.entries.values():
-            for client, _ in entry.dispatcher._pool._clients.values():
-                open_now.append(len(client._idle))
-        self.assertLessEqual(sum(open_now), 6)
-        self.assertLessEqual(setup.runners["r0"].peak, 6)
+        self.assertLessEqual(setup.runners["r0"].faults.server.peak_connections, 6)
+
+    @over_sockets
+    async def test_idle_connections_close_with_a_smaller_share(self, setup):
+        """Connections that one entry keeps idle must not add to those of the others."""
+        first = await setup.start(entries=("e1",))
+        server = setup.runners["r0"].faults.server
+        setup.membership.machines["r0"].connections = 6
+        body = b"run_seconds=0.05"
+        await gather([first.ask(f"a{n}", body=body) for n in range(6)])
+        self.assertEqual(server.connections, 6)
+        await setup.start_entry("e2")
+        await setup.start_entry("e3")
+        setup.grant(["e1", "e2", "e3"])
+        while any(not e.dispatcher.shares.settled for e in setup.entries.values()):
+            await trio.sleep(0.05)
+        others = [setup.entries["e2"], setup.entries["e3"]]
+        await gather([e.ask(f"{e.name}-{n}", body=body) for e in others for n in range(10)])
+        self.assertEqual(server.peak_connections, 6)
 
     @in_virtual_time
     async def test_account_limit_over_three_dispatchers(self, setup):
--- a/tests/standins/fault.py
+++ b/tests/standins/fault.py
@@ -43,6 +43,7 @@
         for name in self.FIELDS:
             setattr(self, name, 0)
         self._changed = trio.Event()
+        self.server = None
 
     def set(self, **values):
         """Sets faults by name; raises ``ValueError`` for an unknown one."""
@@ -92,6 +93,11 @@
     def __init__(self, handler, settings, faults):
         super().__init__(handler, settings)
         self._faults = faults
+        self.peak_connections = 0
+
+    async def _serve_stream(self, stream):
+        self.peak_connections = max(self.peak_connections, self.connections + 1)
+        await super()._serve_stream(stream)
 
     async def _serve_one(self, connection):
         head = await self._read_head(connection)
@@ -175,7 +181,7 @@
     ``refuse_seconds`` closes the listening socket and opens the same port again later.
     """
     async with trio.open_nursery() as nursery:
-        server = FaultServer(handler, settings, faults)
+        faults.server = server = FaultServer(handler, settings, faults)
         port = await nursery.start(server.serve)
         host = settings.address.rsplit(":", 1)[0]
         settings.address = f"{host}:{port}"
@@ -187,7 +193,7 @@
             server.stop_accepting()
             seconds, faults.refuse_seconds = faults.refuse_seconds, 0
             await trio.sleep(seconds)
-            server = FaultServer(handler, settings, faults)
+            faults.server = server = FaultServer(handler, settings, faults)
             await nursery.start(server.serve)
 
 
