--- a/tests/standins/fault.py
+++ b/tests/standins/fault.py
@@ -99,14 +99,7 @@
         self.peak_connections = max(self.peak_connections, self.connections + 1)
         await super()._serve_stream(stream)
 
-    async def _serve_one(self, connection):
-        head = await self._read_head(connection)
-        if head is None:
-            return False
-        body = await self._read_body(connection, head)
-        headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
-        method, target = head.method.decode("latin-1"), head.target.decode("latin-1")
-        request = Request(method, target, headers, body, connection.remote)
+    async def _answer(self, connection, request):
         if request.path == FAULTS_PATH:
             await connection.respond(self._faults.answer(request), False)
             return connection.next_cycle()
