Count open connections as the server now does

Cause: the server counts a connection when it accepts it, so the double counted it twice. Change: the double's peak reads the server's count. Conclusion: 82 tests of targets pass, five times in a row (entry.test_dispatcher, test_lease, test_controller, test_claim).

--- a/tests/standins/fault.py
+++ b/tests/standins/fault.py
@@ -96,7 +96,7 @@
         self.peak_connections = 0
 
     async def _serve_stream(self, stream):
-        self.peak_connections = max(self.peak_connections, self.connections + 1)
+        self.peak_connections = max(self.peak_connections, self.connections)
         await super()._serve_stream(stream)
 
     async def _answer(self, connection, request):
