No start on a leaving worker; calls to one worker bounded; cheaper lists

Cause: a job that waited for its places could start on a worker that was leaving by then (P6). Calls to one frozen worker could use up the calls at once of all workers. Reading each task of a renewal as a message took most of the renewal's processor time. Change: a start checks the ledger's state and the signs; at most 8 calls wait for one worker; lists are read from JSON directly.

--- a/packages/entry/src/ibiscart_entry/controller.py
+++ b/packages/entry/src/ibiscart_entry/controller.py
@@ -74,6 +74,8 @@
             if kind in JOB_EVENTS:
                 message = getattr(event, kind)
                 placed = message.attempt if kind == "job_placed" else None
+                if kind == "job_released":
+                    self._observe_start(JobKey.from_message(message.job))
                 touched[JobKey.from_message(message.job)] = placed
         for key, placed in touched.items():
             self._look_at(nursery, key, placed)
@@ -81,6 +83,13 @@
             if gang.waits_places:
                 gang.wake()
 
+    def _observe_start(self, key):
+        job = self._journal.ledger.jobs.get(key)
+        if job is not None and key in self._gangs and job.released:
+            label = "burst" if job.burst else "guaranteed"
+            seconds = (job.released_us - job.submitted_us) / 1e6
+            self._metrics.observe("start_seconds", label, seconds)
+
     async def _sweep(self, nursery):
         while True:
             live = tuple(sorted(self._peers.live()))
@@ -111,6 +120,7 @@
                 self._reports,
                 self._settings,
                 self._leases,
+                self._peers.signs,
                 self._metrics,
                 self._random,
             )
--- a/packages/entry/src/ibiscart_entry/gang.py
+++ b/packages/entry/src/ibiscart_entry/gang.py
@@ -24,6 +24,7 @@
 )
 from ibiscart_schema.generated.peer_pb2 import Command
 from ibiscart_schema.generated.target_pb2 import StartTask
+from ibiscart_schema.generated.types_pb2 import TARGET_LEAVING, TARGET_LOST
 
 __all__ = ["OUTCOMES", "STALE_SECONDS", "Gang"]
 
@@ -56,13 +57,14 @@
     ``reports`` (``Reports``) and ``leases`` (``WorkerLeases``) are shared by all gangs.
     """
 
-    def __init__(self, key, journal, calls, reports, settings, leases, metrics, random):
+    def __init__(self, key, journal, calls, reports, settings, leases, signs, metrics, random):
         self.key = key
         self._journal = journal
         self._calls = calls
         self._reports = reports
         self._settings = settings
         self._leases = leases
+        self._signs = signs
         self._metrics = metrics
         self._random = random
         self._phase = None
@@ -177,8 +179,11 @@
         retry = self._retry_times()
         while True:
             worker = self._journal.ledger.workers.get(worker_id)
-            if worker is None:
-                return fail(worker_id, "unknown_worker")
+            if worker is None or worker.state in (TARGET_LEAVING, TARGET_LOST):
+                return fail(worker_id, "worker_left")
+            if not self._signs.eligible(worker_id):
+                # the sign is known here before it is in the journal
+                return fail(worker_id, "worker_left")
             reason = await self._try_start(worker, message)
             if reason in OPEN_STATES:
                 held.add(rank)
--- a/packages/entry/src/ibiscart_entry/task.py
+++ b/packages/entry/src/ibiscart_entry/task.py
@@ -13,11 +13,13 @@
 
 from ibiscart_core.job import JobKey
 from ibiscart_entry.client import TransportError
-from ibiscart_schema.generated.target_pb2 import RenewLeases, TaskStatus, TaskStatusList
+from ibiscart_schema.generated.target_pb2 import RenewLeases, TaskStatus
 
 __all__ = ["TaskCalls", "TaskError", "parse_task_id"]
 
-CALLS_AT_ONCE = 64
+CALLS_AT_ONCE = 128
+# a worker that does not answer must not hold up the calls to the others
+CALLS_TO_ONE_WORKER = 8
 CALL_SECONDS = 1.0
 
 
@@ -33,6 +35,43 @@
         self.reason = reason
 
 
+class TaskState:
+    """State of one task in a worker's list."""
+
+    __slots__ = ("saved_seconds", "state", "task_id")
+
+    def __init__(self, task_id, state, saved_seconds):
+        self.task_id = task_id
+        self.state = state
+        self.saved_seconds = saved_seconds
+
+
+class TaskList:
+    """All tasks on a worker, and whether it accepts no new ones.
+
+    Built from JSON by hand: a message for each task of each renewal costs several times
+    the processor time.
+    """
+
+    __slots__ = ("leaving", "tasks")
+
+    def __init__(self, tasks, leaving):
+        self.tasks = tasks
+        self.leaving = leaving
+
+    @classmethod
+    def from_json(cls, fields):
+        """Builds the list from a decoded ``TaskStatusList``; raises ``ValueError``."""
+        tasks = []
+        for item in fields.get("tasks", ()):
+            saved = item.get("saved_seconds", 0)
+            state = TaskState(item.get("task_id"), item.get("state", ""), saved)
+            if not isinstance(state.task_id, str) or not isinstance(saved, int | float):
+                raise ValueError("malformed task")
+            tasks.append(state)
+        return cls(tasks, bool(fields.get("leaving")))
+
+
 class TaskCalls:
     """Sends calls to the workers of the ledger.
 
@@ -46,6 +85,7 @@
         self._on_sign = on_sign
         self._clients = {}
         self._limiter = trio.CapacityLimiter(CALLS_AT_ONCE)
+        self._worker_limiters = {}
         self._extended_until = {}
 
     def extended_until(self, worker_id):
@@ -77,18 +117,18 @@
         return await self._task_call(worker, "stop", _path(task_id, "stop"), None, 0, timeout)
 
     async def renew(self, worker, task_ids, lease_seconds, timeout=CALL_SECONDS):
-        """Renews leases; returns the ``TaskStatusList`` of all tasks on the worker."""
+        """Renews leases; returns the ``TaskList`` of the worker."""
         message = RenewLeases(task_ids=task_ids, lease_seconds=lease_seconds)
         extends = lease_seconds if task_ids else 0
         response = await self._call(
             worker, "renew", "POST", "/v1/leases", message, extends, timeout
         )
-        return self._parse(worker, response, TaskStatusList())
+        return self._parse(worker, response, TaskList.from_json)
 
     async def tasks(self, worker, timeout=CALL_SECONDS):
-        """Returns the ``TaskStatusList`` without renewing anything."""
+        """Returns the ``TaskList`` without renewing anything."""
         response = await self._call(worker, "list", "GET", "/v1/tasks", None, 0, timeout)
-        return self._parse(worker, response, TaskStatusList())
+        return self._parse(worker, response, TaskList.from_json)
 
     async def aclose(self):
         """Closes the idle connections."""
@@ -97,7 +137,7 @@
 
     async def _task_call(self, worker, name, path, message, lease_seconds, timeout):
         response = await self._call(worker, name, "POST", path, message, lease_seconds, timeout)
-        status = self._parse(worker, response, TaskStatus())
+        status = self._parse(worker, response, _task_status)
         expected = message.task_id if name == "start" else None
         if expected is not None and status.task_id != expected:
             raise self._error("bad_answer")
@@ -113,7 +153,7 @@
         self._metrics.count("target_calls", name)
         client = await self._client(worker)
         try:
-            async with self._limiter:
+            async with self._worker_limiter(worker.id), self._limiter:
                 return await client.request(
                     method, path, body=body, headers=headers, timeout=timeout
                 )
@@ -127,6 +167,13 @@
                 until = trio.current_time() + lease_seconds
                 self._extended_until[worker.id] = max(until, self.extended_until(worker.id))
 
+    def _worker_limiter(self, worker_id):
+        limiter = self._worker_limiters.get(worker_id)
+        if limiter is None:
+            limiter = trio.CapacityLimiter(CALLS_TO_ONE_WORKER)
+            self._worker_limiters[worker_id] = limiter
+        return limiter
+
     async def _client(self, worker):
         client = self._clients.get(worker.id)
         if client is None or client.address != worker.address:
@@ -135,7 +182,7 @@
                 await client.aclose()
         return self._clients[worker.id]
 
-    def _parse(self, worker, response, message):
+    def _parse(self, worker, response, build):
         if response.status == 404:
             raise self._error("unknown_task")
         try:
@@ -146,8 +193,8 @@
                     raise self._error("leaving")
                 raise self._error("refused_task")
             if response.status == 200:
-                return ParseDict(fields, message, ignore_unknown_fields=True)
-        except (ValueError, AttributeError, ParseError):
+                return build(fields)
+        except (ValueError, AttributeError, TypeError, ParseError):
             pass
         raise self._error("bad_answer")
 
@@ -164,5 +211,9 @@
     return JobKey(parts[0], parts[1]), int(parts[2]), int(parts[3])
 
 
+def _task_status(fields):
+    return ParseDict(fields, TaskStatus(), ignore_unknown_fields=True)
+
+
 def _path(task_id, action):
     return f"/v1/tasks/{quote(task_id, safe='')}/{action}"
--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -199,6 +199,32 @@
         await setup.wait(lambda: "held" not in str([w.states() for w in setup.workers.values()]), 5)
         self.assertIn(("w2", TARGET_LEAVING, "own_answer"), setup.entries["e1"].peers.signs.reports)
 
+    @in_virtual_time
+    async def test_worker_leaves_while_its_place_is_awaited(self, setup):
+        """A worker that is leaving must get no start of a job placed before (P6)."""
+        await setup.start(workers=2)
+        entry = setup.entries["e1"]
+        setup.workers["w0"].faults.set(delay_seconds=0.5)
+        key = setup.submit("j1", 2, accelerators=8)
+        entry.peers.signs.report("w1", TARGET_LEAVING, "membership")
+        await setup.wait(lambda: setup.job(key).attempt == 2)
+        self.assertEqual(setup.workers["w1"].record.count("started"), 0)
+        self.assertEqual(setup.total("released", key), 0)
+
+    @in_virtual_time
+    async def test_frozen_worker_does_not_hold_up_others(self, setup):
+        """Calls that wait for one worker must leave room for the others."""
+        await setup.start(workers=2, accelerators=150)
+        first = [setup.submit(f"a{n}", 1) for n in range(128)]
+        await setup.wait(lambda: all(setup.running(key) for key in first), 20)
+        name = setup.job(first[0]).members[0].worker_id
+        setup.workers[name].faults.set(freeze=1)
+        for key in first:
+            setup.region.decide(Command(cancel_job={"job": key.to_message()}))
+        second = setup.submit("b1", 1, accelerators=100)
+        self.assertNotEqual(setup.job(second).members[0].worker_id, name)
+        self.assertLess(await setup.wait(lambda: setup.running(second) == 1), 0.5)
+
     @in_virtual_time
     async def test_cancellation_in_the_middle_of_the_start(self, setup):
         """A start call that was under way must not leave a task behind (P2)."""
