Entries without a share say so; probes of lost runners as a module

Cause: an entry that is not part of the grant answered queue_full. Without a probe, a runner that refused one connection would never get work again. Change: not_ready, and Dispatcher.ready for the readiness check.

--- a/packages/entry/src/ibiscart_entry/dispatcher.py
+++ b/packages/entry/src/ibiscart_entry/dispatcher.py
@@ -17,19 +17,18 @@
 from ibiscart_entry.client import HttpClient, TransportError
 from ibiscart_entry.lane import SlotPool, Ticket
 from ibiscart_entry.loan import Loans
+from ibiscart_entry.probe import RunnerProbe
 from ibiscart_entry.quota import Quotas, account_key
 from ibiscart_entry.server import Response
 from ibiscart_schema.generated.types_pb2 import (
     RAN_MAYBE,
     TARGET_LEAVING,
-    TARGET_LIVE,
     TARGET_LOST,
 )
 
 __all__ = ["Dispatcher"]
 
 LOG = logging.getLogger("ibiscart.dispatcher")
-PROBE_SECONDS = 2.0
 RUN_PATH = "/v1/run"
 
 
@@ -66,16 +65,14 @@
         random,
         connect=HttpClient,
     ):
-        self._entry_id = entry_id
-        self._connect = connect
         self._settings = settings
         self._journal = journal
         self._peers = peers
-        self._membership = membership
         self._claims = claims
         self._metrics = metrics
         self._budget = budget
         self._open = set()
+        self._probe = RunnerProbe(entry_id, peers, membership, metrics, connect)
         self._quotas = Quotas(entry_id, settings, journal, peers, membership)
         self.shares = self._quotas.shares
         self._loans = Loans(self._quotas, peers, metrics, random)
@@ -100,6 +97,12 @@
         """Number of requests that wait for a slot."""
         return self._pool.waiting
 
+    @property
+    def ready(self):
+        """Whether this entry has shares that it may use."""
+        named = self._quotas.entry_id in self.shares.entries
+        return named and self.shares.usable and self.shares.settled
+
     @property
     def running(self):
         """Number of requests that are on a runner."""
@@ -112,7 +115,7 @@
             await nursery.start(self._loans.run)
             await nursery.start(self._pool.run)
             await nursery.start(self._quotas.run)
-            nursery.start_soon(self._probe_lost)
+            nursery.start_soon(self._probe.run)
             task_status.started()
 
     async def dispatch(self, account, request_id, kind, repeatable, body, content_type, timeout):
@@ -125,7 +128,7 @@
         ticket = Ticket(account, kind, trio.current_time())
         message = _Message(account, request_id, body, content_type, deadline)
         if repeatable:
-            self._check()
+            self._check(account)
             self._budget.record_request()
             return await self._serve_repeatable(ticket, message)
         key = (account, request_id)
@@ -137,7 +140,7 @@
             stored = await self._claims.find(account, request_id, body)
             if stored is not None:
                 return stored
-            self._check()
+            self._check(account)
             self._check_confirmed()
             self._budget.record_request()
             return await self._serve_once(ticket, message)
@@ -159,11 +162,14 @@
                 value=account,
             )
 
-    def _check(self):
-        if not self.shares.entries:
+    def _check(self, account):
+        if self._quotas.entry_id not in self.shares.entries:
             raise IbiscartError(ErrorKind.NOT_READY, "no share of the runners is granted yet")
         if not self.shares.usable:
             raise _not_confirmed()
+        # a new entry gets its shares once the others have lowered theirs
+        if not self.shares.settled and not self.shares.limit(account_key("queued", account)):
+            raise IbiscartError(ErrorKind.NOT_READY, "the share of this entry is not free yet")
         if not self._pool.any_runner():
             raise IbiscartError(ErrorKind.NO_TARGET, "no runner accepts work; retry later")
 
@@ -333,30 +339,6 @@
         known = self._journal.ledger.accounts.get(account)
         return known.contract.weight if known is not None else 1
 
-    async def _probe_lost(self):
-        """Finds runners that accept connections again.
-
-        A runner that says that it is leaving is not asked: it answers too.
-        """
-        while True:
-            await trio.sleep(PROBE_SECONDS)
-            for machine in self._membership.runners():
-                lost = self._peers.signs.state(machine.id) == TARGET_LOST
-                owner = self._peers.owner_of(f"runner/{machine.id}")
-                if lost and not machine.leaving and owner == self._entry_id:
-                    await self._probe(machine)
-
-    async def _probe(self, machine):
-        client = self._connect(machine.address, max_connections=1)
-        try:
-            # any answer will do; the path has no such method
-            await client.request("GET", RUN_PATH, timeout=PROBE_SECONDS)
-            self._peers.signs.report(machine.id, TARGET_LIVE, "answers")
-        except TransportError as error:
-            self._metrics.count("target_errors", f"probe_{error.reason}")
-        finally:
-            await client.aclose()
-
 
 class _Message:
     """A request as it is sent."""
--- a/tests/entry/test_lease.py
+++ b/tests/entry/test_lease.py
@@ -121,6 +121,25 @@
         self.assertIn(MEMBER_LAPSED, [e.outcome for e in ended])
         self.assertEqual(setup.running(key), 0)
 
+    @in_virtual_time
+    async def test_takeover_counts_the_lease_anew(self, setup):
+        """An entry that takes over cannot know when the one before last extended a lease."""
+        await setup.start(workers=1, entries=("e1", "e2"))
+        key = setup.submit("j1", 1, accelerators=8)
+        await setup.wait(lambda: setup.running(key) == 1, 5)
+        worker = setup.workers["w0"]
+        worker.faults.set(refuse_connections=1)
+        setup.region.decide(Command(cancel_job={"job": key.to_message()}))
+        await trio.sleep(20)
+        # the last call of the entry that goes away extended the lease without an answer
+        task = next(iter(worker.tasks.values()))
+        task.lease_until = trio.current_time() + 30
+        for name in ("e1", "e2"):
+            setup.kill(name)
+        await setup.start_entry("e3")
+        await setup.wait_state(key, JOB_STATE_ENDED)
+        self.assertEqual(setup.running(key), 0)
+
     @in_virtual_time
     async def test_lost_worker_comes_back(self, setup):
         """A worker that answers again must get work again, with its old tasks stopped."""
