Log each decision with its reason and versions; no contract check without workers

Cause: decisions were counted but not logged, and a contract with guarantees that arrived before the first worker was registered was refused as contract_unpackable, which an operator cannot act on. Change: the writer logs each event of its records with reason code, sequence and contract version; such a contract is refused as not_ready, which may be retried.

--- a/packages/core/src/ibiscart_core/scheduler.py
+++ b/packages/core/src/ibiscart_core/scheduler.py
@@ -116,6 +116,8 @@
         self._repair_reservations(batch)
         if command.expected_version != version:
             raise _version_conflict(contract, current, command.expected_version, version)
+        if contract.guarantees and not self._ledger.workers:
+            raise IbiscartError(ErrorKind.NOT_READY, "no worker is registered yet; retry later")
         plan = plan_reservations(self._ledger, contract)
         self._check_packed(plan, contract)
         contract.version = version + 1
--- a/packages/entry/src/ibiscart_entry/process.py
+++ b/packages/entry/src/ibiscart_entry/process.py
@@ -18,6 +18,7 @@
 from ibiscart_entry.claim import Claims
 from ibiscart_entry.client import HttpClient
 from ibiscart_entry.controller import Controller
+from ibiscart_entry.decision import DecisionLog
 from ibiscart_entry.dispatcher import Dispatcher
 from ibiscart_entry.drain import Drain
 from ibiscart_entry.journal import Journal
@@ -149,6 +150,7 @@
     def _parts(self):
         parts = [self._membership, self._peers, self._journal, self._writer]
         parts += [self._dispatcher, self._controller]
+        parts.append(DecisionLog(self._settings.entry_id, self._journal))
         if self._recorder is not None:
             parts.append(self._recorder)
         return parts
