Visit only accounts with a class of jobs that fits

Cause: each pass visited every group of queued jobs: 17 ms without any command at 5,000 queued jobs, against 5 ms at 100.

Change: a pass first probes each class of jobs, small gangs first, and visits only accounts with a class that fits somewhere. Failed shapes keep only the smallest. Above 64 classes the jobs are tried as before.

Conclusion: for a bounded set of shapes the pass no longer grows with the queue.

--- a/packages/core/src/ibiscart_core/policies/burst.py
+++ b/packages/core/src/ibiscart_core/policies/burst.py
@@ -14,6 +14,8 @@
 
 # one record holds at most this many placements; the next batch goes on
 PLACEMENTS_PER_PASS = 200
+# with more classes than this it takes longer to probe each than to try the jobs
+CLASSES_PROBED = 64
 # gangs for which an earliest start is worked out, until one has any
 GANGS_TRIED = 4
 # a preempted job keeps off unclaimed reservations for so long, twice as long each time:
@@ -146,7 +148,7 @@
     def _place_shares(self):
         live = [w.capacity for w in self._ledger.workers.values() if w.live]
         whole = (sum(c.accelerators for c in live), sum(c.cpu_millis for c in live))
-        heap = [(self._share(name, whole), name) for name in self._view.backlog.accounts]
+        heap = [(self._share(name, whole), name) for name in self._candidates()]
         heapq.heapify(heap)
         while heap and self._placed < PLACEMENTS_PER_PASS:
             _, name = heap[0]
@@ -155,6 +157,29 @@
             else:
                 heapq.heappop(heap)
 
+    def _candidates(self):
+        """Returns the accounts with a job of a class that fits somewhere now."""
+        classes = self._view.backlog.classes
+        if len(classes) > CLASSES_PROBED:
+            return list(self._view.backlog.accounts)
+        names = set()
+        # small gangs first: what they cannot find rules out the larger ones
+        for job_class in reversed(classes):
+            if self._fits(job_class):
+                names.update(job_class.groups)
+        return names
+
+    def _fits(self, job_class):
+        mode = "free" if job_class.repeatable else "fixed"
+        if (job_class, 0) in self._dead:
+            return False
+        if not self._ruled_out(job_class.shape, mode, 0):
+            if getattr(self._view, mode).find(job_class.shape) is not None:
+                return True
+            self._fail(job_class.shape, mode, 0)
+        self._dead.add((job_class, 0))
+        return False
+
     def _share(self, name, whole):
         """Returns the account's larger share of the live workers, divided by its weight."""
         account = self._ledger.accounts[name]
@@ -244,10 +269,14 @@
                 workers = capacity.find(job.shape, spare, avoided)
                 if workers is not None:
                     return workers
-        self._failed.setdefault((mode, bits), []).append(job.shape)
+        self._fail(job.shape, mode, bits)
         self._note_failure(group, job.shape, mode, bits)
         return None
 
+    def _fail(self, shape, mode, bits):
+        failed = self._failed.get((mode, bits), ())
+        self._failed[(mode, bits)] = [f for f in failed if not f.covers(shape)] + [shape]
+
     def _note_failure(self, group, shape, mode, bits):
         if mode != "clear":
             self._dead.add((group.job_class, bits))
@@ -256,9 +285,9 @@
 
     def _ruled_out(self, shape, mode, bits):
         # what fits nowhere rules out all that needs at least as much
-        return any(
-            shape.covers(failed)
-            for kept_mode in {mode, "free"}
-            for kept_bits in {bits, 0}
-            for failed in self._failed.get((kept_mode, kept_bits), ())
-        )
+        for kept_bits in (0, bits) if bits else (0,):
+            for kept_mode in ("free", mode) if mode != "free" else ("free",):
+                for failed in self._failed.get((kept_mode, kept_bits), ()):
+                    if shape.covers(failed):
+                        return True
+        return False
--- a/tests/core/bench_decisions.py
+++ b/tests/core/bench_decisions.py
@@ -54,6 +54,8 @@
     (16, 0, 8000, SCOPE_REGION, 10),
     (64, 0, 2000, SCOPE_REGION, 7),
 )
+# the accelerators are full, so that jobs of these shapes stay in the queue
+ACCELERATOR_SHAPES = tuple(s for s in SHAPES if s[1])
 
 
 def workers():
@@ -100,7 +102,8 @@
             self.world.send(put_contract(account, 0, kept, accelerators=256, weight=1))
         self._fill()
         while ledger.queued_jobs < queued:
-            self.world.send(*[self.submission() for _ in range(queued - ledger.queued_jobs)])
+            missing = queued - ledger.queued_jobs
+            self.world.send(*[self.submission(ACCELERATOR_SHAPES) for _ in range(missing)])
             self.start()
 
     def _fill(self):
@@ -112,10 +115,10 @@
                 if job.shape.accelerators:
                     self.world.send(cancel(job), seconds=0.01)
 
-    def submission(self):
+    def submission(self, shapes=SHAPES):
         self.next_id += 1
-        weights = [s[-1] for s in SHAPES]
-        members, accelerators, cpu, scope, _ = self.random.choices(SHAPES, weights)[0]
+        weights = [s[-1] for s in shapes]
+        members, accelerators, cpu, scope, _ = self.random.choices(shapes, weights)[0]
         if self.distinct_shapes:
             cpu += self.next_id
         return submit(
@@ -162,6 +165,7 @@
 
 def bench(queued, distinct):
     start = time.perf_counter()
+    before_mb = peak_mb()
     region = Region(queued, distinct_shapes=distinct)
     world, ledger = region.world, region.world.working
     tasks = sum(len(w.members) for w in ledger.workers.values())
@@ -205,8 +209,9 @@
     world.policy.explain(ledger, job, world.now_us)
     elapsed = (time.perf_counter() - start) * 1000
     print_row("explain", (elapsed, elapsed, elapsed))
+    built = f"{before_mb:.0f} MB before the build, {peak_mb():.0f} MB after all of it"
     snapshot = ledger.snapshot().SerializeToString()
-    print(f"  snapshot {len(snapshot) / 1e6:.1f} MB; peak RSS of the process {peak_mb():.0f} MB")
+    print(f"  snapshot {len(snapshot) / 1e6:.1f} MB; peak RSS of the process: {built}")
 
 
 def print_row(name, figures):
--- a/tests/core/test_explanation.py
+++ b/tests/core/test_explanation.py
@@ -3,6 +3,7 @@
 import unittest
 
 from ibiscart_schema.generated.journal_pb2 import MEMBER_FAILED
+from tests.core.invariant import violations
 from tests.core.world import World, ended, put_contract, register, shape, submit
 
 
@@ -76,6 +77,16 @@
         self.assertIn("may run only once", text)
         self.assertIn("has room for 0 members and 0 free accelerators", text)
 
+    def test_explaining_the_working_copy_disturbs_no_later_pass(self):
+        """A view built for an explanation must not take the changes meant for the policy."""
+        self.world.send(put_contract("leith", 0))
+        self.world.send(submit("leith", "a", shape(1, 8)))
+        job = self.world.job("leith", "a")
+        self.world.policy.explain(self.world.working, job, self.world.now_us)
+        self.world.send(*[submit("leith", f"b{n}", shape(1, 8)) for n in range(3)])
+        self.assertEqual(len(self.world.events_of("job_placed")), 3)
+        self.assertEqual(violations(self.world.working, self.world.now_us), [])
+
     def test_a_running_job_is_not_explained_as_queued(self):
         """A stale question about a placed job must get its state."""
         self.world.send(put_contract("leith", 0))
--- a/tests/core/test_fairness.py
+++ b/tests/core/test_fairness.py
@@ -72,6 +72,23 @@
         )
         self.assertGreater(len(simulation.reasons.get("backfill", ())), 50)
 
+    def test_a_long_job_that_a_hold_stops_does_not_stop_a_short_one(self):
+        """A failure because of a hold must not rule out jobs of the shape that may backfill."""
+        world = World()
+        world.send(register(1, 2))
+        for account in ("perth", "dundee", "leith"):
+            world.send(put_contract(account, 0))
+        world.send(submit("leith", "first", shape(1, 8), "first", 600))
+        world.start_and_stop()
+        world.send(
+            submit("perth", "gang", shape(2, 8), "gang", 600),
+            submit("dundee", "long", shape(1, 8), "long", 9000),
+            submit("leith", "short", shape(1, 8), "short", 60),
+        )
+        placed = world.events_of("job_placed")
+        self.assertEqual([p.job.request_id for p in placed], ["short"])
+        self.assertEqual(placed[0].reason, "backfill")
+
     def test_wrong_estimates_do_not_starve_a_due_gang(self):
         """Small jobs that overrun their declared times push the start of a gang back forever."""
         self.run_gang(
