--- a/packages/core/src/ibiscart_core/ledger.py
+++ b/packages/core/src/ibiscart_core/ledger.py
@@ -141,13 +141,7 @@
         reservation = self.reservations.get(ReservationKey.from_message(event.key))
         if reservation is None:
             return
-        if reservation.job is None:
-            self._usage.reserve(reservation, -1)
-        self._usage.commit(reservation.workers, reservation.shape.member, -1)
-        reservation.workers = tuple(event.workers)
-        self._usage.commit(reservation.workers, reservation.shape.member, 1)
-        if reservation.job is None:
-            self._usage.reserve(reservation, 1)
+        self._usage.move(reservation, tuple(event.workers))
         self._usage.touch_account(reservation.key.account)
 
     def _add_reservation(self, account, reservation):
--- a/packages/core/src/ibiscart_core/policies/victim.py
+++ b/packages/core/src/ibiscart_core/policies/victim.py
@@ -14,6 +14,8 @@
 CPU_MILLIS_PER_ACCELERATOR = 16_000
 # the exact search ends here and the best set found so far is taken
 SEARCH_STEPS = 2_000
+# with more jobs in the way, the cheapest are taken and those not needed are left out again
+JOBS_SEARCHED = 32
 
 
 def lost_work(job, now_us):
@@ -82,32 +84,32 @@
         if greedy is None:
             return None
         self._best = greedy
-        self._visit(0, 0.0, [], self._missing)
+        if len(self._items) <= JOBS_SEARCHED:
+            self._visit(0, 0.0, [], self._missing)
         loss, chosen = self._best
         return loss, [job for _, job, _ in chosen]
 
     def _greedy(self):
-        missing, chosen = self._missing, []
+        missing, chosen, freed = dict(self._missing), [], {}
         for item in self._items:
-            left = _subtract(missing, item[2])
-            if left != missing:
-                chosen.append(item)
-                missing = left
             if not missing:
                 break
+            if any(worker_id in missing for worker_id in item[2]):
+                chosen.append(item)
+                for worker_id, amount in item[2].items():
+                    freed[worker_id] = freed.get(worker_id, Resources()) + amount
+                    if freed[worker_id].covers(_positive(self._missing[worker_id])):
+                        missing.pop(worker_id, None)
         if missing:
             return None
-        for item in sorted(chosen, key=lambda i: -i[0]):
-            others = [other for other in chosen if other is not item]
-            if not self._left(others):
-                chosen = others
-        return sum(item[0] for item in chosen), chosen
-
-    def _left(self, items):
-        missing = self._missing
-        for item in items:
-            missing = _subtract(missing, item[2])
-        return missing
+        needed = []
+        for item in reversed(chosen):
+            left = {w: freed[w] - amount for w, amount in item[2].items()}
+            if all(left[w].covers(_positive(self._missing[w])) for w in left):
+                freed.update(left)
+            else:
+                needed.append(item)
+        return sum(item[0] for item in needed), needed
 
     def _visit(self, index, loss, chosen, missing):
         self._steps += 1
@@ -127,6 +129,13 @@
         self._visit(index + 1, loss, chosen, missing)
 
 
+def _positive(amounts):
+    # a shortage of one kind may come with plenty of another
+    return Resources(
+        max(0, amounts.accelerators), max(0, amounts.cpu_millis), max(0, amounts.memory_mb)
+    )
+
+
 def _subtract(missing, freed):
     left = {}
     for worker_id, amount in missing.items():
--- a/packages/core/src/ibiscart_core/scheduler.py
+++ b/packages/core/src/ibiscart_core/scheduler.py
@@ -38,6 +38,7 @@
         self._policy = policy
         self._attempts = attempts
         self._releases = ledger.releases
+        self._reports = []
 
     def decide(self, commands, now_us):
         """Decides ``commands`` and one scheduling pass.
@@ -48,10 +49,12 @@
         batch = Batch(self._ledger, now_us)
         lifecycle = Lifecycle(batch, self._attempts)
         self._releases = self._ledger.releases
+        self._reports = []
         replies = [self._reply(batch, lifecycle, command) for command in commands]
         self._end_quarantines(batch)
         self._repair_reservations(batch)
         self._policy.schedule(batch)
+        self._fill_reports()
         for reply in replies:
             reply.sequence = self._ledger.sequence + 1 if batch.events else self._ledger.sequence
         return batch.events, replies
@@ -104,7 +107,17 @@
         workers = [member.worker_id for member in job.members]
         if lifecycle.end_member(job, command.ended) and command.ended.outcome == MEMBER_FAILED:
             self._check_health(batch, workers[command.ended.rank])
-        return Reply(job=job.snapshot())
+        reply = Reply()
+        self._reports.append((reply, job))
+        return reply
+
+    def _fill_reports(self):
+        # one snapshot per job: the members of a gang usually report in the same batch
+        snapshots = {}
+        for reply, job in self._reports:
+            if job.key not in snapshots:
+                snapshots[job.key] = job.snapshot()
+            reply.job.CopyFrom(snapshots[job.key])
 
     # contracts
 
--- a/packages/core/src/ibiscart_core/usage.py
+++ b/packages/core/src/ibiscart_core/usage.py
@@ -47,6 +47,17 @@
                 self.touch_worker(worker_id)
                 worker.reserved = worker.reserved + member if sign > 0 else worker.reserved - member
 
+    def move(self, reservation, workers):
+        """Gives a reservation other places."""
+        member = reservation.shape.member
+        if reservation.job is None:
+            self.reserve(reservation, -1)
+        self.commit(reservation.workers, member, -1)
+        reservation.workers = workers
+        self.commit(workers, member, 1)
+        if reservation.job is None:
+            self.reserve(reservation, 1)
+
     def commit(self, workers, amount, sign):
         """Adds ``amount`` to the commitment of each worker, or with ``sign`` -1 subtracts it."""
         for worker_id in workers:
--- a/tests/core/test_adaptive.py
+++ b/tests/core/test_adaptive.py
@@ -1,5 +1,6 @@
 """Guards the adaptive policy against broken guarantees, starvation and needless preemption."""
 
+import time
 import unittest
 
 from ibiscart_schema.generated.journal_pb2 import (
@@ -9,6 +10,7 @@
     JOB_STATE_STOPPING,
 )
 from ibiscart_schema.generated.types_pb2 import SCOPE_WORKER
+from tests.core.invariant import violations
 from tests.core.world import World, put_contract, register, shape, submit
 
 
@@ -58,6 +60,66 @@
         self.assertEqual(world.job("perth", "a").state, JOB_STATE_RUNNING)
         self.assertEqual(world.job("leith", "new").state, JOB_STATE_QUEUED)
 
+    def test_a_claim_preempts_the_cheapest_set_over_several_workers(self):
+        """Choosing victims worker by worker would stop more work than needed."""
+        world = World()
+        world.send(register(1, 2), put_contract("perth", 0, [("train", shape(2, 8), 1)]))
+        world.send(put_contract("leith", 0))
+        world.send(submit("leith", "both", shape(2, 4, 70_000)))
+        world.start_and_stop()
+        world.send(
+            submit("leith", "left", shape(1, 4)),
+            submit("leith", "right", shape(1, 4)),
+            seconds=30,
+        )
+        world.start_and_stop()
+        world.send(submit("perth", "a", shape(2, 4)), seconds=60)
+        stopped = [e.job.request_id for e in world.events_of("job_stopping")]
+        # 2 x 4 accelerators for 60 s are lost instead of 8 for 90 s
+        self.assertEqual(sorted(stopped), ["left", "right"])
+
+    def test_a_claim_preempts_one_job_that_loses_less_than_two(self):
+        """Taking the cheapest jobs one by one would lose more work than one larger job."""
+        world = World()
+        world.send(register(1, 1), put_contract("perth", 0, [("train", shape(1, 4), 1)]))
+        world.send(put_contract("leith", 0))
+        for name, accelerators, wait in (("b", 2, 0), ("a", 2, 50), ("c", 4, 150)):
+            world.send(submit("leith", name, shape(1, accelerators)), seconds=wait)
+            world.start_and_stop()
+        world.send(submit("perth", "claim", shape(1, 4)), seconds=300)
+        # a loses 900, b 1000 and c 1200 accelerator seconds
+        self.assertEqual([e.job.request_id for e in world.events_of("job_stopping")], ["c"])
+
+    def test_a_claim_preempts_no_job_that_is_not_needed(self):
+        """Among very many jobs the search is not exact, but must not stop bystanders."""
+        world = World()
+        claim = shape(1, 0, 110_000, 10)
+        world.send(register(1, 1), put_contract("perth", 0, [("train", claim, 1)]))
+        world.send(put_contract("leith", 0))
+        world.send(submit("leith", "big", shape(1, 0, 120_000, 10)))
+        world.send(*[submit("leith", f"s{n}", shape(1, 0, 100, 10)) for n in range(40)])
+        world.start_and_stop()
+        world.send(submit("perth", "a", claim), seconds=60)
+        self.assertEqual([e.job.request_id for e in world.events_of("job_stopping")], ["big"])
+
+    def test_a_claim_preempts_very_many_small_jobs(self):
+        """A worker full of small tasks must not make the decision fail or take seconds."""
+        world = World()
+        whole = shape(1, 8, 128_000, 1000)
+        world.send(register(1, 1), put_contract("perth", 0, [("train", whole, 1)]))
+        world.send(put_contract("leith", 0))
+        small = shape(1, 0, 100, 10)
+        world.send(*[submit("leith", f"s{n}", small) for n in range(1200)])
+        while world.working.accounts["leith"].queued:
+            world.send()
+        world.start_and_stop()
+        begin = time.process_time()
+        world.send(submit("perth", "a", whole))
+        self.assertLess(time.process_time() - begin, 5)
+        self.assertEqual(world.job("perth", "a").state, JOB_STATE_PLACED)
+        self.assertEqual(len(world.events_of("job_stopping")), 1200)
+        self.assertEqual(violations(world.working, world.now_us), [])
+
     def test_work_that_may_not_be_preempted_stays_off_reservations(self):
         """A non-repeatable burst job on reserved places would block the guarantee (P1)."""
         world = World()
