--- a/packages/cli/src/ibiscart_cli/commands/measure.py
+++ b/packages/cli/src/ibiscart_cli/commands/measure.py
@@ -45,7 +45,8 @@
         comparison = compare(map(_read, paths), [POLICIES[name] for name in names])
     except ReplayError as error:
         raise click.UsageError(str(error)) from error
-    page = format_markdown(comparison)
+    plot = f"{pathlib.Path(output).name}.svg" if output else ""
+    page = format_markdown(comparison, plot)
     click.echo(page, nl=False)
     if output:
         pathlib.Path(f"{output}.md").write_text(page, encoding="utf-8")
--- a/packages/core/src/ibiscart_core/audit.py
+++ b/packages/core/src/ibiscart_core/audit.py
@@ -26,7 +26,12 @@
 
 
 def audit(events, settle_seconds=SETTLE_SECONDS, skew_seconds=SKEW_SECONDS):
-    """Returns the ``Violation``s of ``TraceEvent``s in any order, sorted by time."""
+    """Returns the ``Violation``s of ``TraceEvent``s in any order, sorted by time.
+
+    ``settle_seconds`` bounds how long a gang may run in part. The default covers a member that
+    fails; for a run in which workers are killed, add the lease period and the time until the
+    membership list shows the loss. ``skew_seconds`` is the largest difference between clocks.
+    """
     check = Audit(settle_seconds, skew_seconds)
     for event in sorted(events, key=lambda event: event.time_us):
         check.feed(event)
--- a/packages/core/src/ibiscart_core/audits/gang.py
+++ b/packages/core/src/ibiscart_core/audits/gang.py
@@ -31,6 +31,7 @@
         self._decided = {}
         self._ended = {}
         self._shapes = {}
+        self._sizes = {}
         self._capacity = {}
         self._running = {}
 
@@ -57,6 +58,7 @@
             elif kind == "job_submitted":
                 key = (body.spec.account, body.spec.request_id)
                 self._shapes[key] = body.spec.shape.member
+                self._sizes[key] = body.spec.shape.members
             elif kind == "worker_registered":
                 self._capacity[body.worker.id] = Resources.from_message(body.worker.capacity)
 
@@ -92,7 +94,8 @@
         elif action.action in ENDS:
             task.end(action.action, event)
             self._running.get(action.target_id, {}).pop((key, action.rank), None)
-        self._update_partial(key, members, action.members, event)
+        self._sizes[key[:2]] = max(action.members, self._sizes.get(key[:2], 0))
+        self._update_partial(key, members, event)
 
     def _end_target(self, event):
         target_id = event.process_signal.process_id
@@ -102,9 +105,11 @@
             for task in hit:
                 task.end("stopped", event)
             if hit:
-                self._update_partial(key, members, len(members), event)
+                self._update_partial(key, members, event)
 
-    def _update_partial(self, key, members, size, event):
+    def _update_partial(self, key, members, event):
+        # a worker does not know how large the gang is; the submission does
+        size = max(self._sizes.get(key[:2], 0), len(members))
         states = [task.state for task in members.values()]
         running = states.count(RUNNING)
         # members that completed are done; they don't make the gang partial
--- a/packages/core/src/ibiscart_core/report.py
+++ b/packages/core/src/ibiscart_core/report.py
@@ -56,9 +56,9 @@
 TITLE_HEIGHT = 34
 COLOURS = ("#9aa5b1", "#1f6f8b", "#c8553d")
 PLOTS = (
-    ("Mean completion time, s", "completion_mean"),
-    ("Mean completion time of large gangs, s", "large_completion_mean"),
-    ("p99 wait of short work, s", "short_wait_p99"),
+    ("Mean completion time, s (logarithmic)", "completion_mean"),
+    ("Mean completion time of large gangs, s (logarithmic)", "large_completion_mean"),
+    ("p99 wait of short work, s (logarithmic)", "short_wait_p99"),
 )
 
 
@@ -67,9 +67,14 @@
     return json.dumps(_rounded(comparison.to_dict()), indent=1, sort_keys=True) + "\n"
 
 
-def format_markdown(comparison):
-    """Returns the page: the table, the targets and the weighted lines."""
+def format_markdown(comparison, plot=""):
+    """Returns the page: the table, the targets and the weighted lines.
+
+    ``plot`` is the file name of the plot to show, if there is one.
+    """
     lines = ["# Measures", "", EXPLANATION]
+    if plot:
+        lines += [f"![Completion times and waits of each trace]({plot})", ""]
     lines.append("| trace | policy | " + " | ".join(name for name, *_ in COLUMNS) + " |")
     lines.append("|---|---|" + "---:|" * len(COLUMNS))
     for trace in comparison.traces:
--- a/tests/core/test_audit.py
+++ b/tests/core/test_audit.py
@@ -229,6 +229,15 @@
         self.assertEqual(found.time_us, 3 * SECOND)
         self.assertIn("6.000 s", found.message)
 
+    def test_finds_a_gang_of_which_only_one_member_was_released(self):
+        """Workers do not record the size of a gang; the audit takes it from the submission."""
+        rec = self.recording
+        rec.record(1, rec.submitted("j1"), rec.placed("j1", "w1", "w2"))
+        rec.record(2, {"job_released": {"job": key("j1"), "attempt": 1}})
+        rec.act(2.1, "w1", "released", "j1", 0, members=0)
+        rec.act(60, "w1", "completed", "j1", 0, members=0)
+        self.assert_found("P2")
+
     def test_passes_a_gang_that_is_stopped_within_the_bound(self):
         rec = self.recording
         rec.record(1, rec.submitted("j1"), rec.placed("j1", "w1", "w2"))
