--- a/packages/core/src/ibiscart_core/replay.py
+++ b/packages/core/src/ibiscart_core/replay.py
@@ -23,8 +23,8 @@
 BATCH_US = 20_000
 # one conditional put within a data centre
 APPEND_US = 5_000
-# the writer decides without commands this often while jobs wait, so that ageing takes effect
-PASS_US = 5_000_000
+# the writer decides without commands this often while jobs wait (TICK_SECONDS in the writer)
+PASS_US = 1_000_000
 # a replay ends when jobs wait, none runs and nothing has been decided for this long; the
 # longest quarantine is half of it
 IDLE_US = 3600 * 1_000_000
