Check the state again after the head was read, and isolate failing commands

Separately, an exception of the scheduler would have ended the entry, and again each entry that got the same command. Change: the state is compared after the read. The writer keeps its working ledger only after a commit; when a batch cannot be decided, its commands are decided one by one and only the failing one is answered `internal`, ran = no.

--- a/packages/entry/src/ibiscart_entry/journal.py
+++ b/packages/entry/src/ibiscart_entry/journal.py
@@ -173,9 +173,11 @@
                     await self._resolve()
                 except (AppendConflict, AppendLost) as error:
                     LOG.info("journal: An earlier append ended.", extra={"cause": str(error)})
-            if after is not None and after != self.sequence:
-                raise AppendConflict(f"the state is at {self.sequence}, not {after}")
+            after = self.sequence if after is None else after
             version = await self._head_version()
+            # checked after the wait for the head, during which the state may advance
+            if after != self.sequence:
+                raise AppendConflict(f"the state is at {self.sequence}, not {after}")
             record = Record(
                 region=self._region,
                 sequence=self.sequence + 1,
--- a/packages/entry/src/ibiscart_entry/writer.py
+++ b/packages/entry/src/ibiscart_entry/writer.py
@@ -19,6 +19,7 @@
 from ibiscart_entry.table import StoreError
 from ibiscart_schema.generated.peer_pb2 import CommandBatch, Reply, ReplyBatch
 from ibiscart_schema.generated.types_pb2 import (
+    RAN_NO,
     TARGET_QUARANTINED,
 )
 
@@ -93,6 +94,10 @@
         )
 
 
+class _DecisionError(Exception):
+    """The scheduler failed on a batch; nothing of it was appended."""
+
+
 class Writer:
     """Turns commands into records, here or at the preferred writer.
 
@@ -122,7 +127,6 @@
         self._wall = wall
         self._upkeep = Upkeep(journal, peers, membership, clock)
         self._working = None
-        self._dirty = False
         self._pass_due = False
         self._append_start = None
         self._open = 0
@@ -336,53 +340,69 @@
         except StoreError as error:
             # the journal logs an outage once; each refused batch is of interest only in detail
             LOG.debug("writer: A batch was refused.", extra={"cause": error.reason})
-            self._working = None
             self._refuse(items, None)
         except AppendLost:
-            self._working = None
             for item in items:
                 item.event.set()
+        except _DecisionError:
+            await self._isolate(items)
         finally:
             self._append_start = None
 
     async def _decide(self, items):
         """Decides and appends one batch; returns False when it must be decided again."""
-        working = self._working_ledger()
+        # the working ledger is kept only when all its events are committed
+        working, self._working = self._working_ledger(), None
         sequence = working.sequence
         now_us = max(int(self._wall() * 1e6), working.time_us)
-        scheduler = Scheduler(working, self._policy, self._attempts)
-        self._dirty = True
-        start = time.perf_counter()
-        events, replies = scheduler.decide([item.command for item in items], now_us)
-        self._metrics.observe("decision_seconds", "batch", time.perf_counter() - start)
-        if not events:
-            self._dirty = False
-            if items and self._journal.confirmed_age() > FRESH_SECONDS:
-                await self._journal.confirm()
-                if self._journal.sequence != sequence:
-                    return False
-        else:
+        events, replies = self._run_scheduler(working, items, now_us)
+        if events:
             for item in items:
                 item.in_append = True
             try:
                 record = await self._journal.append(events, now_us, after=sequence)
             except AppendConflict:
-                self._working = None
                 for item in items:
                     item.in_append = False
                 return False
             working.seal(record.sequence, record.time_us)
-            self._dirty = False
+        elif items and self._journal.confirmed_age() > FRESH_SECONDS:
+            await self._journal.confirm()
+            if self._journal.sequence != sequence:
+                return False
+        self._working = working
         for item, reply in zip(items, replies, strict=True):
             if item.forwarded:
                 reply = _correct_contract(self._journal.ledger, item.command, reply)
             item.settle(reply)
         return True
 
+    def _run_scheduler(self, working, items, now_us):
+        scheduler = Scheduler(working, self._policy, self._attempts)
+        start = time.perf_counter()
+        try:
+            return scheduler.decide([item.command for item in items], now_us)
+        except Exception as error:
+            LOG.exception("writer: A batch could not be decided.")
+            raise _DecisionError from error
+        finally:
+            self._metrics.observe("decision_seconds", "batch", time.perf_counter() - start)
+
+    async def _isolate(self, items):
+        """Answers the command that cannot be decided, and decides the others one by one."""
+        if len(items) == 1:
+            error = IbiscartError(
+                ErrorKind.INTERNAL, "the command could not be decided", ran=RAN_NO
+            )
+            items[0].settle(Reply(error=error.to_message()))
+            return
+        for item in items:
+            await self._commit([item])
+
     def _working_ledger(self):
-        """Returns a copy of the committed state without undecided events."""
+        """Returns a copy of the committed state; events that are not committed are not in it."""
         committed = self._journal.ledger
-        working = None if self._dirty else self._working
+        working = self._working
         if working is not None and working.sequence != committed.sequence:
             records = self._journal.records_after(working.sequence)
             if not records:
@@ -391,8 +411,6 @@
                 working.apply(record)
         if working is None:
             working = Ledger.from_snapshot(committed.snapshot())
-            self._dirty = False
-        self._working = working
         return working
 
     # passing of time
@@ -419,9 +437,7 @@
         while True:
             await trio.sleep(LIVENESS_CHECK_SECONDS)
             start = self._append_start
-            if start is None or not self._journal.undecided:
-                continue
-            if self._clock() - start > BLOCKED_SECONDS and self._local:
+            if start is not None and self._clock() - start > BLOCKED_SECONDS and self._local:
                 blocked, self._local = self._local, []
                 self._refuse(blocked, None)
 
--- a/tests/entry/test_journal.py
+++ b/tests/entry/test_journal.py
@@ -150,6 +150,28 @@
             await a.journal.append(change(1, "other"), now_us(), 0)
         self.assertEqual(len(cluster.records()), 1)
 
+    @virtual
+    async def test_a_state_that_advances_while_the_head_is_read_is_a_conflict(self, nursery):
+        """Events decided on an older state than the record before them would repeat commands."""
+        cluster = await started(nursery)
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+        a.journal._rows.head = None
+        cluster.network.hold = lambda s, d, r: 0.5 if (s, d) == ("a", "table:1") else 0.0
+        outcomes = []
+
+        async def append():
+            try:
+                await a.journal.append(change(1, "old"), now_us(), 0)
+            except AppendConflict:
+                outcomes.append("conflict")
+
+        async with trio.open_nursery() as inner:
+            inner.start_soon(append)
+            await trio.sleep(0.1)
+            await b.journal.append(change(1), now_us(), 0)
+        self.assertEqual(outcomes, ["conflict"])
+        self.assertEqual([r.writer for r in cluster.records()], ["b"])
+
     @virtual
     async def test_a_very_old_view_cannot_create_a_deleted_row_anew(self, nursery):
         """Rows are deleted after snapshots; an append to such a row would be lost."""
