--- a/tests/entry/test_peer.py
+++ b/tests/entry/test_peer.py
@@ -1,17 +1,31 @@
 """Guards peers against wrong views of who is live, strangers and too many messages."""
 
 import unittest
+from unittest import mock
 
 import trio
 
 from ibiscart_core.error import ErrorKind, IbiscartError
-from ibiscart_entry.peer import PeerError
-from ibiscart_entry.server import Request
+from ibiscart_entry.client import HttpClient
+from ibiscart_entry.metric import Metrics
+from ibiscart_entry.peer import PeerError, Peers
+from ibiscart_entry.server import HttpServer, Request
 from ibiscart_schema.generated.peer_pb2 import Heartbeat, RecordPush
+from ibiscart_schema.generated.settings_pb2 import PeerSettings, ServerSettings
+from ibiscart_schema.generated.target_pb2 import VirtualMachine
 from ibiscart_schema.generated.types_pb2 import TARGET_LEAVING
 from tests.entry.test_journal import change, now_us
 from tests.entry.test_writer import Cluster, virtual
 
+SETTINGS = PeerSettings(key="secret", heartbeat_seconds=0.1, silence_seconds=5)
+SERVER = ServerSettings(
+    address="127.0.0.1:0",
+    max_connections=16,
+    max_body_bytes=1 << 20,
+    header_timeout_seconds=10,
+    body_timeout_seconds=10,
+)
+
 
 async def started(nursery, names=("a", "b", "c")):
     cluster = Cluster(nursery, names, workers=0, writes=False)
@@ -107,6 +121,27 @@
         self.assertEqual(b.peers.live(), ["a", "b"])
         self.assertEqual(b.peers.sequence_of("a"), 40)
 
+    @virtual
+    async def test_pushes_hold_back_neither_signs_nor_leaving(self, nursery):
+        """A busy writer sends few heartbeats; what only they carry must still arrive (P6)."""
+        cluster = await started(nursery, ("a", "b"))
+        a, b = cluster.nodes["a"], cluster.nodes["b"]
+
+        async def write():
+            for number in range(1, 60):
+                await a.journal.append(change(number), now_us())
+                await trio.sleep(0.2)
+
+        async with trio.open_nursery() as inner:
+            inner.start_soon(write)
+            await trio.sleep(3.5)
+            a.peers.signs.report("w1", TARGET_LEAVING, "answer")
+            await trio.sleep(1.1)
+            self.assertFalse(b.peers.signs.eligible("w1"))
+            a.peers.set_leaving()
+            await trio.sleep(1.1)
+            self.assertEqual(b.peers.candidates(), ["b"])
+
     @virtual
     async def test_a_wrong_key_is_refused(self, nursery):
         """A stranger must not push records or commands."""
@@ -164,6 +199,34 @@
             await a.peers.call("nobody", "hang", Heartbeat(), Heartbeat, 0.5)
         self.assertFalse(caught.exception.sent)
 
+    def test_over_sockets(self):
+        """Headers and bodies must survive HTTP, which the in-process network leaves out."""
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                membership = mock.Mock(machines={}, wait_changed=trio.sleep_forever)
+                entries = membership.entries.return_value = []
+                peers = [
+                    Peers(name, "alba", membership, SETTINGS, Metrics(), connect=HttpClient)
+                    for name in "ab"
+                ]
+                for one in peers:
+                    server = HttpServer(one.handle, SERVER)
+                    address = f"127.0.0.1:{await nursery.start(server.serve)}"
+                    entries.append(VirtualMachine(id=one.entry_id, peer_address=address))
+                peers[0].signs.report("w1", TARGET_LEAVING, "answer")
+                with trio.fail_after(20):
+                    for one in peers:
+                        await nursery.start(one.run)
+                    while peers[1].signs.eligible("w1") or peers[0].live() != ["a", "b"]:
+                        await trio.sleep(0.01)
+                    with self.assertRaises(IbiscartError) as caught:
+                        await peers[0].call("b", "none", Heartbeat(), Heartbeat, 10)
+                self.assertIs(caught.exception.kind, ErrorKind.NOT_FOUND)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
