An entry that the membership list marks as leaving does not prefer itself

Cause: the other entries excluded it, while it still counted itself among the candidates, so that two entries were preferred until it drained. Change: the entry's own mark on the list counts like its own decision to leave.

--- a/packages/entry/src/ibiscart_entry/peer.py
+++ b/packages/entry/src/ibiscart_entry/peer.py
@@ -129,9 +129,9 @@
         ids = [
             peer.id
             for peer in self._peers.values()
-            if self._is_live(peer, now) and not self._is_leaving(peer)
+            if self._is_live(peer, now) and not (peer.leaving or self._listed_leaving(peer.id))
         ]
-        if not self._leaving or not ids:
+        if not ids or not (self._leaving or self._listed_leaving(self._id)):
             ids.append(self._id)
         return sorted(ids)
 
@@ -339,10 +339,8 @@
     def _is_live(self, peer, now):
         return peer.heard is not None and now - peer.heard < self._silence_seconds
 
-    def _is_leaving(self, peer):
-        if peer.leaving:
-            return True
-        machine = self._membership.machines.get(peer.id)
+    def _listed_leaving(self, entry_id):
+        machine = self._membership.machines.get(entry_id)
         return machine is not None and machine.leaving
 
     def _parse(self, response, reply_type):
--- a/tests/entry/test_peer.py
+++ b/tests/entry/test_peer.py
@@ -87,6 +87,18 @@
             self.assertNotEqual(node.peers.preferred_writer(), leaving.id)
             self.assertNotEqual(node.peers.owner_of("worker/1"), leaving.id)
 
+    @virtual
+    async def test_an_entry_that_the_list_marks_as_leaving_is_not_preferred(self, nursery):
+        """All entries, the leaving one too, must agree on the next writer."""
+        cluster = await started(nursery)
+        leaving = cluster.preferred.id
+        machine = cluster.machine(leaving)
+        machine.leaving = True
+        cluster.members.set_machine(machine)
+        await trio.sleep(2.2)
+        views = {tuple(n.peers.candidates()) for n in cluster.nodes.values()}
+        self.assertEqual(views, {tuple(sorted(set("abc") - {leaving}))})
+
     @virtual
     async def test_signs_reach_every_peer_with_the_next_heartbeat(self, nursery):
         """A target that leaves must get no new work from any entry within 5 s (P6)."""
