Test of the membership stand-in's control paths

Cause: tests of processes change the list over HTTP, and no test used it. Change: one test of PUT, POST and DELETE on machines, of the lag and of faults.

--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -113,6 +113,34 @@
         self.assertTrue(membership.machines["w1"].leaving)
         self.assertFalse(signs.eligible("w1"))
 
+    @virtual
+    async def test_the_list_is_changed_over_http(self, nursery):
+        """Tests of processes change the list through these paths only."""
+        network = Network(nursery)
+        service = MemberService()
+        network.handlers["members"] = service.handle
+        client = network.connect_from("test")("members")
+        membership = Membership(client)
+
+        async def send(method, path, body=b""):
+            response = await client.request(method, path, body=body, timeout=1)
+            self.assertEqual(response.status, 200)
+            await membership.poll()
+            return [m.id for m in membership.workers()]
+
+        self.assertEqual(await send("PUT", "/machines/w1", b'{"id":"w1","role":"worker"}'), ["w1"])
+        machines = b'{"machines":[{"id":"w2","role":"worker"}]}'
+        await send("POST", "/machines", machines)
+        await membership.poll()
+        self.assertEqual(await send("POST", "/lag", b'{"lag": 3}'), ["w2"])
+        self.assertEqual(await send("DELETE", "/machines/w2"), ["w2"])
+        await trio.sleep(3)
+        for _ in range(3):
+            await membership.poll()
+        self.assertEqual(membership.workers(), [])
+        await send("POST", "/control", b'{"down": true}')
+        self.assertFalse(await membership.poll())
+
 
 if __name__ == "__main__":
     unittest.main()
