Gangs under random combined faults

Cause: faults were tested one by one. Change: 12 seeds of 16 jobs on 4 workers and 3 entries with lost, late and refused calls, frozen workers, store outages, cancellations and takeovers.

--- a/packages/entry/src/ibiscart_entry/task.py
+++ b/packages/entry/src/ibiscart_entry/task.py
@@ -65,8 +65,9 @@
         tasks = []
         for item in fields.get("tasks", ()):
             saved = item.get("saved_seconds", 0)
-            state = TaskState(item.get("task_id"), item.get("state", ""), saved)
-            if not isinstance(state.task_id, str) or not isinstance(saved, int | float):
+            state = TaskState(item.get("task_id"), item.get("state"), saved)
+            texts = isinstance(state.task_id, str) and isinstance(state.state, str)
+            if not texts or not isinstance(saved, int | float):
                 raise ValueError("malformed task")
             tasks.append(state)
         return cls(tasks, bool(fields.get("leaving")))
--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -487,5 +487,81 @@
         self.assertEqual(setup.region.working.workers["w0"].state, TARGET_LIVE)
 
 
+class RandomFaultsTest(unittest.TestCase):
+    """Gangs under lost, late and refused calls, frozen workers, takeovers and outages."""
+
+    SEEDS = range(12)
+    JOBS = 16
+
+    def check(self, seed):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                setup = Setup(nursery, seed)
+                await self.run_jobs(setup, random.Random(seed))
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def run_jobs(self, setup, randoms):
+        await setup.start(entries=("e1", "e2", "e3"), accelerators=4)
+        keys = []
+        for number in range(self.JOBS):
+            members = randoms.choice([1, 2, 4])
+            payload = f"run_seconds={randoms.uniform(1, 60):.1f}"
+            keys.append(setup.submit(f"j{number}", members, accelerators=2, payload=payload))
+        for _ in range(60):
+            await trio.sleep(randoms.uniform(0.1, 3))
+            await self.disturb(setup, randoms, keys)
+            self.assertEqual(setup.check_capacity(), 0, f"seed {setup.seed}")
+        for worker in setup.workers.values():
+            worker.faults.set(**dict.fromkeys(worker.faults.FIELDS, 0))
+        setup.region.outage = False
+        for entry in setup.entries.values():
+            entry.journal.paused = False
+            entry.journal.follow()
+        for key in keys:
+            await setup.wait_state(key, JOB_STATE_ENDED, 3600)
+        self.assertEqual(setup.check_capacity(), 0, f"seed {setup.seed}")
+        self.check_runs(setup, keys)
+
+    async def disturb(self, setup, randoms, keys):
+        faults = randoms.choice(list(setup.workers.values())).faults
+        what = randoms.randrange(9)
+        if what < 3:
+            faults.set(drop_answers=randoms.randint(1, 3))
+        elif what == 3:
+            faults.set(delay_seconds=randoms.choice([0, 0, 0.3, 1.5]))
+        elif what == 4:
+            faults.set(freeze=randoms.choice([0, 0, 1]))
+        elif what == 5:
+            faults.set(refuse_connections=randoms.choice([0, 0, 1]))
+        elif what == 6:
+            setup.region.outage = randoms.random() < 0.3
+        elif what == 7:
+            setup.region.decide(Command(cancel_job={"job": randoms.choice(keys).to_message()}))
+        elif len(setup.network.live) > 1 and len(setup.entries) < 8:
+            setup.kill(randoms.choice(setup.network.live))
+            await setup.start_entry(f"e{len(setup.entries) + 1}")
+
+    def check_runs(self, setup, keys):
+        for key in keys:
+            seen = set()
+            for worker in setup.workers.values():
+                for action in worker.record.actions:
+                    if (action.account, action.request_id) == (key.account, key.request_id):
+                        item = (action.action, action.attempt, action.rank)
+                        self.assertNotIn(item, seen, f"seed {setup.seed}")
+                        seen.add(item)
+            job = setup.job(key)
+            if job.outcome == JOB_COMPLETED:
+                completed = {r for a, n, r in seen if a == "completed" and n == job.attempt}
+                self.assertEqual(len(completed), job.shape.members, f"seed {setup.seed}")
+
+    def test_no_place_is_used_twice_and_every_job_ends(self):
+        """Combined faults must neither overload a worker, nor run a task twice, nor hang."""
+        for seed in self.SEEDS:
+            self.check(seed)
+
+
 if __name__ == "__main__":
     unittest.main()
