Requests under random combined faults; a wait for a silent renewal

Cause: faults of requests were tested one by one, and no test failed when the end of a lease that an unanswered renewal had extended was not awaited.

--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -17,7 +17,13 @@
 from ibiscart_schema.generated.peer_pb2 import Command
 from ibiscart_schema.generated.settings_pb2 import ServerSettings
 from ibiscart_schema.generated.target_pb2 import VirtualMachine
-from ibiscart_schema.generated.types_pb2 import RAN_MAYBE, RAN_NO, TARGET_LEAVING, TARGET_LIVE
+from ibiscart_schema.generated.types_pb2 import (
+    RAN_MAYBE,
+    RAN_NO,
+    RAN_YES,
+    TARGET_LEAVING,
+    TARGET_LIVE,
+)
 from tests.entry.fake import (
     FakeJournal,
     FakeNetwork,
@@ -48,6 +54,7 @@
         self.peers = FakePeers(name, setup.network, self.signs)
         self.metrics = Metrics()
         self.scope = trio.CancelScope()
+        self.callers = set()
         self.claims = Claims(
             name,
             setup.table,
@@ -753,5 +760,104 @@
             nursery.cancel_scope.cancel()
 
 
+class RandomFaultsTest(unittest.TestCase):
+    """Requests under lost answers, kills, new grants, store outages and leaving runners."""
+
+    SEEDS = range(8)
+    REQUESTS = 120
+
+    def check(self, seed):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                await self.run_requests(Setup(nursery, seed), random.Random(seed))
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def run_requests(self, setup, randoms):
+        await setup.start(entries=("e1", "e2", "e3"), runners=3, slots=100)
+        answers = {}
+        async with trio.open_nursery() as nursery:
+            scope = await nursery.start(self.disturb, setup, randoms)
+            async with trio.open_nursery() as callers:
+                for number in range(self.REQUESTS):
+                    once = randoms.random() < 0.5
+                    callers.start_soon(self.call, setup, randoms, number, once, answers)
+                    await trio.sleep(randoms.expovariate(4))
+            scope.cancel()
+        for (request_id, once), given in answers.items():
+            starts = setup.starts(request_id)
+            text = f"seed {setup.seed}, {request_id}: {given}"
+            if once:
+                self.assertLessEqual(starts, 1, text)
+            if given and set(given) == {RAN_NO}:
+                self.assertEqual(starts, 0, text)
+        for runner in setup.runners.values():
+            self.assertLessEqual(runner.peak, 8, f"seed {setup.seed}")
+
+    async def call(self, setup, randoms, number, once, answers):
+        """Sends one request, and again with the same id while it has no answer."""
+        request_id = f"i{number}"
+        given = answers.setdefault((request_id, once), [])
+        for _ in range(4):
+            entry = setup.entries[randoms.choice(setup.network.live)]
+            with trio.CancelScope() as scope:
+                entry.callers.add(scope)
+                try:
+                    response = await entry.ask(
+                        request_id, repeatable=not once, body=b"run_seconds=0.5", timeout=10
+                    )
+                except IbiscartError as error:
+                    given.append(error.ran)
+                else:
+                    if response.status == 200:
+                        name = json.loads(response.body)["request_id"]
+                        self.assertEqual(name, f"acme/{request_id}", f"seed {setup.seed}")
+                        given.append(RAN_YES)
+                        return
+                    given.append(RAN_MAYBE)
+                await trio.sleep(randoms.uniform(0.1, 3))
+                continue
+            # the connection to a killed entry broke
+            given.append(RAN_MAYBE)
+
+    async def disturb(self, setup, randoms, task_status):
+        with trio.CancelScope() as scope:
+            task_status.started(scope)
+            while True:
+                await trio.sleep(randoms.uniform(0.2, 2))
+                faults = randoms.choice(list(setup.runners.values())).faults
+                what = randoms.randrange(9)
+                if what < 2:
+                    name = randoms.choice(["drop_answers", "cross_answers", "truncate_answers"])
+                    faults.set(**{name: randoms.randint(1, 3)})
+                elif what == 2:
+                    faults.set(refuse=randoms.randint(1, 5))
+                elif what == 3:
+                    setup.table.lose = randoms.randint(1, 3)
+                elif what == 4:
+                    setup.table.down = randoms.random() < 0.3
+                    setup.table.unsent = randoms.random() < 0.5
+                elif what == 5:
+                    faults.set(refuse_connections=randoms.choice([0, 0, 1]))
+                elif what == 6:
+                    setup.network.lose_loans = randoms.randint(1, 3)
+                elif what == 7:
+                    setup.grant(setup.network.live)
+                elif len(setup.entries) < 7:
+                    self.replace(setup, randoms.choice(setup.network.live))
+                    await setup.start_entry(f"e{len(setup.entries) + 1}")
+
+    def replace(self, setup, name):
+        setup.kill(name)
+        for scope in setup.entries[name].callers:
+            scope.cancel()
+
+    def test_combined_faults(self):
+        """Faults together must not break P3, P4, P5 or a limit."""
+        for seed in self.SEEDS:
+            self.check(seed)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/entry/test_lease.py
+++ b/tests/entry/test_lease.py
@@ -121,6 +121,29 @@
         self.assertIn(MEMBER_LAPSED, [e.outcome for e in ended])
         self.assertEqual(setup.running(key), 0)
 
+    @in_virtual_time
+    async def test_renewal_without_an_answer_extends_the_wait(self, setup):
+        """A renewal that took effect without an answer keeps its task running longer (P2)."""
+        await setup.start(workers=1)
+        worker = setup.workers["w0"]
+        handle, silent = worker.handle, []
+
+        async def silent_renewals(request):
+            if silent and request.path != "/v1/leases":
+                await trio.sleep_forever()
+            response = await handle(request)
+            if silent:
+                await trio.sleep_forever()
+            return response
+
+        worker.handle = silent_renewals
+        key = setup.submit("j1", 1, accelerators=8)
+        await setup.wait(lambda: setup.running(key) == 1, 5)
+        await trio.sleep(25)
+        silent.append(True)
+        await setup.wait(lambda: setup.region.events("member_ended"))
+        self.assertEqual(setup.running(key), 0)
+
     @in_virtual_time
     async def test_takeover_counts_the_lease_anew(self, setup):
         """An entry that takes over cannot know when the one before last extended a lease."""
