Signs about workers that answer are taken back

Change: the next good answer takes back what was observed on the worker; what the membership list says stays.

--- a/packages/entry/src/ibiscart_entry/lease.py
+++ b/packages/entry/src/ibiscart_entry/lease.py
@@ -26,6 +26,7 @@
 TICK_SECONDS = 0.25
 PROBE_SECONDS = 2.0
 ANSWER_SECONDS = 2.0
+OBSERVED_CAUSES = ("connection_refused", "own_answer")
 # a task that this entry cannot explain may belong to a decision it has not read yet
 UNEXPLAINED_SECONDS = 15.0
 # a member that is still held this long after its release was missed by its driver
@@ -35,13 +36,23 @@
 class _Contact:
     """What this entry knows about its calls to one worker."""
 
-    __slots__ = ("answered_at", "answers", "busy", "due", "held_since", "owned_at", "unexplained")
+    __slots__ = (
+        "answered_at",
+        "answers",
+        "busy",
+        "doubted_at",
+        "due",
+        "held_since",
+        "owned_at",
+        "unexplained",
+    )
 
     def __init__(self, now):
         self.owned_at = now
         self.answered_at = now
         self.answers = True
         self.busy = False
+        self.doubted_at = None
         self.due = now
         self.held_since = {}
         self.unexplained = {}
@@ -143,7 +154,7 @@
             contact.answers = False
             return False
         contact.answered_at = trio.current_time()
-        self._check_state(worker, answer.leaving)
+        self._check_state(worker, contact, answer.leaving)
         await self._check_tasks(worker, contact, answer, ids)
         return True
 
@@ -155,16 +166,24 @@
                 ids.append(job.task_id(rank))
         return ids
 
-    def _check_state(self, worker, leaving):
+    def _check_state(self, worker, contact, leaving):
         if leaving:
             self._peers.signs.report(worker.id, TARGET_LEAVING, "own_answer")
             if worker.state == TARGET_LIVE:
                 self._reports.add_worker(worker.id, TARGET_LEAVING, "own_answer")
             return
-        refused = worker.state == TARGET_LEAVING and worker.cause == "connection_refused"
-        if worker.state == TARGET_LOST or refused:
+        # what the membership list says is taken back by the list only
+        observed = worker.state == TARGET_LEAVING and worker.cause in OBSERVED_CAUSES
+        if worker.state == TARGET_LOST or observed:
             self._peers.signs.report(worker.id, TARGET_LIVE, "answers")
             self._reports.add_worker(worker.id, TARGET_LIVE, "answers")
+        elif worker.state == TARGET_LEAVING or self._peers.signs.eligible(worker.id):
+            contact.doubted_at = None
+        elif contact.doubted_at is None:
+            contact.doubted_at = trio.current_time()
+        elif trio.current_time() - contact.doubted_at >= UNEXPLAINED_SECONDS:
+            # the sign never came into the journal, as for a worker in quarantine
+            self._peers.signs.report(worker.id, TARGET_LIVE, "answers")
 
     def _check_lost(self, worker, contact):
         now = trio.current_time()
--- a/tests/entry/test_lease.py
+++ b/tests/entry/test_lease.py
@@ -242,6 +242,19 @@
         self.assertIn(("w0", TARGET_LEAVING, "own_answer"), signs)
         key = setup.submit("j1", 1)
         self.assertEqual(setup.job(key).members[0].worker_id, "w1")
+        # the worker was started anew
+        setup.workers["w0"].faults.set(leaving=0)
+        await setup.wait(lambda: worker.state == TARGET_LIVE, 11)
+
+    @in_virtual_time
+    async def test_sign_that_the_journal_does_not_have(self, setup):
+        """A sign about a worker that answers must not keep it without work for ever."""
+        await setup.start(workers=1)
+        signs = setup.entries["e1"].peers.signs
+        signs.report("w0", TARGET_LEAVING, "connection_refused")
+        await setup.wait(lambda: signs.eligible("w0"), 45)
+        key = setup.submit("j1", 1)
+        await setup.wait(lambda: setup.running(key) == 1, 5)
 
     @in_virtual_time
     async def test_sign_by_a_refused_connection(self, setup):
