Runners that cannot be reached get a pause of 5 s

Cause: each request to a runner in a lost rack waited for a connect timeout of 1 s and used up the retry budget. Change: the pool avoids such a runner for 5 s.

--- a/packages/entry/src/ibiscart_entry/dispatcher.py
+++ b/packages/entry/src/ibiscart_entry/dispatcher.py
@@ -15,7 +15,7 @@
 from ibiscart_core.share import SILENCE_SECONDS
 from ibiscart_entry.claim import Claim
 from ibiscart_entry.client import HttpClient, TransportError
-from ibiscart_entry.lane import SlotPool, Ticket
+from ibiscart_entry.lane import UNREACHABLE_SECONDS, SlotPool, Ticket
 from ibiscart_entry.loan import Loans
 from ibiscart_entry.probe import RunnerProbe
 from ibiscart_entry.quota import Quotas, account_key
@@ -295,7 +295,7 @@
         if error.reason == "refused":
             self._peers.signs.report(slot.runner_id, TARGET_LOST, "connection_refused")
         elif not error.sent:
-            self._pool.avoid(slot.runner_id)
+            self._pool.avoid(slot.runner_id, UNREACHABLE_SECONDS)
         return _Outcome(reason=error.reason, may_have_run=error.sent)
 
     def _checked(self, slot, message, response, seconds):
--- a/packages/entry/src/ibiscart_entry/lane.py
+++ b/packages/entry/src/ibiscart_entry/lane.py
@@ -16,6 +16,8 @@
 
 # a runner that answered "full" gets nothing for this time
 FULL_SECONDS = 0.1
+# a runner that cannot be connected to costs each request a connect timeout
+UNREACHABLE_SECONDS = 5.0
 TICK_SECONDS = 0.25
 
 
@@ -79,7 +81,7 @@
         self._clients = {}
         self._closing = []
         self._dropped = trio.Event()
-        self._full_until = {}
+        self._avoided_until = {}
         # slots in use by (account, kind), the oldest first
         self._slots = {}
 
@@ -146,9 +148,10 @@
         """Adds an observed service time."""
         self._estimates.observe(account, kind, seconds)
 
-    def avoid(self, runner_id):
-        """Gives a runner that is full nothing for a short time."""
-        self._full_until[runner_id] = trio.current_time() + FULL_SECONDS
+    def avoid(self, runner_id, seconds=FULL_SECONDS):
+        """Gives a runner that is full or cannot be reached nothing for some time."""
+        until = trio.current_time() + seconds
+        self._avoided_until[runner_id] = max(until, self._avoided_until.get(runner_id, 0.0))
 
     def drop_connections(self, runner_id):
         """Closes the connections to a runner whose answers cannot be trusted."""
@@ -200,7 +203,7 @@
         best = None
         now = trio.current_time()
         for machine in self._runners():
-            if not self._eligible(machine.id) or self._full_until.get(machine.id, 0) > now:
+            if not self._eligible(machine.id) or self._avoided_until.get(machine.id, 0) > now:
                 continue
             free = min(self._shares.free(key) for key in runner_keys(machine.id, lane))
             if free <= 0:
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -585,6 +585,16 @@
         self.assertLessEqual(setup.runners["r1"].not_run, 8)
         self.assertEqual(sum(setup.runners["r0"].starts.values()), 8)
 
+    @in_virtual_time
+    async def test_runner_that_cannot_be_reached_is_avoided(self, setup):
+        """A lost runner must not cost every request a connect timeout."""
+        entry = await setup.start(runners=2)
+        setup.runners["r1"].faults.set(lose_connections=1)
+        for n in range(100):
+            self.assertEqual((await entry.ask(f"a{n}", body=b"run_seconds=0.1")).status, 200)
+        # one try each 6 s in the 13 s that the requests take
+        self.assertLessEqual(sum(client.lost for client in setup.clients), 4)
+
 
 class LimitTest(unittest.TestCase):
     @in_virtual_time
--- a/tests/standins/fault.py
+++ b/tests/standins/fault.py
@@ -34,6 +34,7 @@
         "refuse",  # requests answered with 503, not run
         "refuse_seconds",  # time for which the listening socket is closed
         "refuse_connections",  # in memory: connections refused until set back
+        "lose_connections",  # in memory: connections time out until set back
         "fail_everything",  # every started task or request fails
         "freeze",  # requests wait, without effect, until set back
         "leaving",  # nothing new is accepted
@@ -126,11 +127,16 @@
         self._faults = faults
         self.address = address
         self.closed = 0
+        self.lost = 0
 
     async def request(self, method, target, *, body=b"", headers=(), timeout):
         await trio.lowlevel.checkpoint()
         if self._faults.refuse_connections:
             raise TransportError("refused", False)
+        if self._faults.lose_connections:
+            self.lost += 1
+            await trio.sleep(1)
+            raise TransportError("connect_timeout", False)
         fields = {name.lower(): value for name, value in headers}
         request = Request(method, target, fields, body, "memory")
         # like a request on the wire, it takes effect although the caller gave up
