--- a/packages/core/src/ibiscart_core/scheduler.py
+++ b/packages/core/src/ibiscart_core/scheduler.py
@@ -99,12 +99,11 @@
         return Reply(job=job.snapshot())
 
     def _handle_report_member(self, batch, lifecycle, command):
-        ended = command.ended
-        job = self._job(ended.job)
-        # a requeued job has no members any more
-        worker_id = job.members[ended.rank].worker_id if ended.rank < len(job.members) else ""
-        if lifecycle.end_member(job, ended) and ended.outcome == MEMBER_FAILED:
-            self._check_health(batch, worker_id)
+        job = self._job(command.ended.job)
+        # the members are forgotten when the job is queued again
+        workers = [member.worker_id for member in job.members]
+        if lifecycle.end_member(job, command.ended) and command.ended.outcome == MEMBER_FAILED:
+            self._check_health(batch, workers[command.ended.rank])
         return Reply(job=job.snapshot())
 
     # contracts
--- a/packages/entry/src/ibiscart_entry/journal.py
+++ b/packages/entry/src/ibiscart_entry/journal.py
@@ -80,6 +80,8 @@
         self._subscribers = []
         self._confirmed = -math.inf
         self._undecided = None
+        self._answer_lost = False
+        self._store_answers = True
         self._append_lock = trio.Lock()
         self._poll_lock = trio.Lock()
         self._wake = trio.Event()
@@ -103,8 +105,8 @@
 
     @property
     def undecided(self):
-        """Whether an append was sent whose outcome is not known yet."""
-        return self._undecided is not None and self._undecided[2]
+        """Whether an append was sent and its answer was lost, so that its outcome is unknown."""
+        return self._undecided is not None and self._answer_lost
 
     def confirmed_age(self):
         """Returns the seconds since the store last confirmed the position; inf if never.
@@ -183,6 +185,7 @@
                 events=events,
             )
             self._undecided = (record, version, False)
+            self._answer_lost = False
             return await self._resolve()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
@@ -227,6 +230,7 @@
                 if not self._undecided[2]:
                     self._undecided = None
                     raise
+                self._answer_lost = True
                 self._metrics.count("retries", f"append_{error.reason}")
             await trio.sleep(full_jitter(attempt, self._rng))
             attempt += 1
@@ -281,7 +285,7 @@
                 await self._poll()
                 return
             except StoreError as error:
-                LOG.warning("journal: The store is unavailable.", extra={"cause": error.reason})
+                self._note_store(error)
             if await self._catch_up_from_peer():
                 return
             await trio.sleep(0.1 + full_jitter(attempt, self._rng, cap=2.0))
@@ -306,10 +310,21 @@
     async def _poll_quietly(self):
         try:
             await self._poll()
-            return True
         except StoreError as error:
-            LOG.warning("journal: A poll failed.", extra={"cause": error.reason})
+            self._note_store(error)
             return False
+        self._note_store(None)
+        return True
+
+    def _note_store(self, error):
+        """Logs when the store becomes unavailable or available."""
+        if (error is None) == self._store_answers:
+            return
+        self._store_answers = error is None
+        if error is None:
+            LOG.info("journal: The store answers again.")
+        else:
+            LOG.warning("journal: The store is unavailable.", extra={"cause": error.reason})
 
     async def _poll(self):
         async with self._poll_lock:
--- a/tests/demo/caller.py
+++ b/tests/demo/caller.py
@@ -32,7 +32,15 @@
         self._clients = {entry.id: HttpClient(entry.address) for entry in fleet.entries}
 
     async def run(self):
-        """Probes all entries until cancelled."""
+        """Probes all entries until cancelled, then closes its connections."""
+        try:
+            await self._probe()
+        finally:
+            with trio.CancelScope(shield=True):
+                for client in self._clients.values():
+                    await client.aclose()
+
+    async def _probe(self):
         while True:
             ready = []
             for entry in self._fleet.entries:
--- a/tests/entry/test_api.py
+++ b/tests/entry/test_api.py
@@ -429,6 +429,25 @@
 
         self.run_case(case)
 
+    def test_long_poll_ends_when_its_caller_has_gone(self):
+        """Polls of callers that have gone must not use up the places of others."""
+
+        async def case():
+            await self.submit()
+            gone = trio.Event()
+            target = "/v1/accounts/reports/jobs/j1?wait=60"
+            headers = {"authorization": f"Bearer {CALLER}"}
+            request = Request("GET", target, headers, b"", "127.0.0.1", gone.wait)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.api.handle, request)
+                await trio.sleep(1)
+                self.assertEqual(self.api.polls, 1)
+                gone.set()
+                await trio.sleep(0.1)
+                self.assertEqual(self.api.polls, 0)
+
+        self.run_case(case)
+
     def test_poll_after_a_sequence(self):
         """A change between two polls must not be missed."""
 
@@ -444,6 +463,37 @@
 
         self.run_case(case)
 
+    def test_a_miss_is_confirmed_before_it_is_answered(self):
+        """A job that another entry took a moment ago must not be denied."""
+
+        async def case():
+            confirmed = trio.current_time()
+            self.journal.confirmed_age = lambda: trio.current_time() - confirmed
+            target = "/v1/accounts/reports/jobs/j1"
+            answers = []
+
+            async def get():
+                response = await self.call("GET", target, key=CALLER)
+                answers.append((response.status, round(trio.current_time() - start, 1)))
+
+            await trio.sleep(0.5)
+            start = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(get)
+                await trio.sleep(0.3)
+                await self.submit()
+            target = "/v1/accounts/reports/jobs/none"
+            start = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(get)
+                await trio.sleep(0.7)
+                confirmed = trio.current_time()
+            start = trio.current_time()
+            await get()
+            self.assertEqual(answers, [(200, 0.3), (404, 0.7), (503, 3.0)])
+
+        self.run_case(case)
+
     # deadlines and stale views
 
     def test_remaining_time_is_the_deadline(self):
