A gang drives a copy of its job

Cause: the ledger changes its job while a call to a worker is under way; the driver then read the next attempt's members, and an error ended the controller. Change: each phase drives a copy with the members of its own attempt.

--- a/packages/entry/src/ibiscart_entry/gang.py
+++ b/packages/entry/src/ibiscart_entry/gang.py
@@ -6,11 +6,12 @@
 """
 
 import logging
+from copy import copy
 
 import trio
 
 from ibiscart_core.resource import Resources
-from ibiscart_entry.task import TaskError
+from ibiscart_entry.task import TaskError, retry_times
 from ibiscart_schema.generated.journal_pb2 import (
     JOB_STATE_PLACED,
     JOB_STATE_RUNNING,
@@ -33,8 +34,6 @@
 # gone after two leases
 PLACES_SECONDS = 90.0
 START_SECONDS = 10.0
-FIRST_RETRY_SECONDS = 0.1
-LONGEST_RETRY_SECONDS = 1.0
 HELD_RENEWALS = 3
 # an entry that has not confirmed its journal position for this time extends no lease
 STALE_SECONDS = 10.0
@@ -98,7 +97,10 @@
             if self._phase is None:
                 return
             with trio.CancelScope() as self._scope:
-                await self._drive(self._journal.ledger.jobs[self.key])
+                # the ledger changes its job while calls to workers are under way
+                job = copy(self._journal.ledger.jobs[self.key])
+                job.members = list(job.members)
+                await self._drive(job)
                 await trio.sleep_forever()
 
     def _present_phase(self):
@@ -176,7 +178,7 @@
             payload=job.spec.payload,
             resume_from_seconds=job.saved_seconds,
         )
-        retry = self._retry_times()
+        retry = retry_times(self._random)
         while True:
             worker = self._journal.ledger.workers.get(worker_id)
             if worker is None or worker.state in (TARGET_LEAVING, TARGET_LOST):
@@ -275,7 +277,7 @@
                     nursery.start_soon(self._release_member, job, rank)
 
     async def _confirm_held(self, job, worker_id, ranks, states):
-        retry = self._retry_times()
+        retry = retry_times(self._random)
         while True:
             # an entry that was paused must not extend what others have stopped since
             if self._leases.may_extend():
@@ -288,7 +290,7 @@
             states[rank] = answer.get(job.task_id(rank), "lapsed")
 
     async def _release_member(self, job, rank):
-        retry = self._retry_times()
+        retry = retry_times(self._random)
         while True:
             worker = self._journal.ledger.workers[job.members[rank].worker_id]
             try:
@@ -322,7 +324,7 @@
         task_id = job.task_id(rank)
         if job.stop_cause == STOP_PREEMPTED and job.released:
             await self._checkpoint(worker, task_id)
-        retry = self._retry_times()
+        retry = retry_times(self._random)
         while True:
             try:
                 status = await self._calls.stop(worker, task_id, self._settings.stop_seconds)
@@ -378,12 +380,6 @@
         outcome = OUTCOMES[status.state]
         self._reports.add_member(job.key, job.attempt, rank, outcome, status.saved_seconds)
 
-    def _retry_times(self):
-        seconds = FIRST_RETRY_SECONDS
-        while True:
-            yield seconds * self._random.uniform(0.5, 1)
-            seconds = min(seconds * 2, LONGEST_RETRY_SECONDS)
-
 
 _PHASES = {
     JOB_STATE_PLACED: "_start",
--- a/packages/entry/src/ibiscart_entry/task.py
+++ b/packages/entry/src/ibiscart_entry/task.py
@@ -15,12 +15,14 @@
 from ibiscart_entry.client import TransportError
 from ibiscart_schema.generated.target_pb2 import RenewLeases, TaskStatus
 
-__all__ = ["TaskCalls", "TaskError", "parse_task_id"]
+__all__ = ["TaskCalls", "TaskError", "parse_task_id", "retry_times"]
 
 CALLS_AT_ONCE = 128
 # a worker that does not answer must not hold up the calls to the others
 CALLS_TO_ONE_WORKER = 8
 CALL_SECONDS = 1.0
+FIRST_RETRY_SECONDS = 0.1
+LONGEST_RETRY_SECONDS = 1.0
 
 
 class TaskError(Exception):
@@ -212,6 +214,14 @@
     return JobKey(parts[0], parts[1]), int(parts[2]), int(parts[3])
 
 
+def retry_times(random):
+    """Yields the seconds to wait before each repetition of a call, with jitter."""
+    seconds = FIRST_RETRY_SECONDS
+    while True:
+        yield seconds * random.uniform(0.5, 1)
+        seconds = min(seconds * 2, LONGEST_RETRY_SECONDS)
+
+
 def _task_status(fields):
     return ParseDict(fields, TaskStatus(), ignore_unknown_fields=True)
 
--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -11,6 +11,7 @@
 from ibiscart_core.resource import Resources
 from ibiscart_entry.controller import Controller
 from ibiscart_entry.metric import Metrics
+from ibiscart_entry.task import TaskError
 from ibiscart_schema.generated.journal_pb2 import (
     JOB_CANCELLED,
     JOB_COMPLETED,
@@ -462,6 +463,28 @@
         self.assertLess(await setup.wait_state(key, JOB_STATE_ENDED), 4)
         self.assertEqual(setup.running(key), 0)
 
+    @in_virtual_time
+    async def test_job_goes_on_while_a_call_is_under_way(self, setup):
+        """A job that is queued again in the middle of a call must not end the controller."""
+        await setup.start()
+        key = setup.submit("j1", 2, accelerators=8)
+        await setup.wait(lambda: setup.running(key) == 2, 5)
+        calls = setup.entries["e1"].controller._calls
+        stop = calls.stop
+
+        async def late_stop(worker, task_id, timeout):
+            calls.stop = stop
+            for rank in range(2):
+                ended = {"job": key.to_message(), "attempt": 1, "rank": rank, "outcome": 2}
+                setup.region.decide(Command(report_member={"ended": ended}))
+            raise TaskError("timeout")
+
+        calls.stop = late_stop
+        failed = {"job": key.to_message(), "attempt": 1, "rank": 1, "outcome": 1}
+        setup.region.decide(Command(report_member={"ended": failed}))
+        await setup.wait(lambda: setup.job(key).attempt == 2, 5)
+        await setup.wait(lambda: setup.running(key) == 2)
+
     @in_virtual_time
     async def test_lost_answer_to_a_report(self, setup):
         """A report whose answer is lost must take effect once."""
