--- a/packages/entry/src/ibiscart_entry/controller.py
+++ b/packages/entry/src/ibiscart_entry/controller.py
@@ -5,6 +5,8 @@
 Runs the gangs of the ledger on the workers.
 """
 
+import logging
+
 import trio
 
 from ibiscart_core.job import JobKey
@@ -17,6 +19,7 @@
 
 __all__ = ["Controller"]
 
+LOG = logging.getLogger("ibiscart.controller")
 # finds jobs again whose record was missed, and jobs of an entry that has gone
 SWEEP_SECONDS = 1.0
 JOB_EVENTS = ("job_placed", "job_released", "job_stopping", "member_ended")
@@ -134,6 +137,10 @@
         try:
             with scope:
                 await gang.run()
+        except Exception:
+            # the sweep drives it anew; a fault in one job must not end an entry, and then
+            # the next one that takes the job over
+            LOG.exception("controller: A job could not be driven.", extra={"job": repr(gang.key)})
         finally:
             del self._gangs[gang.key]
 
--- a/packages/entry/src/ibiscart_entry/lease.py
+++ b/packages/entry/src/ibiscart_entry/lease.py
@@ -131,11 +131,15 @@
             worker = self._journal.ledger.workers.get(worker_id)
             if worker is None:
                 return
-            if await self._contact(worker, contact):
-                seconds = self._settings.renew_seconds
-            else:
-                seconds = min(PROBE_SECONDS, self._settings.renew_seconds)
-                self._check_lost(worker, contact)
+            seconds = min(PROBE_SECONDS, self._settings.renew_seconds)
+            try:
+                if await self._contact(worker, contact):
+                    seconds = self._settings.renew_seconds
+                else:
+                    self._check_lost(worker, contact)
+            except Exception:
+                # a fault with one worker must not end the renewals of the others
+                LOG.exception("controller: A renewal failed.", extra={"worker": worker_id})
             self._schedule(worker_id, contact, seconds * self._random.uniform(0.9, 1))
         finally:
             contact.busy = False
--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -1,5 +1,6 @@
 """Guards against partially running gangs, lost ends and places given away too early."""
 
+import logging
 import random
 import unittest
 
@@ -485,6 +486,29 @@
         await setup.wait(lambda: setup.job(key).attempt == 2, 5)
         await setup.wait(lambda: setup.running(key) == 2)
 
+    @in_virtual_time
+    async def test_fault_in_one_job_does_not_end_the_others(self, setup):
+        """A programming error that one job meets must not stop the whole entry."""
+        await setup.start()
+        first = setup.submit("j1", 1, accelerators=8)
+        await setup.wait(lambda: setup.running(first) == 1, 5)
+        calls = setup.entries["e1"].controller._calls
+        stop, renew = calls.stop, calls.renew
+
+        async def fail(*values):
+            raise KeyError("fault")
+
+        calls.stop = fail
+        calls.renew = fail
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        setup.region.decide(Command(cancel_job={"job": first.to_message()}))
+        await trio.sleep(15)
+        calls.stop, calls.renew = stop, renew
+        second = setup.submit("j2", 1, accelerators=8)
+        await setup.wait_state(first, JOB_STATE_ENDED, 5)
+        await setup.wait(lambda: setup.running(second) == 1, 5)
+
     @in_virtual_time
     async def test_lost_answer_to_a_report(self, setup):
         """A report whose answer is lost must take effect once."""
