--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -1,5 +1,6 @@
 """Guards against partially running gangs, lost ends and places given away too early."""
 
+import logging
 import random
 import unittest
 
@@ -11,6 +12,7 @@
 from ibiscart_core.resource import Resources
 from ibiscart_entry.controller import Controller
 from ibiscart_entry.metric import Metrics
+from ibiscart_entry.task import TaskError
 from ibiscart_schema.generated.journal_pb2 import (
     JOB_CANCELLED,
     JOB_COMPLETED,
@@ -462,6 +464,51 @@
         self.assertLess(await setup.wait_state(key, JOB_STATE_ENDED), 4)
         self.assertEqual(setup.running(key), 0)
 
+    @in_virtual_time
+    async def test_job_goes_on_while_a_call_is_under_way(self, setup):
+        """A job that is queued again in the middle of a call must not end the controller."""
+        await setup.start()
+        key = setup.submit("j1", 2, accelerators=8)
+        await setup.wait(lambda: setup.running(key) == 2, 5)
+        calls = setup.entries["e1"].controller._calls
+        stop = calls.stop
+
+        async def late_stop(worker, task_id, timeout):
+            calls.stop = stop
+            for rank in range(2):
+                ended = {"job": key.to_message(), "attempt": 1, "rank": rank, "outcome": 2}
+                setup.region.decide(Command(report_member={"ended": ended}))
+            raise TaskError("timeout")
+
+        calls.stop = late_stop
+        failed = {"job": key.to_message(), "attempt": 1, "rank": 1, "outcome": 1}
+        setup.region.decide(Command(report_member={"ended": failed}))
+        await setup.wait(lambda: setup.job(key).attempt == 2, 5)
+        await setup.wait(lambda: setup.running(key) == 2)
+
+    @in_virtual_time
+    async def test_fault_in_one_job_does_not_end_the_others(self, setup):
+        """A programming error that one job meets must not stop the whole entry."""
+        await setup.start()
+        first = setup.submit("j1", 1, accelerators=8)
+        await setup.wait(lambda: setup.running(first) == 1, 5)
+        calls = setup.entries["e1"].controller._calls
+        stop, renew = calls.stop, calls.renew
+
+        async def fail(*values):
+            raise KeyError("fault")
+
+        calls.stop = fail
+        calls.renew = fail
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        setup.region.decide(Command(cancel_job={"job": first.to_message()}))
+        await trio.sleep(15)
+        calls.stop, calls.renew = stop, renew
+        second = setup.submit("j2", 1, accelerators=8)
+        await setup.wait_state(first, JOB_STATE_ENDED, 5)
+        await setup.wait(lambda: setup.running(second) == 1, 5)
+
     @in_virtual_time
     async def test_lost_answer_to_a_report(self, setup):
         """A report whose answer is lost must take effect once."""
@@ -487,5 +534,81 @@
         self.assertEqual(setup.region.working.workers["w0"].state, TARGET_LIVE)
 
 
+class RandomFaultsTest(unittest.TestCase):
+    """Gangs under lost, late and refused calls, frozen workers, takeovers and outages."""
+
+    SEEDS = range(12)
+    JOBS = 16
+
+    def check(self, seed):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                setup = Setup(nursery, seed)
+                await self.run_jobs(setup, random.Random(seed))
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def run_jobs(self, setup, randoms):
+        await setup.start(entries=("e1", "e2", "e3"), accelerators=4)
+        keys = []
+        for number in range(self.JOBS):
+            members = randoms.choice([1, 2, 4])
+            payload = f"run_seconds={randoms.uniform(1, 60):.1f}"
+            keys.append(setup.submit(f"j{number}", members, accelerators=2, payload=payload))
+        for _ in range(60):
+            await trio.sleep(randoms.uniform(0.1, 3))
+            await self.disturb(setup, randoms, keys)
+            self.assertEqual(setup.check_capacity(), 0, f"seed {setup.seed}")
+        for worker in setup.workers.values():
+            worker.faults.set(**dict.fromkeys(worker.faults.FIELDS, 0))
+        setup.region.outage = False
+        for entry in setup.entries.values():
+            entry.journal.paused = False
+            entry.journal.follow()
+        for key in keys:
+            await setup.wait_state(key, JOB_STATE_ENDED, 3600)
+        self.assertEqual(setup.check_capacity(), 0, f"seed {setup.seed}")
+        self.check_runs(setup, keys)
+
+    async def disturb(self, setup, randoms, keys):
+        faults = randoms.choice(list(setup.workers.values())).faults
+        what = randoms.randrange(9)
+        if what < 3:
+            faults.set(drop_answers=randoms.randint(1, 3))
+        elif what == 3:
+            faults.set(delay_seconds=randoms.choice([0, 0, 0.3, 1.5]))
+        elif what == 4:
+            faults.set(freeze=randoms.choice([0, 0, 1]))
+        elif what == 5:
+            faults.set(refuse_connections=randoms.choice([0, 0, 1]))
+        elif what == 6:
+            setup.region.outage = randoms.random() < 0.3
+        elif what == 7:
+            setup.region.decide(Command(cancel_job={"job": randoms.choice(keys).to_message()}))
+        elif len(setup.network.live) > 1 and len(setup.entries) < 8:
+            setup.kill(randoms.choice(setup.network.live))
+            await setup.start_entry(f"e{len(setup.entries) + 1}")
+
+    def check_runs(self, setup, keys):
+        for key in keys:
+            seen = set()
+            for worker in setup.workers.values():
+                for action in worker.record.actions:
+                    if (action.account, action.request_id) == (key.account, key.request_id):
+                        item = (action.action, action.attempt, action.rank)
+                        self.assertNotIn(item, seen, f"seed {setup.seed}")
+                        seen.add(item)
+            job = setup.job(key)
+            if job.outcome == JOB_COMPLETED:
+                completed = {r for a, n, r in seen if a == "completed" and n == job.attempt}
+                self.assertEqual(len(completed), job.shape.members, f"seed {setup.seed}")
+
+    def test_no_place_is_used_twice_and_every_job_ends(self):
+        """Combined faults must neither overload a worker, nor run a task twice, nor hang."""
+        for seed in self.SEEDS:
+            self.check(seed)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/entry/test_lease.py
+++ b/tests/entry/test_lease.py
@@ -121,6 +121,29 @@
         self.assertIn(MEMBER_LAPSED, [e.outcome for e in ended])
         self.assertEqual(setup.running(key), 0)
 
+    @in_virtual_time
+    async def test_renewal_without_an_answer_extends_the_wait(self, setup):
+        """A renewal that took effect without an answer keeps its task running longer (P2)."""
+        await setup.start(workers=1)
+        worker = setup.workers["w0"]
+        handle, silent = worker.handle, []
+
+        async def silent_renewals(request):
+            if silent and request.path != "/v1/leases":
+                await trio.sleep_forever()
+            response = await handle(request)
+            if silent:
+                await trio.sleep_forever()
+            return response
+
+        worker.handle = silent_renewals
+        key = setup.submit("j1", 1, accelerators=8)
+        await setup.wait(lambda: setup.running(key) == 1, 5)
+        await trio.sleep(25)
+        silent.append(True)
+        await setup.wait(lambda: setup.region.events("member_ended"))
+        self.assertEqual(setup.running(key), 0)
+
     @in_virtual_time
     async def test_takeover_counts_the_lease_anew(self, setup):
         """An entry that takes over cannot know when the one before last extended a lease."""
@@ -219,6 +242,19 @@
         self.assertIn(("w0", TARGET_LEAVING, "own_answer"), signs)
         key = setup.submit("j1", 1)
         self.assertEqual(setup.job(key).members[0].worker_id, "w1")
+        # the worker was started anew
+        setup.workers["w0"].faults.set(leaving=0)
+        await setup.wait(lambda: worker.state == TARGET_LIVE, 11)
+
+    @in_virtual_time
+    async def test_sign_that_the_journal_does_not_have(self, setup):
+        """A sign about a worker that answers must not keep it without work for ever."""
+        await setup.start(workers=1)
+        signs = setup.entries["e1"].peers.signs
+        signs.report("w0", TARGET_LEAVING, "connection_refused")
+        await setup.wait(lambda: signs.eligible("w0"), 45)
+        key = setup.submit("j1", 1)
+        await setup.wait(lambda: setup.running(key) == 1, 5)
 
     @in_virtual_time
     async def test_sign_by_a_refused_connection(self, setup):
