Readiness waits for a share of the quotas

Change: /ready answers 503 until one grant has settled; later grants do not turn it off, since that would take all entries out at once.

--- a/packages/entry/src/ibiscart_entry/dispatcher.py
+++ b/packages/entry/src/ibiscart_entry/dispatcher.py
@@ -72,6 +72,7 @@
         self._metrics = metrics
         self._budget = budget
         self._open = set()
+        self._has_settled = False
         self._probe = RunnerProbe(entry_id, peers, membership, metrics, connect)
         self._quotas = Quotas(entry_id, settings, journal, peers, membership)
         self.shares = self._quotas.shares
@@ -99,9 +100,14 @@
 
     @property
     def ready(self):
-        """Whether this entry has shares that it may use."""
+        """Whether this entry has shares that it may use.
+
+        Later grants lower the shares at most for a while, so one settled grant is enough;
+        otherwise each change of the entries would make all of them not ready at once.
+        """
+        self._has_settled = self._has_settled or self.shares.settled
         named = self._quotas.entry_id in self.shares.entries
-        return named and self.shares.usable and self.shares.settled
+        return named and self.shares.usable and self._has_settled
 
     @property
     def running(self):
--- a/packages/entry/src/ibiscart_entry/route.py
+++ b/packages/entry/src/ibiscart_entry/route.py
@@ -49,6 +49,15 @@
             return "journal position not confirmed"
         return ""
 
+    def unbalanced_cause(self):
+        """Returns why the load balancer must not send here, or an empty text.
+
+        Without shares only short requests are refused, so the entry still serves the rest.
+        """
+        if cause := self.unready_cause():
+            return cause
+        return "" if self.dispatcher.ready else "no share of the quotas yet"
+
 
 class Route:
     """One method on one path.
--- a/packages/entry/src/ibiscart_entry/routes/probe.py
+++ b/packages/entry/src/ibiscart_entry/routes/probe.py
@@ -26,7 +26,7 @@
 
     async def ready(self, call):
         """Tells the load balancer whether to send requests here."""
-        cause = self._services.unready_cause()
+        cause = self._services.unbalanced_cause()
         return self._reply(call, {"ready": not cause, "cause": cause}, 503 if cause else 200)
 
     async def metrics(self, call):
--- a/tests/entry/test_api.py
+++ b/tests/entry/test_api.py
@@ -92,6 +92,7 @@
 
 class FakeDispatcher:
     def __init__(self):
+        self.ready = True
         self.calls = []
         self.hang = False
 
@@ -554,6 +555,16 @@
 
         self.run_case(case)
 
+    def test_entry_without_shares_gets_no_traffic(self):
+        """A load balancer must not send short requests to an entry that refuses them."""
+
+        async def case():
+            self.dispatcher.ready = False
+            self.assertEqual((await self.call("GET", "/ready", key=None)).status, 503)
+            self.assertEqual((await self.call("GET", "/v1/accounts/reports/jobs")).status, 200)
+
+        self.run_case(case)
+
     def test_unloaded_entry_is_not_ready(self):
         """Before the journal is loaded every key would seem unknown."""
 
