Refuse jobs above the burst limit on cpu at submission

Cause: admission compared only accelerators with the burst limit. A job with more cpu than burst_cpu_millis and no guarantee was queued for ever.

Change: both limits are checked, with the same error.

Switched off in a scratch copy: without the cpu check test_refuses_what_the_burst_limits_never_allow fails; with guarantees ignored test_admits_what_a_guarantee_covers_above_the_burst_limits fails.

--- a/packages/core/src/ibiscart_core/admission.py
+++ b/packages/core/src/ibiscart_core/admission.py
@@ -18,15 +18,19 @@
     """
     guarantees = [r for r in account.reservations.values() if r.shape.covers(shape)]
     contract = account.contract
-    if not guarantees and shape.accelerators > contract.burst_accelerators:
-        raise IbiscartError(
-            ErrorKind.OVER_LIMIT,
-            "no guarantee covers this shape and it exceeds the burst limit; "
-            "ask an operator to change the contract",
-            field="shape",
-            value=f"{shape.accelerators} accelerators",
-            bound=f"burst_accelerators={contract.burst_accelerators}",
-        )
+    for amount, unit, bound in (
+        (shape.accelerators, "accelerators", "burst_accelerators"),
+        (shape.total.cpu_millis, "millicores", "burst_cpu_millis"),
+    ):
+        if not guarantees and amount > getattr(contract, bound):
+            raise IbiscartError(
+                ErrorKind.OVER_LIMIT,
+                "no guarantee covers this shape and it exceeds the burst limit; "
+                "ask an operator to change the contract",
+                field="shape",
+                value=f"{amount} {unit}",
+                bound=f"{bound}={getattr(contract, bound)}",
+            )
     if not _possible(ledger, shape):
         raise IbiscartError(
             ErrorKind.IMPOSSIBLE_SHAPE,
--- /dev/null
+++ b/tests/core/test_admission.py
@@ -0,0 +1,34 @@
+"""Guards the queues against jobs that could never be placed."""
+
+import unittest
+
+from tests.core.world import World, put_contract, register, shape, submit
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_refuses_what_the_burst_limits_never_allow(self):
+        """A job above its account's limit on accelerators or cpu would wait for ever."""
+        world = World()
+        world.send(register(1, 2))
+        world.send(put_contract("leith", 0, accelerators=4, cpu_millis=8000))
+        for job_shape, bound in (
+            (shape(1, 5, 1000), "burst_accelerators=4"),
+            (shape(3, 1, 3000), "burst_cpu_millis=8000"),
+        ):
+            error = world.send(submit("leith", "a", job_shape))[0].error
+            self.assertEqual((error.code, error.bound), ("over_limit", bound))
+        self.assertFalse(world.send(submit("leith", "b", shape(2, 2, 4000)))[0].HasField("error"))
+
+    def test_admits_what_a_guarantee_covers_above_the_burst_limits(self):
+        """Burst limits must not keep an account from its guarantee."""
+        world = World()
+        world.send(register(1, 2))
+        guarantees = [("a", shape(1, 8, 8000), 1)]
+        world.send(put_contract("perth", 0, guarantees, accelerators=0, cpu_millis=0))
+        reply = world.send(submit("perth", "a", shape(1, 8, 8000)))[0]
+        self.assertFalse(reply.HasField("error"), reply.error)
+        self.assertEqual(len(world.events_of("job_placed")), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
