--- a/Makefile
+++ b/Makefile
@@ -6,13 +6,14 @@
 export PYTHONPATH := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src:)$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: help setup demo test lint format generate generated-check measure clean
+.PHONY: help setup demo test lint format generate generated-check measure prove clean
 
 help:
 	@echo "make demo     start stand-ins, entries and a load on loopback, and check every answer"
 	@echo "make test     run all tests"
 	@echo "make lint     check format and lint"
 	@echo "make measure  replay all recorded traces and write the table of measures"
+	@echo "make prove    switch each mechanism off and check that its tests fail"
 	@echo "make generate write the generated code again from the schema"
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
@@ -46,5 +47,8 @@
 measure: setup
 	$(BIN)/python -m ibiscart_cli.main measure traces --output docs/measures
 
+prove: setup
+	$(BIN)/python tools/prove.py
+
 clean:
 	rm -rf $(VENV) build
