Count the bytes on sockets by kind of counterpart

HTTP heads are most of a heartbeat.

HttpClient and HttpServer take a Traffic, whose bytes Metrics shows as wire_bytes_sent and wire_bytes_received for peers, table, objects, workers, runners, members and callers. bytes_sent stays as it is.

--- a/packages/entry/src/ibiscart_entry/client.py
+++ b/packages/entry/src/ibiscart_entry/client.py
@@ -9,6 +9,7 @@
 import trio
 
 from ibiscart_entry.connection import readable
+from ibiscart_entry.metric import Traffic
 
 __all__ = ["HttpClient", "Response", "TransportError"]
 
@@ -47,7 +48,10 @@
 
 
 class HttpClient:
-    """Sends requests to one ``ip:port`` address over at most ``max_connections``."""
+    """Sends requests to one ``ip:port`` address over at most ``max_connections``.
+
+    ``traffic`` is the ``Traffic`` to which its bytes are added.
+    """
 
     def __init__(
         self,
@@ -56,6 +60,7 @@
         max_connections=64,
         connect_timeout=CONNECT_TIMEOUT_SECONDS,
         max_body_bytes=MAX_BODY_BYTES,
+        traffic=None,
     ):
         self._host, port = address.rsplit(":", 1)
         self._host = self._host.strip("[]")
@@ -66,6 +71,7 @@
         self._limit = trio.CapacityLimiter(max_connections)
         self._idle = []
         self._closed = False
+        self._traffic = Traffic() if traffic is None else traffic
 
     @property
     def address(self):
@@ -161,10 +167,12 @@
         data = b"".join(connection.send(event) for event in events)
         try:
             await stream.send_all(data)
+            self._traffic.add_sent(len(data))
         except trio.BrokenResourceError:
             # the bytes that are still unread may hold the reason
             with trio.move_on_after(EARLY_ANSWER_SECONDS):
                 data = await stream.receive_some(READ_BYTES)
+                self._traffic.add_received(len(data))
                 if data:
                     connection.receive_data(data)
                     return
@@ -178,6 +186,7 @@
             event = connection.next_event()
             if event is h11.NEED_DATA:
                 data = await stream.receive_some(READ_BYTES)
+                self._traffic.add_received(len(data))
                 if not data:
                     # responses have a stated length, so none is complete here
                     raise TransportError("truncated", True)
--- a/packages/entry/src/ibiscart_entry/connection.py
+++ b/packages/entry/src/ibiscart_entry/connection.py
@@ -10,6 +10,8 @@
 import h11
 import trio
 
+from ibiscart_entry.metric import Traffic
+
 __all__ = ["MAX_HEADER_BYTES", "Connection", "readable"]
 
 READ_BYTES = 65536
@@ -23,11 +25,15 @@
 
 
 class Connection:
-    """An accepted stream with its h11 state; ``send_timeout`` is in seconds per answer."""
+    """An accepted stream with its h11 state; ``send_timeout`` is in seconds per answer.
+
+    ``traffic`` is the ``Traffic`` to which its bytes are added.
+    """
 
-    def __init__(self, stream, send_timeout):
+    def __init__(self, stream, send_timeout, traffic=None):
         self._stream = stream
         self._send_timeout = send_timeout
+        self._traffic = Traffic() if traffic is None else traffic
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
 
     @property
@@ -51,7 +57,7 @@
     async def wait_data(self):
         """Waits for the first bytes of a request, or the end of the stream."""
         if not self.has_data:
-            self._h11.receive_data(await self._stream.receive_some(READ_BYTES))
+            self._h11.receive_data(await self._read())
 
     async def wait_closed(self):
         """Waits until the caller has ended its side; for ever after bytes that came early."""
@@ -71,8 +77,8 @@
                 return event
             if self._h11.they_are_waiting_for_100_continue:
                 go_ahead = h11.InformationalResponse(status_code=100, headers=[])
-                await self._stream.send_all(self._h11.send(go_ahead))
-            self._h11.receive_data(await self._stream.receive_some(READ_BYTES))
+                await self._write(self._h11.send(go_ahead))
+            self._h11.receive_data(await self._read())
 
     async def respond(self, response, close, head_only=False):
         """Sends a whole response; raises ``trio.TooSlowError`` when the caller does not read."""
@@ -93,7 +99,7 @@
             data += self._h11.send(h11.Data(data=body))
         data += self._h11.send(h11.EndOfMessage())
         with trio.fail_after(self._send_timeout):
-            await self._stream.send_all(data)
+            await self._write(data)
 
     def next_cycle(self):
         """Prepares for the next request; returns False when the connection must close."""
@@ -106,9 +112,18 @@
         """Ends the sent side and discards input for a bounded time."""
         with trio.move_on_after(LINGER_SECONDS):
             await self._stream.send_eof()
-            while await self._stream.receive_some(READ_BYTES):
+            while await self._read():
                 pass
 
+    async def _read(self):
+        data = await self._stream.receive_some(READ_BYTES)
+        self._traffic.add_received(len(data))
+        return data
+
+    async def _write(self, data):
+        await self._stream.send_all(data)
+        self._traffic.add_sent(len(data))
+
 
 def readable(socket):
     """Tells whether a socket holds bytes, its end or a waiting connection."""
--- a/packages/entry/src/ibiscart_entry/metric.py
+++ b/packages/entry/src/ibiscart_entry/metric.py
@@ -10,7 +10,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-__all__ = ["Metrics"]
+__all__ = ["Metrics", "Traffic"]
 
 LOG = logging.getLogger("ibiscart.metric")
 LOWEST_US = 1
@@ -18,6 +18,32 @@
 SIGNIFICANT_DIGITS = 2
 QUANTILES = (0.5, 0.95, 0.99)
 REASONS_KEPT = 200
+COUNTERPARTS = frozenset({"peers", "table", "objects", "workers", "runners", "members", "callers"})
+
+
+class Traffic:
+    """Bytes exchanged with one kind of counterpart.
+
+    Counts what sockets accept and deliver, so TCP and IP headers and retransmissions are left
+    out. It is called for each read and write; one dictionary update keeps it cheap.
+    """
+
+    __slots__ = ("_counterpart", "_received", "_sent")
+
+    def __init__(self, counterpart="", sent=None, received=None):
+        self._counterpart = counterpart
+        self._sent = {} if sent is None else sent
+        self._received = {} if received is None else received
+        self._sent.setdefault(counterpart, 0)
+        self._received.setdefault(counterpart, 0)
+
+    def add_sent(self, size):
+        """Adds bytes that a socket has accepted."""
+        self._sent[self._counterpart] += size
+
+    def add_received(self, size):
+        """Adds bytes that a socket has delivered."""
+        self._received[self._counterpart] += size
 
 
 class Metrics:
@@ -43,6 +69,8 @@
         "share_loans": ("outcome", "Loans of shares between entries."),
         "dropped": ("what", "Items dropped because a bounded buffer was full."),
         "bytes_sent": ("to", "Payload bytes sent."),
+        "wire_bytes_sent": ("to", "Bytes written to sockets, HTTP heads included."),
+        "wire_bytes_received": ("from", "Bytes read from sockets, HTTP heads included."),
     }
     LATENCIES = {
         "request_seconds": ("route", "Time to answer a request."),
@@ -68,6 +96,13 @@
         """Returns the value of a counter."""
         return self._counters[name].get(reason, 0)
 
+    def traffic(self, counterpart):
+        """Returns the ``Traffic`` of one of ``COUNTERPARTS``; another name is an error."""
+        if counterpart not in COUNTERPARTS:
+            raise KeyError(counterpart)
+        sent, received = self._counters["wire_bytes_sent"], self._counters["wire_bytes_received"]
+        return Traffic(counterpart, sent, received)
+
     def observe(self, name, label, seconds):
         """Adds a latency in seconds."""
         values = self._latencies[name]
--- a/packages/entry/src/ibiscart_entry/process.py
+++ b/packages/entry/src/ibiscart_entry/process.py
@@ -5,6 +5,7 @@
 Builds and supervises the tasks of one entry process.
 """
 
+import functools
 import logging
 import random
 import time
@@ -47,7 +48,11 @@
     def __init__(self, settings):
         self._settings = settings
         self._metrics = metrics = Metrics()
-        self._membership = Membership.from_config(settings.membership, HttpClient)
+
+        def connect(counterpart):
+            return functools.partial(HttpClient, traffic=metrics.traffic(counterpart))
+
+        self._membership = Membership.from_config(settings.membership, connect("members"))
         signs = TargetSigns()
         self._peers = Peers(
             settings.entry_id,
@@ -57,10 +62,11 @@
             metrics,
             key=settings.peer_key,
             signs=signs,
+            connect=connect("peers"),
         )
         budget = StoreBudget.from_config(settings.store)
-        table = HttpTable.from_config(settings.store, HttpClient, budget, metrics)
-        objects = ObjectStore.from_config(settings.store, HttpClient, budget, metrics)
+        table = HttpTable.from_config(settings.store, connect("table"), budget, metrics)
+        objects = ObjectStore.from_config(settings.store, connect("objects"), budget, metrics)
         self._journal = Journal(
             settings.region,
             table,
@@ -93,6 +99,7 @@
             metrics,
             budget=RetryBudget(settings.dispatch.retry_budget_share),
             random=rng,
+            connect=connect("runners"),
         )
         self._peers.position = self._position
         self._controller = Controller(
@@ -103,6 +110,7 @@
             self._peers,
             metrics,
             random=rng,
+            connect=connect("workers"),
         )
         self._api = Api(
             settings,
@@ -118,8 +126,11 @@
             settings.server,
             self._count_refusal,
             answer_headers=self._api.answer_headers,
+            traffic=metrics.traffic("callers"),
+        )
+        self._peer_server = HttpServer(
+            self._peers.handle, _peer_server_settings(settings), traffic=metrics.traffic("peers")
         )
-        self._peer_server = HttpServer(self._peers.handle, _peer_server_settings(settings))
         self._recorder = Recorder.from_config(settings, self._journal, objects, metrics)
         if self._recorder is not None:
             self._writer.on_batch = self._recorder.add_commands
--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -88,14 +88,18 @@
 
     ``settings`` is a ``ServerSettings`` message. ``on_error`` is called with each
     ``ErrorKind`` that is answered. ``answer_headers`` returns headers for the answers that
-    the server gives without the handler.
+    the server gives without the handler. ``traffic`` is the ``Traffic`` to which its bytes are
+    added.
     """
 
-    def __init__(self, handler, settings, on_error=lambda kind: None, *, answer_headers=list):
+    def __init__(
+        self, handler, settings, on_error=lambda kind: None, *, answer_headers=list, traffic=None
+    ):
         self._handler = handler
         self._settings = settings
         self._on_error = on_error
         self._answer_headers = answer_headers
+        self._traffic = traffic
         self._connections = 0
         self._requests = 0
         self._buffered = 0
@@ -188,7 +192,7 @@
                     nursery.start_soon(self._serve_stream, stream)
 
     async def _serve_stream(self, stream):
-        connection = Connection(stream, self._settings.body_timeout_seconds)
+        connection = Connection(stream, self._settings.body_timeout_seconds, self._traffic)
         limit = self._settings.max_connections
         try:
             if self._connections <= limit:
--- a/tests/entry/test_client.py
+++ b/tests/entry/test_client.py
@@ -6,6 +6,7 @@
 import trio
 
 from ibiscart_entry.client import HttpClient, TransportError
+from ibiscart_entry.metric import Metrics
 from ibiscart_entry.server import HttpServer, Response
 from ibiscart_schema.generated.settings_pb2 import ServerSettings
 
@@ -219,6 +220,28 @@
 
         trio.run(main)
 
+    def test_counted_bytes_include_heads(self):
+        """Counts without heads would leave out most of a heartbeat or a renewal."""
+        metrics = Metrics()
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n" + b"x" * 2000
+        seen = []
+
+        async def script(stream):
+            seen.append(await stream.receive_some(65536))
+            await stream.send_all(answer)
+            await trio.sleep(1)
+
+        async def main():
+            async with scripted(script) as (client, _):
+                traffic = metrics.traffic("workers")
+                counted = HttpClient(client.address, traffic=traffic)
+                await counted.request("POST", "/v1/tasks", body=b"y" * 300, timeout=1)
+
+        trio.run(main)
+        self.assertGreater(len(seen[0]), 300)
+        self.assertEqual(metrics.value("wire_bytes_sent", "workers"), len(seen[0]))
+        self.assertEqual(metrics.value("wire_bytes_received", "workers"), len(answer))
+
     def test_body_bound(self):
         """A target must not fill this process's memory."""
 
--- a/tests/entry/test_metric.py
+++ b/tests/entry/test_metric.py
@@ -48,12 +48,26 @@
         counted = [line for line in lines if line.startswith("ibiscart_queue_seconds_count")]
         self.assertLessEqual(len(counted), REASONS_KEPT + 1)
 
+    def test_traffic_of_one_counterpart_adds_up(self):
+        """Many clients call the workers; each must add to the same counter."""
+        metrics = Metrics()
+        for size in (10, 20):
+            metrics.traffic("workers").add_sent(size)
+            metrics.traffic("workers").add_received(2 * size)
+        metrics.traffic("peers").add_sent(1)
+        text = metrics.render()
+        self.assertIn('ibiscart_wire_bytes_sent_total{to="workers"} 30', text)
+        self.assertIn('ibiscart_wire_bytes_received_total{from="workers"} 60', text)
+        self.assertIn('ibiscart_wire_bytes_sent_total{to="peers"} 1', text)
+
     def test_unknown_names_are_errors(self):
         """A misspelt counter would stay at zero unnoticed."""
         with self.assertRaises(KeyError):
             Metrics().count("retrys")
         with self.assertRaises(KeyError):
             Metrics().observe("seconds", "a", 1)
+        with self.assertRaises(KeyError):
+            Metrics().traffic("worker")
 
     def test_latencies(self):
         """Quantiles must lie within the precision of the histogram."""
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -11,6 +11,7 @@
 import trio
 
 from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_entry.metric import Metrics
 from ibiscart_entry.server import HttpServer, Response
 from ibiscart_schema.generated.settings_pb2 import ServerSettings
 
@@ -533,6 +534,25 @@
 
         trio.run(main)
 
+    def test_counted_bytes_include_heads(self):
+        """Refused and malformed requests cost the network as much as answered ones."""
+
+        async def main():
+            metrics = Metrics()
+            server = HttpServer(echo, settings(), traffic=metrics.traffic("peers"))
+            sent = received = 0
+            async with trio.open_nursery() as nursery:
+                rig = Rig(server, await nursery.start(server.serve), [])
+                closing = GET.replace(b"host: a", b"host: a\r\nconnection: close")
+                for data in (closing, b"garbage\r\n\r\n"):
+                    received += len(await rig.exchange(data))
+                    sent += len(data)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(metrics.value("wire_bytes_received", "peers"), sent)
+            self.assertEqual(metrics.value("wire_bytes_sent", "peers"), received)
+
+        trio.run(main)
+
     def test_several_waiters_are_woken(self):
         """A second waiter must not replace the event of the first."""
 
