--- a/tests/capacity/hotspot.py
+++ b/tests/capacity/hotspot.py
@@ -19,7 +19,9 @@
 SETTLE_SECONDS = 10
 END_SECONDS = 15
 SHOWN = 25
-PACKAGE = re.compile(r"(?:site-packages/|lib/python[0-9.]+/|packages/\w+/src/)([^/]+)")
+PACKAGE = re.compile(
+    r"(?:site-packages/|lib/python[0-9.]+/(?!site-packages)|packages/\w+/src/)([^/]+)"
+)
 
 
 class ProfiledFleet(CapacityFleet):
@@ -33,8 +35,8 @@
         # the settings are written by the start of an unprofiled entry
         super().start_entry(entry)
         entry.child.stop()
-        arguments = ["-m", "cProfile", "-o", str(self.profile), "-m", "ibiscart_entry.main"]
-        entry.child = Child(entry.id, [*arguments, str(path)], self.folder)
+        arguments = ["-m", "tests.capacity.profiled", str(self.profile), str(path)]
+        entry.child = Child(entry.id, arguments, self.folder)
         self.children[entry.id] = entry.child
 
     @property
@@ -50,10 +52,10 @@
         await fleet.start()
         await trio.sleep(SETTLE_SECONDS)
         entry = fleet.entries[0]
+        entry.child.send(signal.SIGUSR1)
         before = await fleet.read(entry)
         await trio.sleep(options.seconds)
         after = await fleet.read(entry)
-        seconds = options.seconds + SETTLE_SECONDS
         entry.child.send(signal.SIGTERM)
         with trio.move_on_after(END_SECONDS):
             while entry.child.running:
@@ -61,7 +63,7 @@
         stats = pstats.Stats(str(fleet.profile)).stats
     finally:
         fleet.stop()
-    print(f"{options.entries} entries, {options.workers} workers, about {seconds:.0f} s")
+    print(f"{options.entries} entries, {options.workers} workers, {options.seconds:.0f} s")
     print(f"under the profiler: {after.processor_share(before):.2f} % of a core")
     print_profile(stats)
 
@@ -73,7 +75,7 @@
     for (file, line, name), (_, calls, own, _, _) in stats.items():
         match = PACKAGE.search(file)
         package = match[1].removesuffix(".py") if match else "built in"
-        if name in ("<method 'poll' of 'select.epoll' objects>",):
+        if name == "<method 'poll' of 'select.epoll' objects>":
             package = "waiting"
         packages[package] = packages.get(package, 0) + own
         functions.append((own, calls, f"{pathlib.Path(file).name}:{line} {name}"))
