Render latencies in one pass over each histogram

The histogram's mean and each quantile visit all buckets in Python, so one answer to GET /metrics held the event loop of an entry for 150 ms; at one reading in 10 s that is 1.5 % of a core out of 3.1 %.

--- a/packages/entry/src/ibiscart_entry/metric.py
+++ b/packages/entry/src/ibiscart_entry/metric.py
@@ -109,8 +109,9 @@
         if label not in values:
             if len(values) >= REASONS_KEPT:
                 label = "other"
-            values.setdefault(label, HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS))
-        values[label].record_value(min(HIGHEST_US, max(LOWEST_US, int(seconds * 1e6))))
+            if label not in values:
+                values[label] = _Latency()
+        values[label].add(min(HIGHEST_US, max(LOWEST_US, int(seconds * 1e6))))
 
     def gauge(self, name, read, text=""):
         """Registers a function that returns the present value of a gauge."""
@@ -137,15 +138,42 @@
         label, text = self.LATENCIES[name]
         yield f"# HELP ibiscart_{name} {text}"
         yield f"# TYPE ibiscart_{name} summary"
-        for key, histogram in sorted(values.items()):
+        for key, latency in sorted(values.items(), key=lambda item: item[0]):
             pair = f'{label}="{_escape(key)}"'
-            for quantile in QUANTILES:
-                value = histogram.get_value_at_percentile(quantile * 100) / 1e6
-                yield f'ibiscart_{name}{{{pair},quantile="{quantile}"}} {value:.6f}'
-            count = histogram.get_total_count()
-            total = histogram.get_mean_value() * count / 1e6
-            yield f"ibiscart_{name}_sum{{{pair}}} {total:.6f}"
-            yield f"ibiscart_{name}_count{{{pair}}} {count}"
+            for quantile, value in latency.quantiles():
+                yield f'ibiscart_{name}{{{pair},quantile="{quantile}"}} {value / 1e6:.6f}'
+            yield f"ibiscart_{name}_sum{{{pair}}} {latency.total_us / 1e6:.6f}"
+            yield f"ibiscart_{name}_count{{{pair}}} {latency.count}"
+
+
+class _Latency:
+    """Histogram of one latency in microseconds, with its exact sum.
+
+    The histogram's own mean visits every bucket in Python, which took most of the time of
+    ``Metrics.render``.
+    """
+
+    __slots__ = ("_histogram", "total_us")
+
+    def __init__(self):
+        self._histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+        self.total_us = 0
+
+    @property
+    def count(self):
+        """Number of values."""
+        return self._histogram.get_total_count()
+
+    def add(self, value_us):
+        """Adds a value between the histogram's bounds."""
+        self._histogram.record_value(value_us)
+        self.total_us += value_us
+
+    def quantiles(self):
+        """Returns (quantile, value) pairs, found in one pass over the buckets."""
+        percentiles = [quantile * 100 for quantile in QUANTILES]
+        found = self._histogram.get_percentile_to_value_dict(percentiles)
+        return [(quantile, found[quantile * 100]) for quantile in QUANTILES]
 
 
 def _read(read):
--- a/tests/entry/test_metric.py
+++ b/tests/entry/test_metric.py
@@ -78,6 +78,7 @@
         for quantile, expected in (("0.5", 0.5), ("0.95", 0.95), ("0.99", 0.99)):
             self.assertAlmostEqual(float(found[quantile]), expected, delta=expected * 0.02)
         self.assertIn('ibiscart_request_seconds_count{route="a"} 1000', metrics.render())
+        self.assertIn('ibiscart_request_seconds_sum{route="a"} 500.5', metrics.render())
 
 
 if __name__ == "__main__":
