Stop a gang when a member's fault is seen, before it is on record

Cause: the other members of a gang were stopped only after a JobStopping record, so while the table service was down they ran on without the failed one (P2).

Ruled out: telling the driver to stop them. The message can be lost and the driver may be separated from the entry that saw the fault; calls to workers are idempotent by task id, so the entry that saw it can send the stops itself. Ordering the reports of one entry does not order those of two.

Change: every end that an entry reports passes ibiscart_entry.stop, which stops the other members of that attempt unless the outcome is completed, and repeats the stops until they are answered or the ledger shows the stop. An attempt that is being stopped is neither renewed nor released by this entry. The task id names the attempt, and the ledger must still be at that attempt, so a stale entry cannot reach a later one. When a stop is recorded before the fault, the job still ends with reason member_failed. The player of the replay stops the others in the same way, and random traces now mix failing members with outages.

Conclusion: a gang runs in part for at most the time until a visit to the worker shows the fault, whether or not the store answers.

--- a/packages/core/src/ibiscart_core/lifecycle.py
+++ b/packages/core/src/ibiscart_core/lifecycle.py
@@ -150,7 +150,11 @@
             self._settle_stopped(job, outcomes)
 
     def _settle_stopped(self, job, outcomes):
-        reason = STOP_REASONS[job.stop_cause]
+        cause = job.stop_cause
+        if cause == STOP_WORKER_LOST and MEMBER_FAILED in outcomes:
+            # the others are stopped at once, and their ends may be recorded before the fault
+            cause = STOP_MEMBER_FAILED
+        reason = STOP_REASONS[cause]
         if job.stop_cause == STOP_CANCELLED:
             self._end(job, JOB_CANCELLED, _ran(job), reason)
         elif not job.released:
--- a/packages/core/src/ibiscart_core/player.py
+++ b/packages/core/src/ibiscart_core/player.py
@@ -153,6 +153,18 @@
         }
         command = Command(report_member={"ended": ended})
         self._at(now_us + REPORT_US, self._submit, command)
+        if outcome != MEMBER_COMPLETED:
+            # the entry that sees the fault stops the others without waiting for a record
+            self._at(now_us + REPORT_US, self._stop_others, attempt)
+
+    def _stop_others(self, now_us, attempt):
+        if self._current(attempt, JOB_STATE_RUNNING) is None:
+            return
+        job = self._ledger.jobs[attempt[0]]
+        for rank in job.open_members:
+            if rank not in self._over[attempt]:
+                self.calls += 1
+                self._at(now_us + STOP_US, self._end, (attempt, rank, MEMBER_STOPPED, 0.0))
 
     def _on_job_stopping(self, event, now_us):
         attempt = (JobKey.from_message(event.job), event.attempt)
@@ -165,6 +177,8 @@
             saved_seconds = job.saved_seconds + (now_us - job.released_us) / 1e6
             delay_us += CHECKPOINT_US
         for rank in job.open_members:
+            if rank in self._over.get(attempt, ()):
+                continue
             self.calls += 1 + preempted
             ending = (attempt, rank, MEMBER_STOPPED, saved_seconds)
             self._at(now_us + delay_us, self._end, ending)
--- a/packages/entry/src/ibiscart_entry/controller.py
+++ b/packages/entry/src/ibiscart_entry/controller.py
@@ -14,6 +14,7 @@
 from ibiscart_entry.gang import Gang
 from ibiscart_entry.lease import WorkerLeases
 from ibiscart_entry.report import Reports
+from ibiscart_entry.stop import FaultStops
 from ibiscart_entry.task import TaskCalls
 from ibiscart_schema.generated.types_pb2 import TARGET_LEAVING, TARGET_LIVE
 
@@ -44,8 +45,10 @@
         self._random = random
         self._calls = TaskCalls(connect, metrics, self._note_sign)
         self._reports = Reports(journal, writer, metrics, random)
+        self._stops = FaultStops(journal, self._calls, self._reports, settings, metrics, random)
+        self._reports.watch_ends(self._stops.note_end)
         self._leases = WorkerLeases(
-            entry_id, journal, peers, self._calls, self._reports, settings, random
+            entry_id, journal, peers, self._calls, self._reports, self._stops, settings, random
         )
         self._gangs = {}
         self._owned = {}
@@ -60,6 +63,7 @@
         """Runs until cancelled."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self._reports.run)
+            await nursery.start(self._stops.run)
             await nursery.start(self._leases.run)
             nursery.start_soon(self._sweep, nursery)
             task_status.started()
@@ -108,6 +112,7 @@
         active = key in self._journal.ledger.active
         if not active:
             self._owned.pop(key, None)
+            self._stops.forget(key)
         if driven is not None:
             gang, scope = driven
             if placed is not None:
--- a/packages/entry/src/ibiscart_entry/gang.py
+++ b/packages/entry/src/ibiscart_entry/gang.py
@@ -263,6 +263,8 @@
         async with trio.open_nursery() as nursery:
             for worker_id, ranks in _by_worker(job, job.open_members).items():
                 nursery.start_soon(self._confirm_held, job, worker_id, ranks, states)
+        if not self._leases.may_run(job):
+            return
         gone = False
         for rank in job.open_members:
             state = states.get(rank, "lapsed")
@@ -278,20 +280,19 @@
 
     async def _confirm_held(self, job, worker_id, ranks, states):
         retry = retry_times(self._random)
-        while True:
+        while self._leases.may_run(job):
             # an entry that was paused must not extend what others have stopped since
             if self._leases.may_extend():
                 answer = await self._extend(job, worker_id, ranks, self._settings.lease_seconds)
                 if answer is not None:
-                    break
+                    states.update({r: answer.get(job.task_id(r), "lapsed") for r in ranks})
+                    return
             self._metrics.count("retries", "release_unanswered")
             await trio.sleep(next(retry))
-        for rank in ranks:
-            states[rank] = answer.get(job.task_id(rank), "lapsed")
 
     async def _release_member(self, job, rank):
         retry = retry_times(self._random)
-        while True:
+        while self._leases.may_run(job):
             worker = self._journal.ledger.workers[job.members[rank].worker_id]
             try:
                 status = await self._calls.release(
--- a/packages/entry/src/ibiscart_entry/lease.py
+++ b/packages/entry/src/ibiscart_entry/lease.py
@@ -44,6 +44,7 @@
         "due",
         "held_since",
         "owned_at",
+        "silent_since",
         "unexplained",
     )
 
@@ -54,6 +55,7 @@
         self.busy = False
         self.doubted_at = None
         self.due = now
+        self.silent_since = None
         self.held_since = {}
         self.unexplained = {}
 
@@ -65,12 +67,13 @@
     have reached it then lies at a known time, and its leases end a lease after that.
     """
 
-    def __init__(self, entry_id, journal, peers, calls, reports, settings, random):
+    def __init__(self, entry_id, journal, peers, calls, reports, stops, settings, random):
         self._entry_id = entry_id
         self._journal = journal
         self._peers = peers
         self._calls = calls
         self._reports = reports
+        self._stops = stops
         self._settings = settings
         self._random = random
         self._contacts = {}
@@ -93,6 +96,10 @@
         others = set(self._journal.ledger.share_entries) - {self._entry_id}
         return not others or len(self._peers.live()) > 1
 
+    def may_run(self, job):
+        """Whether no member of the job's attempt is known here to have ended by fault."""
+        return not self._stops.stopped(job.key, job.attempt)
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Renews until cancelled."""
         task_status.started()
@@ -156,8 +163,11 @@
             )
         except TaskError:
             contact.answers = False
+            if contact.silent_since is None:
+                contact.silent_since = trio.current_time()
             return False
         contact.answered_at = trio.current_time()
+        contact.silent_since = None
         self._check_state(worker, contact, answer.leaving)
         await self._check_tasks(worker, contact, answer, ids)
         return True
@@ -166,7 +176,8 @@
         ids = []
         for key, attempt, rank in worker.members:
             job = self._journal.ledger.jobs.get(key)
-            if job is not None and job.state == JOB_STATE_RUNNING and job.attempt == attempt:
+            running = job is not None and job.state == JOB_STATE_RUNNING
+            if running and job.attempt == attempt and self.may_run(job):
                 ids.append(job.task_id(rank))
         return ids
 
@@ -196,6 +207,10 @@
         if worker.state != TARGET_LOST:
             self._peers.signs.report(worker.id, TARGET_LOST, "unreachable")
             self._reports.add_worker(worker.id, TARGET_LOST, "unreachable")
+        # the first failed call after a pause of this process tells nothing about the worker
+        if now >= contact.silent_since + PROBE_SECONDS:
+            for key, attempt, _ in list(worker.members):
+                self._stops.stop(key, attempt)
         # the owner before may have renewed until it saw the change; count a lease anew
         anew = contact.owned_at + STALE_SECONDS + self._settings.lease_seconds
         if now < max(anew, self._calls.extended_until(worker.id)):
@@ -233,7 +248,7 @@
         if status.state in OUTCOMES:
             outcome = OUTCOMES[status.state]
             self._reports.add_member(key, attempt, rank, outcome, status.saved_seconds)
-        elif status.state == "held" and job.state == JOB_STATE_RUNNING:
+        elif status.state == "held" and job.state == JOB_STATE_RUNNING and self.may_run(job):
             since = contact.held_since.get(status.task_id, trio.current_time())
             held[status.task_id] = since
 
--- a/packages/entry/src/ibiscart_entry/report.py
+++ b/packages/entry/src/ibiscart_entry/report.py
@@ -38,6 +38,7 @@
         self._random = random
         self._pending = {}
         self._sent = {}
+        self._on_end = None
         self._added = trio.Event()
 
     @property
@@ -45,6 +46,10 @@
         """Number of reports that the writer has not accepted yet."""
         return len(self._pending)
 
+    def watch_ends(self, on_end):
+        """Calls ``on_end(key, attempt, rank, outcome)`` with each end that is reported."""
+        self._on_end = on_end
+
     def add_member(self, key, attempt, rank, outcome, saved_seconds=0.0):
         """Reports the end of a member, once until the journal can have shown it."""
         ended = MemberEnded(
@@ -55,6 +60,8 @@
             saved_seconds=saved_seconds,
         )
         self._add((key, attempt, rank), Command(report_member={"ended": ended}))
+        if self._on_end is not None:
+            self._on_end(key, attempt, rank, outcome)
 
     def add_worker(self, worker_id, state, cause):
         """Reports the state of a worker."""
--- a/tests/core/random_trace.py
+++ b/tests/core/random_trace.py
@@ -16,9 +16,6 @@
 
     def __init__(self, seed):
         self._random = random.Random(seed)
-        # a member that fails while the store is down leaves its gang running in part until
-        # the store answers again, so a trace has either failing members or outages
-        self._outages = seed % 2 == 1
         self._events = []
         self._versions = dict.fromkeys(ACCOUNTS, 0)
         self._jobs = []
@@ -47,7 +44,7 @@
             self._report(at + rng.uniform(1, 100), worker_id, TARGET_LIVE)
         elif chance < 0.97:
             self._change_contract(at, rng.choice(ACCOUNTS))
-        elif self._outages:
+        else:
             self._add(at, store_outage={"seconds": rng.uniform(0, 30)})
 
     def _submit(self, at):
@@ -56,7 +53,7 @@
         self._jobs.append(job)
         run = rng.choice((1, 5, 30, 200)) * rng.random()
         behaviour = {"job": job, "run_seconds": run, "no_checkpoint": rng.random() < 0.2}
-        if not self._outages and rng.random() < 0.2:
+        if rng.random() < 0.2:
             behaviour |= {"failing_rank": 1, "fail_after_seconds": run * rng.random()}
         self._add(at, behaviour=behaviour)
         spec = job | {
--- a/tests/core/test_replay.py
+++ b/tests/core/test_replay.py
@@ -132,6 +132,16 @@
         self.assertEqual(between, [])
         self.assert_outcomes(replay, jobs_completed=2)
 
+    def test_stops_a_gang_during_an_outage(self):
+        """The rest of a gang must not run on until the store records the fault (P2)."""
+        trace = TraceBuilder().submit(1, "a", 60, failing_rank=1, fail_after_seconds=5)
+        trace.add(3, store_outage={"seconds": 100})
+        replay = trace.replay()
+        stopped = next(e for e in replay.events if _action(e) == ("stopped", 1))
+        failed = next(e for e in replay.events if _action(e) == ("failed", 0))
+        self.assertLess(stopped.time_us - failed.time_us, SECOND)
+        self.assert_outcomes(replay, jobs_failed=1)
+
     def test_ends_members_on_a_lost_worker_and_runs_the_gang_again(self):
         trace = TraceBuilder().submit(1, "a", 60)
         trace.report(10, "w1", TARGET_LOST).report(100, "w1", TARGET_LIVE)
@@ -199,7 +209,7 @@
 class RandomTracesTest(unittest.TestCase):
     """Guards scheduler, ledger and policies against faults in combination.
 
-    Traces mix worker losses, cancellations, contract changes, and failing jobs or outages.
+    Traces mix worker losses, cancellations, contract changes, failing jobs and outages.
     """
 
     def test_keeps_every_property_and_forgets_no_job(self):
--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -18,7 +18,9 @@
     JOB_COMPLETED,
     JOB_STATE_ENDED,
     JOB_STATE_RUNNING,
+    MEMBER_FAILED,
     MEMBER_NOT_STARTED,
+    MEMBER_STOPPED,
     STOP_PREEMPTED,
     STOP_START_FAILED,
 )
@@ -534,6 +536,116 @@
         self.assertEqual(setup.region.working.workers["w0"].state, TARGET_LIVE)
 
 
+class FaultDuringOutageTest(unittest.TestCase):
+    """P2: the others of a gang stop at once when a member ends by fault, store or no store."""
+
+    ENTRIES = ("e1", "e2", "e3")
+
+    async def start_gang(self, setup, **values):
+        await setup.start(entries=self.ENTRIES)
+        key = setup.submit("j1", 4, accelerators=8, **values)
+        await setup.wait(lambda: setup.running(key) == 4, 5)
+        setup.region.outage = True
+        return key
+
+    def task(self, setup, worker_id):
+        return next(iter(setup.workers[worker_id].tasks.values()))
+
+    def outcomes(self, setup, attempt):
+        ended = setup.region.events("member_ended")
+        return sorted(e.outcome for e in ended if e.attempt == attempt)
+
+    @in_virtual_time
+    async def test_failed_member(self, setup):
+        """A gang must not run in part until the store answers again."""
+        key = await self.start_gang(setup)
+        await trio.sleep(1)
+        self.task(setup, "w1").fail_after = 2
+        await setup.wait(lambda: setup.running(key) == 0, 12)
+        await trio.sleep(100)
+        self.assertEqual(setup.running(key), 0)
+        self.assertEqual(setup.region.events("member_ended"), [])
+        setup.region.outage = False
+        await setup.wait(lambda: setup.running(key) == 4, 10)
+        self.assertEqual(setup.job(key).attempt, 2)
+        self.assertEqual(self.outcomes(setup, 1), [MEMBER_FAILED] + 3 * [MEMBER_STOPPED])
+        self.assertEqual(setup.region.events("job_requeued")[0].reason, "member_failed")
+
+    @in_virtual_time
+    async def test_lapsed_member(self, setup):
+        """A worker that lost its tasks must not leave the rest of the gang running."""
+        key = await self.start_gang(setup)
+        setup.workers["w1"].restart()
+        await setup.wait(lambda: setup.running(key) == 0, 12)
+
+    @in_virtual_time
+    async def test_unreachable_worker(self, setup):
+        """Members must not run on after the leases of a silent worker have ended."""
+        key = await self.start_gang(setup)
+        setup.workers["w1"].faults.set(refuse_connections=1)
+        await setup.wait(lambda: setup.running(key) == 0, 45)
+        setup.workers["w1"].faults.set(refuse_connections=0)
+        setup.region.outage = False
+        await setup.wait(lambda: setup.running(key) == 4, 45)
+        self.assertEqual(setup.job(key).attempt, 2)
+
+    @in_virtual_time
+    async def test_worker_without_answer_to_the_stop(self, setup):
+        """A member whose worker loses the stops must not be kept running by renewals."""
+        key = await self.start_gang(setup)
+        worker = setup.workers["w2"]
+        handle = worker.handle
+
+        async def without_stops(request):
+            if request.path.endswith("/stop"):
+                await trio.sleep_forever()
+            return await handle(request)
+
+        worker.handle = without_stops
+        self.task(setup, "w1").fail_after = 1
+        await setup.wait(lambda: setup.running(key) == 1, 12)
+        await setup.wait(lambda: setup.running(key) == 0, 30)
+
+    @in_virtual_time
+    async def test_completed_member_stops_nothing(self, setup):
+        """A member that completed early must not end the work of the others."""
+        key = await self.start_gang(setup)
+        self.task(setup, "w1").run_seconds = 2
+        await trio.sleep(100)
+        self.assertEqual(setup.running(key), 3)
+        self.assertEqual(setup.calls("/stop"), 0)
+        setup.region.outage = False
+        for name in ("w0", "w2", "w3"):
+            self.task(setup, name).run_seconds = 102
+        await setup.wait_state(key, JOB_STATE_ENDED)
+        self.assertEqual(setup.job(key).outcome, JOB_COMPLETED)
+
+    @in_virtual_time
+    async def test_stale_entry_leaves_the_next_attempt_alone(self, setup):
+        """A stop may only reach the attempt whose member was seen to fail."""
+        key = await self.start_gang(setup)
+        setup.region.outage = False
+        stale = setup.entries["e3"]
+        stale.journal.paused = True
+        self.task(setup, "w1").fail_after = 1
+        await setup.wait(lambda: setup.job(key).attempt == 2 and setup.running(key) == 4)
+        # two visits; the stale entry does not renew what it does not know, for one lease
+        await trio.sleep(20)
+        self.assertEqual(stale.journal.ledger.jobs[key].attempt, 1)
+        self.assertEqual((setup.running(key), setup.job(key).attempt), (4, 2))
+
+    @in_virtual_time
+    async def test_report_of_the_fault_after_those_of_the_stops(self, setup):
+        """The reason must name the failed member even when a stop is recorded first."""
+        key = await self.start_gang(setup)
+        for rank, outcome in ((0, MEMBER_STOPPED), (1, MEMBER_FAILED)):
+            ended = {"job": key.to_message(), "attempt": 1, "rank": rank, "outcome": outcome}
+            setup.region.decide(Command(report_member={"ended": ended}))
+        setup.region.outage = False
+        await setup.wait(lambda: setup.job(key).attempt == 2, 12)
+        self.assertEqual(setup.region.events("job_requeued")[0].reason, "member_failed")
+
+
 class RandomFaultsTest(unittest.TestCase):
     """Gangs under lost, late and refused calls, frozen workers, takeovers and outages."""
 
