Tell the other entries of a member's fault

Cause: the entry that saw a fault kept sending stops, but the owner of another worker renewed the leases there until it saw an ended member itself. A member whose stops were not answered ran on for the whole outage.

Ruled out: stops by every entry at once. With the store up that triples the calls of each failure; the record follows within a second.

Change: the entry that sees a fault broadcasts it to its peers as MemberEnded. They stop renewing and releasing that attempt, and after 1 s without a record stop the members on the workers whose leases they own. They do not pass it on. Missing tasks are looked for among all released members of a worker, renewed or not, so that the end of a member that is no longer renewed is still found.

--- a/packages/entry/src/ibiscart_entry/controller.py
+++ b/packages/entry/src/ibiscart_entry/controller.py
@@ -56,7 +56,9 @@
         self._random = random
         self._calls = TaskCalls(connect, metrics, self._note_sign)
         self._reports = Reports(journal, writer, metrics, random)
-        self._stops = FaultStops(journal, self._calls, self._reports, settings, metrics, random)
+        self._stops = FaultStops(
+            entry_id, journal, peers, self._calls, self._reports, settings, metrics, random
+        )
         self._reports.watch_ends(self._stops.note_end)
         self._leases = WorkerLeases(
             entry_id,
--- a/packages/entry/src/ibiscart_entry/lease.py
+++ b/packages/entry/src/ibiscart_entry/lease.py
@@ -211,6 +211,7 @@
             if not contact.answers:
                 await self._calls.tasks(worker, ANSWER_SECONDS)
                 contact.answers = True
+            released = self._released(worker)
             ids = self._renewable(worker) if self.may_extend() else []
             answer = await self._calls.renew(
                 worker, ids, self._settings.lease_seconds, ANSWER_SECONDS
@@ -223,7 +224,7 @@
         contact.answered_at = trio.current_time()
         contact.silent_since = None
         self._check_state(worker, contact, answer.leaving)
-        await self._check_tasks(worker, contact, answer, ids)
+        await self._check_tasks(worker, contact, answer, released)
         return True
 
     def _running_members(self, worker, ended=()):
@@ -234,6 +235,10 @@
             if running and job.attempt == attempt and job.task_id(rank) not in ended:
                 yield key, attempt, rank
 
+    def _released(self, worker):
+        jobs = self._journal.ledger.jobs
+        return [jobs[key].task_id(rank) for key, _, rank in self._running_members(worker)]
+
     def _renewable(self, worker):
         jobs = self._journal.ledger.jobs
         return [
@@ -270,8 +275,8 @@
             self._reports.add_worker(worker.id, TARGET_LOST, "unreachable")
         # the first failed call after a pause of this process tells nothing about the worker
         if now >= contact.silent_since + PROBE_SECONDS:
-            for key, attempt, _ in list(worker.members):
-                self._stops.stop(key, attempt)
+            for key, attempt, rank in list(worker.members):
+                self._stops.note_lost(key, attempt, rank)
         # the owner before may have renewed until it saw the change; count a lease anew
         anew = contact.owned_at + STALE_SECONDS + self._settings.lease_seconds
         if now < max(anew, self._calls.extended_until(worker.id)):
@@ -281,7 +286,7 @@
             if job is not None and job.state == JOB_STATE_STOPPING and job.attempt == attempt:
                 self._reports.add_member(key, attempt, rank, MEMBER_LAPSED)
 
-    async def _check_tasks(self, worker, contact, answer, renewed):
+    async def _check_tasks(self, worker, contact, answer, released):
         listed = set()
         unexplained = {}
         held = {}
@@ -296,7 +301,7 @@
         contact.unexplained = unexplained
         contact.held_since = held
         contact.ended = {s.task_id for s in answer.tasks if s.state in OUTCOMES}
-        self._check_missing(worker, listed, renewed)
+        self._check_missing(worker, listed, released)
         await self._stop_unexplained(worker, unexplained)
         await self._release_missed(worker, held)
 
@@ -314,13 +319,13 @@
             since = contact.held_since.get(status.task_id, trio.current_time())
             held[status.task_id] = since
 
-    def _check_missing(self, worker, listed, renewed):
+    def _check_missing(self, worker, listed, released):
         """Reports running members that the worker does not know: it was started anew.
 
-        ``renewed`` are the tasks of released jobs before the call; all members of a job are
+        ``released`` are the tasks of released jobs before the call; all members of a job are
         on their workers before its release.
         """
-        for task_id in renewed:
+        for task_id in released:
             if task_id not in listed:
                 key, attempt, rank = parse_task_id(task_id)
                 self._reports.add_member(key, attempt, rank, MEMBER_LAPSED)
--- a/packages/entry/src/ibiscart_entry/stop.py
+++ b/packages/entry/src/ibiscart_entry/stop.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from ibiscart_core.job import JobKey
 from ibiscart_entry.gang import OUTCOMES
 from ibiscart_entry.task import TaskError, retry_times
 from ibiscart_schema.generated.journal_pb2 import (
@@ -17,11 +18,16 @@
     JOB_STATE_RUNNING,
     MEMBER_COMPLETED,
     MEMBER_LAPSED,
+    MemberEnded,
 )
+from ibiscart_schema.generated.peer_pb2 import Heartbeat
 
 __all__ = ["FaultStops"]
 
 LOG = logging.getLogger("ibiscart.controller")
+PATH = "fault"
+# with the store up, the stop is on record by then and the driver of the job carries it out
+RECORD_SECONDS = 1.0
 # from the stop on record, the driver of the job stops its members
 UNSTOPPED_STATES = (JOB_STATE_PLACED, JOB_STATE_RUNNING)
 
@@ -30,11 +36,15 @@
     """Stops gangs without a record, so that none runs in part while the store is down.
 
     The entry that sees the fault stops the members itself, whether or not it drives the job:
-    a message to the driver could be lost, and calls are idempotent by task id. Task ids name
-    the attempt, so a stale entry cannot stop members of a later one. A stop is never undone.
+    a message to the driver could be lost, and calls are idempotent by task id. It also tells
+    the other entries, which stop renewing and releasing the attempt and, if no record follows,
+    stop its members on the workers whose leases they own. Task ids name the attempt, so a
+    stale entry cannot stop members of a later one. A stop is never undone.
     """
 
-    def __init__(self, journal, calls, reports, settings, metrics, random):
+    def __init__(self, entry_id, journal, peers, calls, reports, settings, metrics, random):
+        self._entry_id = entry_id
+        self._peers = peers
         self._journal = journal
         self._calls = calls
         self._reports = reports
@@ -43,34 +53,65 @@
         self._random = random
         self._attempts = {}
         self._nursery = None
+        peers.route(PATH, MemberEnded, self._take_fault)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Stops what is added, until cancelled."""
-        async with trio.open_nursery() as self._nursery:
-            task_status.started()
-            await trio.sleep_forever()
+        try:
+            async with trio.open_nursery() as self._nursery:
+                task_status.started()
+                await trio.sleep_forever()
+        finally:
+            # peers may still send faults while this entry shuts down
+            self._nursery = None
 
     def note_end(self, key, attempt, rank, outcome):
         """Stops the other members unless the member completed."""
         if outcome != MEMBER_COMPLETED:
-            self.stop(key, attempt, rank)
+            self._stop(key, attempt, rank, outcome, {rank})
+
+    def note_lost(self, key, attempt, rank):
+        """Stops all members after the worker of one has been silent for a lease."""
+        self._stop(key, attempt, rank, MEMBER_LAPSED, ())
 
-    def stop(self, key, attempt, ended_rank=None):
-        """Stops all members but the ended one, if the ledger still lets the attempt run."""
+    def _stop(self, key, attempt, rank, outcome, ended):
         job = self._journal.ledger.jobs.get(key)
         if self.stopped(key, attempt) or not _unstopped(job, attempt):
             return
         self._attempts[key] = attempt
+        fault = MemberEnded(job=key.to_message(), attempt=attempt, rank=rank, outcome=outcome)
+        self._peers.broadcast(PATH, fault)
         LOG.info(
             "controller: A gang is stopped after the fault of a member.",
-            extra={"job": repr(key), "attempt": attempt, "rank": ended_rank},
+            extra={"job": repr(key), "attempt": attempt, "rank": rank},
         )
+        self._stop_members(job, [r for r in job.open_members if r not in ended])
+
+    async def _take_fault(self, sender, message):
+        key = JobKey.from_message(message.job)
+        job = self._journal.ledger.jobs.get(key)
+        known = self.stopped(key, message.attempt) or message.outcome == MEMBER_COMPLETED
+        if not known and _unstopped(job, message.attempt) and self._nursery is not None:
+            self._attempts[key] = message.attempt
+            self._nursery.start_soon(self._stop_owned, copy(job))
+        return Heartbeat(sequence=self._journal.sequence)
+
+    async def _stop_owned(self, job):
+        await trio.sleep(RECORD_SECONDS)
+        present = self._journal.ledger.jobs.get(job.key)
+        if _unstopped(present, job.attempt):
+            owned = [r for r in present.open_members if self._owns(present.members[r].worker_id)]
+            self._stop_members(present, owned)
+
+    def _owns(self, worker_id):
+        return self._peers.owner_of(f"worker/{worker_id}") == self._entry_id
+
+    def _stop_members(self, job, ranks):
         # the ledger changes its job while calls to workers are under way
         job = copy(job)
         job.members = list(job.members)
-        for rank in job.open_members:
-            if rank != ended_rank:
-                self._nursery.start_soon(self._stop_member, job, rank)
+        for rank in ranks if self._nursery is not None else ():
+            self._nursery.start_soon(self._stop_member, job, rank)
 
     def stopped(self, key, attempt):
         """Whether this entry stops the attempt; it then neither renews nor releases it."""
--- a/tests/entry/fake.py
+++ b/tests/entry/fake.py
@@ -228,6 +228,13 @@
     def route(self, path, message_type, handler):
         self.routes[path] = handler
 
+    def broadcast(self, path, message):
+        """Hands the message to the live entries that serve ``path``, in the background."""
+        for entry_id in self._network.live:
+            peers = self._network.peers.get(entry_id)
+            if peers is not self and peers is not None and path in peers.routes:
+                trio.lowlevel.spawn_system_task(peers.routes[path], self.entry_id, message)
+
     async def call(self, entry_id, path, message, reply_type, timeout):
         await trio.sleep(0.001)
         if entry_id not in self._network.live:
--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -130,6 +130,10 @@
     def job(self, key):
         return self.region.working.jobs[key]
 
+    def owner_of_worker(self, name):
+        peers = next(iter(self.entries.values())).peers
+        return peers.owner_of(f"worker/{name}")
+
     def owner(self, key):
         peers = next(iter(self.entries.values())).peers
         return peers.owner_of(f"job/{key.account}/{key.request_id}")
@@ -661,6 +665,47 @@
         await setup.wait(lambda: setup.running(key) == 1, 12)
         await setup.wait(lambda: setup.running(key) == 0, 30)
 
+    @in_virtual_time
+    async def test_worker_that_others_renew_and_do_not_stop(self, setup):
+        """The owner of a worker must not renew a gang that another entry saw fail."""
+        key = await self.start_gang(setup, without_stops=("w0", "w1", "w2", "w3"))
+        owners = {setup.owner_of_worker(name) for name in setup.workers}
+        self.assertGreater(len(owners), 1)
+        self.task(setup, "w1").fail_after = 1
+        await setup.wait(lambda: setup.running(key) == 0, 45)
+
+    @in_virtual_time
+    async def test_entry_that_cannot_reach_a_worker(self, setup):
+        """The owner of a worker must stop what the entry that saw the fault cannot."""
+        await setup.start(entries=self.ENTRIES)
+        seer = setup.owner_of_worker("w1")
+        far = next(n for n in setup.workers if setup.owner_of_worker(n) != seer)
+        stop = setup.entries[seer].controller._calls.stop
+
+        async def cut_off(worker, *values):
+            if worker.id == far:
+                raise TaskError("connect_timeout")
+            return await stop(worker, *values)
+
+        setup.entries[seer].controller._calls.stop = cut_off
+        key = setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.running(key) == 4, 5)
+        setup.region.outage = True
+        self.task(setup, "w1").fail_after = 1
+        await setup.wait(lambda: setup.running(key) == 0, 5)
+
+    @in_virtual_time
+    async def test_fault_with_the_store_up_costs_few_calls(self, setup):
+        """Entries that hear of a fault must not all stop a gang that is stopped already."""
+        key = await self.start_gang(setup)
+        setup.region.outage = False
+        before = setup.calls("/stop")
+        self.task(setup, "w1").fail_after = 1
+        await setup.wait(lambda: setup.job(key).attempt == 2, 12)
+        await trio.sleep(3)
+        # once by the entry that saw the fault, once by the driver
+        self.assertLessEqual(setup.calls("/stop") - before, 2 * 3)
+
     @in_virtual_time
     async def test_completed_member_stops_nothing(self, setup):
         """A member that completed early must not end the work of the others."""
