--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -18,7 +18,10 @@
     JOB_COMPLETED,
     JOB_STATE_ENDED,
     JOB_STATE_RUNNING,
+    MEMBER_COMPLETED,
+    MEMBER_FAILED,
     MEMBER_NOT_STARTED,
+    MEMBER_STOPPED,
     STOP_PREEMPTED,
     STOP_START_FAILED,
 )
@@ -30,6 +33,7 @@
     FakePeers,
     FakeRegion,
     FakeWriter,
+    now_us,
     put_contract,
     register_workers,
     scheduler_settings,
@@ -57,6 +61,7 @@
             self.metrics,
             random=random.Random(setup.seed),
             connect=setup.connect,
+            wall=lambda: now_us() / 1e6,
         )
 
     async def run(self, task_status):
@@ -107,9 +112,28 @@
         self.region.decide(submit_job(request_id, members, **values))
         return JobKey(values.get("account", "acme"), request_id)
 
+    def preempt(self, first, second):
+        """Places the second job on the workers that the running first one leaves."""
+        ledger = self.region.working
+
+        class Displace:
+            def schedule(self, batch):
+                if ledger.jobs[first].state == JOB_STATE_RUNNING:
+                    workers = [member.worker_id for member in ledger.jobs[first].members]
+                    Lifecycle(batch, 3).stop(ledger.jobs[first], STOP_PREEMPTED, second)
+                    placed = {"job": second.to_message(), "attempt": 1, "workers": workers}
+                    batch.emit(job_placed=placed)
+
+        self.region.scheduler._policy = Displace()
+        self.region.decide(Command(register_workers={}))
+
     def job(self, key):
         return self.region.working.jobs[key]
 
+    def owner_of_worker(self, name):
+        peers = next(iter(self.entries.values())).peers
+        return peers.owner_of(f"worker/{name}")
+
     def owner(self, key):
         peers = next(iter(self.entries.values())).peers
         return peers.owner_of(f"job/{key.account}/{key.request_id}")
@@ -148,6 +172,17 @@
         return sum(worker.overcommitted for worker in self.workers.values())
 
 
+def _delayed(handle, ending, seconds):
+    """Delays calls to paths with this ending; set it before the first call to the worker."""
+
+    async def delayed(request):
+        if request.path.endswith(ending):
+            await trio.sleep(seconds)
+        return await handle(request)
+
+    return delayed
+
+
 def in_virtual_time(test):
     """Runs an async test with a clock that jumps over idle time."""
 
@@ -377,23 +412,35 @@
         setup.workers["w0"].faults.set(delay_seconds=0.4)
         second = setup.submit("j2", 1, accelerators=8)
 
-        class Displace:
-            def schedule(self, batch):
-                """Places the second job on the places that the first one leaves."""
-                if ledger.jobs[first].state == JOB_STATE_RUNNING:
-                    Lifecycle(batch, 3).stop(ledger.jobs[first], STOP_PREEMPTED, second)
-                    batch.emit(
-                        job_placed={"job": second.to_message(), "attempt": 1, "workers": ["w0"]}
-                    )
-
-        setup.region.scheduler._policy = Displace()
-        setup.region.decide(Command(register_workers={}))
+        setup.preempt(first, second)
         seconds = await setup.wait(lambda: setup.running(second) == 1)
         self.assertLess(seconds, 4.2)
         self.assertEqual(setup.check_capacity(), 0)
         self.assertEqual(setup.calls("/checkpoint"), 1)
         self.assertGreater(ledger.jobs[first].saved_seconds, 0)
 
+    @in_virtual_time
+    async def test_preemption_with_slow_answers_and_checkpoints(self, setup):
+        """Urgent work must start within 4.2 s although no checkpoint ends in its bound."""
+        await setup.start(workers=2)
+        for worker in setup.workers.values():
+            worker.faults.set(delay_answers_seconds=0.1)
+            worker.handle = _delayed(worker.handle, "/checkpoint", 3)
+        first = setup.submit("j1", 2, accelerators=8)
+        await setup.wait(lambda: setup.running(first) == 2, 5)
+        second = setup.submit("j2", 2, accelerators=8)
+        setup.preempt(first, second)
+        seconds = await setup.wait(lambda: setup.total("released", second) == 2)
+        checkpoint = scheduler_settings().checkpoint_seconds
+        self.assertGreater(seconds, checkpoint)
+        self.assertLessEqual(seconds, 4.2)
+        self.assertEqual(setup.running(second), 2)
+        self.assertEqual(setup.check_capacity(), 0)
+        for worker in setup.workers.values():
+            actions = [(a.request_id, a.action) for a in worker.record.actions]
+            expected = [("j1", "started"), ("j1", "released"), ("j1", "stopped")]
+            self.assertEqual(actions, [*expected, ("j2", "started"), ("j2", "released")])
+
 
 class EndTest(unittest.TestCase):
     @in_virtual_time
@@ -534,6 +581,171 @@
         self.assertEqual(setup.region.working.workers["w0"].state, TARGET_LIVE)
 
 
+class MissedRecordsTest(unittest.TestCase):
+    @in_virtual_time
+    async def test_job_that_ends_in_a_missed_record_is_forgotten(self, setup):
+        """Memory must not grow with each job whose end was not read."""
+        await setup.start(workers=1)
+        key = setup.submit("j1", 1)
+        await setup.wait(lambda: setup.running(key) == 1, 5)
+        entry = setup.entries["e1"]
+        leases = entry.controller._leases
+        self.assertEqual(list(leases.keys()), [key])
+        for channel in entry.journal._channels:
+            channel.close()
+        entry.journal._channels.clear()
+        await trio.sleep(0.01)
+        ended = {"job": key.to_message(), "attempt": 1, "rank": 0, "outcome": MEMBER_COMPLETED}
+        setup.region.decide(Command(report_member={"ended": ended}))
+        self.assertEqual(setup.job(key).state, JOB_STATE_ENDED)
+        await setup.wait(lambda: not leases.keys(), 3)
+
+
+class FaultDuringOutageTest(unittest.TestCase):
+    """P2: the others of a gang stop at once when a member ends by fault, store or no store."""
+
+    ENTRIES = ("e1", "e2", "e3")
+
+    async def start_gang(self, setup, without_stops=(), entries=ENTRIES):
+        await setup.start(entries=entries)
+        for name in without_stops:
+            worker = setup.workers[name]
+            worker.handle = _delayed(worker.handle, "/stop", float("inf"))
+        key = setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.running(key) == 4, 5)
+        setup.region.outage = True
+        return key
+
+    def task(self, setup, worker_id):
+        return next(iter(setup.workers[worker_id].tasks.values()))
+
+    def outcomes(self, setup, attempt):
+        ended = setup.region.events("member_ended")
+        return sorted(e.outcome for e in ended if e.attempt == attempt)
+
+    @in_virtual_time
+    async def test_failed_member(self, setup):
+        """A gang must not run in part until the store answers again."""
+        key = await self.start_gang(setup)
+        await trio.sleep(1)
+        self.task(setup, "w1").fail_after = 2
+        await setup.wait(lambda: setup.running(key) == 0, 12)
+        await trio.sleep(100)
+        self.assertEqual(setup.running(key), 0)
+        self.assertEqual(setup.region.events("member_ended"), [])
+        setup.region.outage = False
+        await setup.wait(lambda: setup.running(key) == 4, 10)
+        self.assertEqual(setup.job(key).attempt, 2)
+        self.assertEqual(self.outcomes(setup, 1), [MEMBER_FAILED] + 3 * [MEMBER_STOPPED])
+        self.assertEqual(setup.region.events("job_requeued")[0].reason, "member_failed")
+
+    @in_virtual_time
+    async def test_lapsed_member(self, setup):
+        """A worker that lost its tasks must not leave the rest of the gang running."""
+        key = await self.start_gang(setup)
+        setup.workers["w1"].restart()
+        await setup.wait(lambda: setup.running(key) == 0, 12)
+
+    @in_virtual_time
+    async def test_unreachable_worker(self, setup):
+        """Members must not run on after the leases of a silent worker have ended."""
+        key = await self.start_gang(setup)
+        setup.workers["w1"].faults.set(refuse_connections=1)
+        await setup.wait(lambda: setup.running(key) == 0, 45)
+        setup.workers["w1"].faults.set(refuse_connections=0)
+        setup.region.outage = False
+        await setup.wait(lambda: setup.running(key) == 4, 45)
+        self.assertEqual(setup.job(key).attempt, 2)
+
+    @in_virtual_time
+    async def test_worker_without_answer_to_the_stop(self, setup):
+        """A member whose worker loses the stops must not be kept running by renewals."""
+        key = await self.start_gang(setup, without_stops=("w2",), entries=("e1",))
+        self.task(setup, "w1").fail_after = 1
+        await setup.wait(lambda: setup.running(key) == 1, 12)
+        await setup.wait(lambda: setup.running(key) == 0, 30)
+
+    @in_virtual_time
+    async def test_worker_that_others_renew_and_do_not_stop(self, setup):
+        """The owner of a worker must not renew a gang that another entry saw fail."""
+        key = await self.start_gang(setup, without_stops=("w0", "w1", "w2", "w3"))
+        owners = {setup.owner_of_worker(name) for name in setup.workers}
+        self.assertGreater(len(owners), 1)
+        self.task(setup, "w1").fail_after = 1
+        await setup.wait(lambda: setup.running(key) == 0, 45)
+
+    @in_virtual_time
+    async def test_entry_that_cannot_reach_a_worker(self, setup):
+        """The owner of a worker must stop what the entry that saw the fault cannot."""
+        await setup.start(entries=self.ENTRIES)
+        seer = setup.owner_of_worker("w1")
+        far = next(n for n in setup.workers if setup.owner_of_worker(n) != seer)
+        stop = setup.entries[seer].controller._calls.stop
+
+        async def cut_off(worker, *values):
+            if worker.id == far:
+                raise TaskError("connect_timeout")
+            return await stop(worker, *values)
+
+        setup.entries[seer].controller._calls.stop = cut_off
+        key = setup.submit("j1", 4, accelerators=8)
+        await setup.wait(lambda: setup.running(key) == 4, 5)
+        setup.region.outage = True
+        self.task(setup, "w1").fail_after = 1
+        await setup.wait(lambda: setup.running(key) == 0, 5)
+
+    @in_virtual_time
+    async def test_fault_with_the_store_up_costs_few_calls(self, setup):
+        """Entries that hear of a fault must not all stop a gang that is stopped already."""
+        key = await self.start_gang(setup)
+        setup.region.outage = False
+        before = setup.calls("/stop")
+        self.task(setup, "w1").fail_after = 1
+        await setup.wait(lambda: setup.job(key).attempt == 2, 12)
+        await trio.sleep(3)
+        # once by the entry that saw the fault, once by the driver
+        self.assertLessEqual(setup.calls("/stop") - before, 2 * 3)
+
+    @in_virtual_time
+    async def test_completed_member_stops_nothing(self, setup):
+        """A member that completed early must not end the work of the others."""
+        key = await self.start_gang(setup)
+        self.task(setup, "w1").run_seconds = 2
+        await trio.sleep(100)
+        self.assertEqual(setup.running(key), 3)
+        self.assertEqual(setup.calls("/stop"), 0)
+        setup.region.outage = False
+        for name in ("w0", "w2", "w3"):
+            self.task(setup, name).run_seconds = 102
+        await setup.wait_state(key, JOB_STATE_ENDED)
+        self.assertEqual(setup.job(key).outcome, JOB_COMPLETED)
+
+    @in_virtual_time
+    async def test_stale_entry_leaves_the_next_attempt_alone(self, setup):
+        """A stop may only reach the attempt whose member was seen to fail."""
+        key = await self.start_gang(setup)
+        setup.region.outage = False
+        stale = setup.entries["e3"]
+        stale.journal.paused = True
+        self.task(setup, "w1").fail_after = 1
+        await setup.wait(lambda: setup.job(key).attempt == 2 and setup.running(key) == 4)
+        # two visits; the stale entry does not renew what it does not know, for one lease
+        await trio.sleep(20)
+        self.assertEqual(stale.journal.ledger.jobs[key].attempt, 1)
+        self.assertEqual((setup.running(key), setup.job(key).attempt), (4, 2))
+
+    @in_virtual_time
+    async def test_report_of_the_fault_after_those_of_the_stops(self, setup):
+        """The reason must name the failed member even when a stop is recorded first."""
+        key = await self.start_gang(setup)
+        for rank, outcome in ((0, MEMBER_STOPPED), (1, MEMBER_FAILED)):
+            ended = {"job": key.to_message(), "attempt": 1, "rank": rank, "outcome": outcome}
+            setup.region.decide(Command(report_member={"ended": ended}))
+        setup.region.outage = False
+        await setup.wait(lambda: setup.job(key).attempt == 2, 12)
+        self.assertEqual(setup.region.events("job_requeued")[0].reason, "member_failed")
+
+
 class RandomFaultsTest(unittest.TestCase):
     """Gangs under lost, late and refused calls, frozen workers, takeovers and outages."""
 
