Move the users and their weights to traces/users.yaml

Cause: comparison.py held the names and weights of two users as a dictionary. Change: `ibiscart measure FOLDER` reads FOLDER/users.yaml, checks it, and passes the users to the comparison.

--- a/packages/cli/src/ibiscart_cli/commands/measure.py
+++ b/packages/cli/src/ibiscart_cli/commands/measure.py
@@ -8,9 +8,10 @@
 import pathlib
 
 import click
+import yaml
 
 from ibiscart_cli.commands.replay import POLICIES
-from ibiscart_core.comparison import BASELINE, compare
+from ibiscart_core.comparison import BASELINE, WEIGHED_METRICS, compare
 from ibiscart_core.replay import ReplayError
 from ibiscart_core.report import format_json, format_markdown, format_plot
 from ibiscart_core.trace import TraceError, read_trace
@@ -36,13 +37,18 @@
 )
 @click.option("--output", metavar="PREFIX", help="Writes PREFIX.md, PREFIX.json and PREFIX.svg.")
 def measure(folder, policy, output):
-    """Replay all traces of FOLDER with the policy and the baseline and print the measures."""
+    """Replay all traces of FOLDER with the policy and the baseline and print the measures.
+
+    FOLDER/users.yaml names the users and their weights of the metrics; without it, no weighted
+    ratios are printed.
+    """
     paths = sorted(pathlib.Path(folder).glob("*.jsonl"))
     if not paths:
         raise click.UsageError(f"no *.jsonl file in {folder}")
     names = dict.fromkeys([BASELINE, policy])
+    users = _read_users(pathlib.Path(folder) / "users.yaml")
     try:
-        comparison = compare(map(_read, paths), [POLICIES[name] for name in names])
+        comparison = compare(map(_read, paths), [POLICIES[name] for name in names], users)
     except ReplayError as error:
         raise click.UsageError(str(error)) from error
     plot = f"{pathlib.Path(output).name}.svg" if output else ""
@@ -63,3 +69,28 @@
         return events
     except (ReplayError, TraceError) as error:
         raise click.UsageError(f"{path}: {error}") from error
+
+
+def _read_users(path):
+    if not path.exists():
+        return {}
+    try:
+        users = yaml.safe_load(path.read_text(encoding="utf-8")) or {}
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        raise click.UsageError(f"{path}: {error}") from error
+    wanted = "expected a mapping from each user to 'traces' and 'weights'"
+    if not isinstance(users, dict):
+        raise click.UsageError(f"{path}: {wanted}")
+    for name, user in users.items():
+        if not isinstance(user, dict) or set(user) != {"traces", "weights"}:
+            raise click.UsageError(f"{path}: {name}: {wanted}")
+        weights = user["weights"]
+        if not isinstance(weights, dict) or not weights or not isinstance(user["traces"], str):
+            raise click.UsageError(f"{path}: {name}: {wanted}")
+        for metric, weight in weights.items():
+            if metric not in WEIGHED_METRICS:
+                known = ", ".join(sorted(WEIGHED_METRICS))
+                raise click.UsageError(f"{path}: {name}: no metric {metric!r}; known: {known}")
+            if not isinstance(weight, int | float) or isinstance(weight, bool) or weight <= 0:
+                raise click.UsageError(f"{path}: {name}: {metric}: {weight!r} is not above 0")
+    return users
--- a/packages/core/src/ibiscart_core/comparison.py
+++ b/packages/core/src/ibiscart_core/comparison.py
@@ -8,7 +8,7 @@
 from ibiscart_core.demand import peak_times, trace_capacity, trace_jobs
 from ibiscart_core.measure import lower_bound, mean, measure
 
-__all__ = ["Comparison", "compare"]
+__all__ = ["Comparison", "WEIGHED_METRICS", "compare"]
 
 BASELINE = "fifo"
 # a trace is contended when demand exceeds the capacity for at least this long in total
@@ -21,39 +21,34 @@
 SMALLEST_SECONDS = 0.1
 SMALLEST_SHARE = 0.01
 
-# weights of the metrics for each user; the deployment's traces are named after the user
-USERS = {
-    "MacLeish": {
-        "completion_mean": 0.25,
-        "completion_p95": 0.15,
-        "completion_p99": 0.1,
-        "fragmented_share": 0.3,
-        "peak_missed": 0.1,
-        "short_wait_p99": 0.1,
-    },
-    "Hooghly Lipi": {
-        "completion_mean": 0.1,
-        "completion_p95": 0.05,
-        "completion_p99": 0.05,
-        "fragmented_share": 0.1,
-        "peak_missed": 0.35,
-        "short_wait_p50": 0.1,
-        "short_wait_p99": 0.25,
-    },
-}
 SHARES = ("fragmented_share", "peak_missed")
+WEIGHED_METRICS = frozenset(
+    {
+        "completion_mean",
+        "completion_p95",
+        "completion_p99",
+        "large_completion_mean",
+        "makespan",
+        "short_wait_p50",
+        "short_wait_p99",
+        "urgent_wait_max",
+        *SHARES,
+    }
+)
 
 
 class Comparison:
     """Metrics of each trace: lower bound, and one set for each policy by name.
 
     ``traces`` holds one mapping for each trace, with ``name``, ``contended``,
-    ``over_capacity_seconds``, ``bound`` and ``policies``.
+    ``over_capacity_seconds``, ``bound`` and ``policies``. ``users`` maps each user's name to
+    ``traces``, the prefix of its traces' names, and ``weights`` by metric.
     """
 
-    def __init__(self, traces, policy):
+    def __init__(self, traces, policy, users=None):
         self.traces = traces
         self.policy = policy
+        self._users = users or {}
 
     def targets(self):
         """Returns one mapping per target: ``target``, ``reached`` and each trace's ``values``."""
@@ -87,11 +82,10 @@
     def scores(self):
         """Returns each user's weighted ratio to the baseline; lower than 1 is better."""
         scores = {}
-        for user, weights in USERS.items():
-            prefix = user.split()[0].lower()
-            traces = [trace for trace in self.traces if trace["name"].startswith(prefix)]
-            ratios = [_weighted(trace["policies"], self.policy, weights) for trace in traces]
-            scores[user] = mean(ratios)
+        for name, user in self._users.items():
+            traces = [t for t in self.traces if t["name"].startswith(user["traces"])]
+            ratios = [_weighted(t["policies"], self.policy, user["weights"]) for t in traces]
+            scores[name] = mean(ratios)
         return scores
 
     def to_dict(self):
@@ -105,11 +99,11 @@
         }
 
 
-def compare(traces, policies):
+def compare(traces, policies, users=None):
     """Replays traces under policies and returns their ``Comparison``.
 
     ``traces`` yields lists of ``TraceEvent``s; ``policies`` are callables that build a fresh
-    ``Policy``, the baseline first and the policy to judge last.
+    ``Policy``, the baseline first and the policy to judge last; ``users`` as in ``Comparison``.
     """
     results = []
     for events in traces:
@@ -126,7 +120,7 @@
                 "policies": {policy.name: measure(events, policy) for policy in built},
             }
         )
-    return Comparison(results, policies[-1]().name)
+    return Comparison(results, policies[-1]().name, users)
 
 
 def _target(text, values, reached):
--- a/tests/core/test_measure.py
+++ b/tests/core/test_measure.py
@@ -6,6 +6,8 @@
 import unittest
 from xml.etree import ElementTree
 
+import yaml
+
 from ibiscart_core.comparison import Comparison, compare
 from ibiscart_core.demand import peak_times, trace_capacity, trace_jobs
 from ibiscart_core.measure import lower_bound, mean, measure, quantile
@@ -19,6 +21,7 @@
 
 SECOND = 1_000_000
 LARGEST_FILE_BYTES = 300_000
+TRACES = pathlib.Path(__file__).parents[2] / "traces"
 
 
 class Trace:
@@ -143,7 +146,8 @@
                 trace.submit(1 + number, f"l{number}", 8, 700)
                 trace.submit(1 + number, f"s{number}", 1, 20, kind="short")
             traces.append(trace.events)
-        return compare(traces, [FifoPolicy, AdaptivePolicy])
+        users = yaml.safe_load((TRACES / "users.yaml").read_text(encoding="utf-8"))
+        return compare(traces, [FifoPolicy, AdaptivePolicy], users)
 
     def test_gives_the_same_bytes_each_time(self):
         """The committed page must not change without a change of policy or traces."""
