Merge the recordings of a run into a trace that replays

Cause: entries recorded their inputs and records, but nothing read them back. The recorder wrote no object batches when a file was also set, and a failed batch left a gap in the numbers. Change: `ibiscart_core.recording` merges the events of all entries. A record's batch is the one of its writer that gives exactly the record's events when it is decided again on the state before it; a batch without a record that gives events lost its append and is left out. The recorder gives a batch one time, keeps a batch until the store takes it, and enters its prefix in trace/<region>/index.

--- a/packages/entry/src/ibiscart_entry/recorder.py
+++ b/packages/entry/src/ibiscart_entry/recorder.py
@@ -8,6 +8,7 @@
 if the settings name one.
 """
 
+import json
 import logging
 import time
 from collections import deque
@@ -18,12 +19,27 @@
 from ibiscart_entry.table import StoreError
 from ibiscart_schema.generated.trace_pb2 import Input, RecordApplied, TraceEvent
 
-__all__ = ["Recorder"]
+__all__ = ["Recorder", "batch_key", "index_key"]
 
 LOG = logging.getLogger("ibiscart.recorder")
 BUFFERED_EVENTS = 10_000
 BATCH_EVENTS = 500
 FLUSH_SECONDS = 5.0
+RESUBSCRIBE_SECONDS = 1.0
+# two recorders that change the index at once can lose one change: it is read again after this
+# many flushes, and written again when the change is missing
+INDEX_CHECKS = 2
+INDEXED_RUNS = 1000
+
+
+def index_key(region):
+    """Returns the object key of the list of a region's recordings, as JSON."""
+    return f"trace/{region}/index"
+
+
+def batch_key(prefix, number):
+    """Returns the object key of a recording's batch; batches count from 1 without gaps."""
+    return f"{prefix}-{number:06d}"
 
 
 class Recorder:
@@ -34,6 +50,7 @@
 
     def __init__(self, entry_id, region, journal, objects, metrics, path="", clock_ns=time.time_ns):
         self._entry_id = entry_id
+        self._region = region
         self._prefix = f"trace/{region}/{entry_id}/{clock_ns()}"
         self._journal = journal
         self._objects = objects
@@ -41,7 +58,9 @@
         self._path = path
         self._clock_ns = clock_ns
         self._events = deque()
+        self._batch = b""
         self._batches = 0
+        self._index_checks = 0
 
     @classmethod
     def from_config(cls, settings, journal, objects, metrics):
@@ -52,18 +71,25 @@
         store = objects if log.trace_objects else None
         return cls(settings.entry_id, settings.region, journal, store, metrics, log.trace_path)
 
-    def add(self, **kind):
-        """Buffers one event, named by its field in ``TraceEvent``."""
-        if len(self._events) >= BUFFERED_EVENTS:
-            self._metrics.count("dropped", "trace_event")
-            return
-        now_us = self._clock_ns() // 1000
-        self._events.append(TraceEvent(time_us=now_us, source=self._entry_id, **kind))
-
     def add_commands(self, commands):
-        """Records the commands of one batch that this entry decided."""
-        for command in commands:
-            self.add(input=Input(command=command))
+        """Records the commands of one batch that this entry decided.
+
+        They get one time, by which a merge recognises the batch.
+        """
+        self._add([{"input": Input(command=command)} for command in commands])
+
+    def _add(self, kinds):
+        now_us = self._clock_ns() // 1000
+        events = [TraceEvent(time_us=now_us, source=self._entry_id, **kind) for kind in kinds]
+        if self._path and events:
+            # a file exists for tests, which kill the process at any moment
+            with open(self._path, "ab") as file:
+                file.write(b"".join(map(format_event, events)))
+        if self._objects is not None:
+            kept = events[: BUFFERED_EVENTS - len(self._events)]
+            self._events.extend(kept)
+            if len(kept) < len(events):
+                self._metrics.count("dropped", "trace_event", len(events) - len(kept))
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Records applied records and writes the buffer until cancelled."""
@@ -79,37 +105,44 @@
                     await self._flush()
 
     async def _follow(self):
-        async for record in self._journal.subscribe():
-            self.add(record_applied=RecordApplied(entry_id=self._entry_id, record=record))
-            if self._path:
-                # a file exists for tests, which kill the process at any moment
-                self._write_file(self._take())
+        while True:
+            async for record in self._journal.subscribe():
+                applied = RecordApplied(entry_id=self._entry_id, record=record)
+                self._add([{"record_applied": applied}])
+            # the channel was closed because this reader fell behind
+            self._metrics.count("dropped", "trace_record")
+            await trio.sleep(RESUBSCRIBE_SECONDS)
 
     async def _flush(self):
-        while self._events:
-            data = self._take()
-            if self._path:
-                self._write_file(data)
-            if self._objects is not None:
-                await self._store(data)
-
-    def _take(self):
-        lines = []
-        while self._events and len(lines) < BATCH_EVENTS:
-            lines.append(format_event(self._events.popleft()))
-        return b"".join(lines)
-
-    def _write_file(self, data):
-        with open(self._path, "ab") as file:
-            file.write(data)
-
-    async def _store(self, data):
-        self._batches += 1
+        if self._objects is None:
+            return
         try:
-            await self._objects.put(f"{self._prefix}-{self._batches:06d}", data, low=True)
+            while self._batch or self._events:
+                self._batch = self._batch or self._take()
+                key = batch_key(self._prefix, self._batches + 1)
+                await self._objects.put(key, self._batch, low=True)
+                self._batches += 1
+                self._batch = b""
+            if self._batches and self._index_checks < INDEX_CHECKS:
+                await self._check_index()
         except StoreError as error:
-            self._metrics.count("dropped", "trace_batch")
+            # the batch keeps its number and is stored at the next flush
             LOG.warning(
-                "recorder: The object store did not take a batch of trace events.",
+                "recorder: The object store did not take trace events.",
                 extra={"reason": error.reason},
             )
+
+    def _take(self):
+        count = min(BATCH_EVENTS, len(self._events))
+        return b"".join(format_event(self._events.popleft()) for _ in range(count))
+
+    async def _check_index(self):
+        key = index_key(self._region)
+        data = await self._objects.get(key, low=True)
+        prefixes = json.loads(data) if data else []
+        if self._prefix in prefixes:
+            self._index_checks += 1
+            return
+        self._index_checks = 0
+        prefixes = [*prefixes, self._prefix][-INDEXED_RUNS:]
+        await self._objects.put(key, json.dumps(prefixes).encode(), low=True)
--- a/tests/cli/test_replay.py
+++ b/tests/cli/test_replay.py
@@ -1,4 +1,4 @@
-"""Guards the commands replay and measure against wrong exit codes and unclear errors."""
+"""Guards the commands replay, measure and trace against wrong exit codes and unclear errors."""
 
 import pathlib
 import tempfile
@@ -10,6 +10,13 @@
 from ibiscart_core.trace import read_trace, write_trace
 from tests.core.random_trace import random_trace
 
+TRACES = pathlib.Path(__file__).parents[2] / "traces"
+
+
+def parse_all(path):
+    with path.open("rb") as file:
+        return list(read_trace(file))
+
 
 class CommandsTest(unittest.TestCase):
     def setUp(self):
@@ -52,7 +59,7 @@
 
     def test_fails_when_the_audit_finds_a_violation(self):
         """The baseline places once-only work on reservations."""
-        trace = pathlib.Path(__file__).parents[2] / "traces" / "macleish-short-peak.jsonl"
+        trace = TRACES / "macleish-short-peak.jsonl"
         output = self.call("replay", trace, "--policy", "fifo", "--audit", code=1)
         self.assertIn("P1 at ", output)
 
@@ -73,8 +80,52 @@
         for suffix in ("json", "svg"):
             self.assertTrue(pathlib.Path(f"{prefix}.{suffix}").stat().st_size)
 
+    def test_refuses_weights_that_are_not_usable(self):
+        """A misspelt metric would otherwise drop out of the ratio without a word."""
+        users = self.folder / "users.yaml"
+        for text, problem in (
+            ("[1]", "expected a mapping"),
+            ("a: {traces: s}", "a: expected a mapping"),
+            ("a: {traces: s, weights: {completion: 1}}", "no metric 'completion'"),
+            ("a: {traces: s, weights: {makespan: 0}}", "0 is not above 0"),
+        ):
+            users.write_text(text)
+            self.assertIn(problem, " ".join(self.call("measure", self.folder, code=2).split()))
+        users.write_text("Ann: {traces: random, weights: {makespan: 1}}")
+        self.assertIn("- Ann: ", self.call("measure", self.folder))
+
+    def test_merges_audits_and_shows_a_recording(self):
+        """A killed entry leaves its last line in part."""
+        recorded = next((TRACES / "recorded").glob("*.jsonl"))
+        part = self.folder / "part.trace"
+        part.write_bytes(recorded.read_bytes() + b'{"input":')
+        merged = self.folder / "merged.jsonl"
+        output = self.call("trace", "merge", part, "--output", merged)
+        self.assertIn(" 0 decided differently", output)
+        self.assertIn("last line is not whole", output)
+        self.assertIn(" 0 violations", self.call("trace", "audit", merged))
+        self.assertIn("A worker was registered.", self.call("trace", "show", merged))
+        shown = self.call("trace", "show", merged, "--account", "reports").splitlines()
+        self.assertTrue(shown)
+        self.assertTrue(all("account=reports" in line for line in shown))
+        job = next(e for e in parse_all(merged) if e.input.command.HasField("submit_job"))
+        name = job.input.command.submit_job.spec.request_id
+        shown = self.call("trace", "show", merged, "--job", name)
+        self.assertIn("A job was queued.", shown)
+        self.assertNotIn("A worker was registered.", shown)
+        self.assertIn("placed", self.call("trace", "show", merged, "--worker", "worker-1"))
+        part.write_bytes(b"".join(recorded.read_bytes().splitlines(True)[:1]))
+        self.assertIn("no record", self.call("trace", "merge", part, "--output", merged, code=2))
+
+    def test_audit_fails_on_a_violation(self):
+        """A recording without its first record cannot be judged."""
+        recorded = next((TRACES / "recorded").glob("*.jsonl"))
+        rest = [e for e in parse_all(recorded) if e.record_applied.record.sequence != 1]
+        self.write(rest)
+        self.assertIn("record 1 is missing", self.call("trace", "audit", self.trace, code=1))
+
     def test_shows_examples_in_its_help(self):
-        for command in ("replay", "measure"):
+        for command in ("replay", "measure", "trace"):
             self.assertIn("Examples:", self.call(command, "--help"))
 
 
