Show each entry's share of running and queued requests

Cause: `ibiscart contract explain` printed only the limits of requests, which are divided among the entries, so that a full share could not be seen. Conclusion: a caller that gets queue_full can see which entry's share is full.

--- a/packages/cli/src/ibiscart_cli/commands/contract.py
+++ b/packages/cli/src/ibiscart_cli/commands/contract.py
@@ -115,8 +115,12 @@
 @click.argument("account")
 @click.pass_obj
 def explain(session, account):
-    """Print reservations with their workers, and the use of limits."""
-    value = session.run(session.call, "GET", path_of("contracts", account, "explain"))
+    """Print reservations with their workers, and the use of limits.
+
+    The limits of requests are divided among the entries; each --entry is asked for its share.
+    """
+    target = path_of("contracts", account, "explain")
+    value = session.run(_explain, session, target)
     explanation = value["explanation"]
     rows = [
         (
@@ -132,7 +136,37 @@
     limits = [
         (name, use.get("used", "-"), use["limit"]) for name, use in explanation["limits"].items()
     ]
-    session.show(value, [*lines, "", *columns(["LIMIT", "USED", "OF"], limits)])
+    lines += ["", *columns(["LIMIT", "USED", "OF"], limits), ""]
+    shares = [_share_row(item) for item in value["entries"]]
+    lines += columns(["ENTRY", "RUNNING", "OF ITS SHARE", "QUEUED", "OF ITS SHARE"], shares)
+    session.show(value, lines)
+
+
+async def _explain(session, target):
+    value = await session.call("GET", target)
+    value["entries"] = [_entry_use(*item) for item in await session.read_each(target)]
+    return value
+
+
+def _entry_use(address, value, failure):
+    if value is None:
+        return {"address": address, "failure": failure}
+    explanation = value["explanation"]
+    names = ("running_requests", "queued_requests")
+    limits = {name: explanation["limits"][name] for name in names}
+    # an entry of an older release does not name itself and its share
+    return {"address": address, "entry": explanation.get("entry", address), **limits}
+
+
+def _share_row(item):
+    if "failure" in item:
+        return (item["address"], item["failure"], "-", "-", "-")
+    cells = [
+        item[name].get(field, "-")
+        for name in ("running_requests", "queued_requests")
+        for field in ("entry_used", "entry_share")
+    ]
+    return (item["entry"], *cells)
 
 
 @contract.command(epilog="Example: ibiscart contract delete reports --expected 4")
--- a/packages/cli/src/ibiscart_cli/session.py
+++ b/packages/cli/src/ibiscart_cli/session.py
@@ -24,6 +24,8 @@
 # the entry answers at its deadline; the answer needs a moment to arrive
 ANSWER_GRACE_SECONDS = 1.0
 LONGEST_REMAINING_MS = 600_000
+# a read of all entries does not wait longer for one that is down
+EACH_SECONDS = 5.0
 
 
 def path_of(*parts, **query):
@@ -83,6 +85,29 @@
         )
         return _value(response)
 
+    async def read_each(self, target):
+        """Returns (address, value or None, failure) of a read for every entry, in order."""
+        timeout = min(self.timeout, EACH_SECONDS)
+        found = {}
+
+        async def read(address):
+            try:
+                response = await self._send(address, "GET", target, b"", [], timeout)
+                refusal = _refusal(response)
+                if refusal is not None:
+                    found[address] = (address, None, refusal.kind)
+                else:
+                    found[address] = (address, _value(response), "")
+            except TransportError as error:
+                found[address] = (address, None, error.reason)
+            except CallError as error:
+                found[address] = (address, None, error.message)
+
+        async with trio.open_nursery() as nursery:
+            for address in self._addresses:
+                nursery.start_soon(read, address)
+        return [found[address] for address in self._addresses]
+
     async def exchange(self, method, target, data, headers, *, repeatable, timeout=None):
         """Returns the response of the first entry that gives one.
 
--- a/packages/entry/src/ibiscart_entry/routes/contract.py
+++ b/packages/entry/src/ibiscart_entry/routes/contract.py
@@ -63,7 +63,10 @@
 
     async def explain(self, call):
         """Returns the reservations with their workers and the use of limits."""
-        return self._reply(call, {"explanation": contract_explanation(self._account(call))})
+        shares = self._services.dispatcher.shares
+        entry_id = self._services.settings.entry_id
+        explanation = contract_explanation(self._account(call), entry_id, shares)
+        return self._reply(call, {"explanation": explanation})
 
     async def status(self, call):
         """Returns workers, guarantees, queues, entries and store on one screen."""
--- a/packages/entry/src/ibiscart_entry/view.py
+++ b/packages/entry/src/ibiscart_entry/view.py
@@ -5,6 +5,7 @@
 What callers and operators see of the ledger, as values that JSON can hold.
 """
 
+from ibiscart_entry.quota import account_key
 from ibiscart_schema.check import enum_names, to_mapping
 from ibiscart_schema.generated.journal_pb2 import (
     JOB_STATE_ENDED,
@@ -92,10 +93,15 @@
     return to_mapping(contract)
 
 
-def contract_explanation(account):
-    """Returns an ``Account``'s reservations and its use of each limit."""
+def contract_explanation(account, entry_id, shares):
+    """Returns an ``Account``'s reservations and its use of each limit.
+
+    Limits of requests are divided among the entries: ``entry_used`` and ``entry_share`` are
+    those of this entry, read from its ``Shares``.
+    """
     contract = account.contract
     return {
+        "entry": entry_id,
         "account": account.name,
         "version": account.version,
         "reservations": [
@@ -112,8 +118,12 @@
             "burst_accelerators": _use(account.burst_accelerators, contract.burst_accelerators),
             "burst_cpu_millis": _use(account.burst_cpu_millis, contract.burst_cpu_millis),
             "queued_jobs": _use(len(account.queued), contract.queued_jobs),
-            "running_requests": {"limit": contract.running_requests},
-            "queued_requests": {"limit": contract.queued_requests},
+            "running_requests": _entry_use(
+                contract.running_requests, shares, account_key("running", account.name)
+            ),
+            "queued_requests": _entry_use(
+                contract.queued_requests, shares, account_key("queued", account.name)
+            ),
         },
         "active_jobs": len(account.active),
         "weight": contract.weight,
@@ -177,5 +187,9 @@
     return {"used": used, "limit": limit}
 
 
+def _entry_use(limit, shares, key):
+    return {"limit": limit, "entry_used": shares.used(key), "entry_share": shares.limit(key)}
+
+
 def _key_text(key):
     return f"{key.account}/{key.request_id}"
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -181,7 +181,14 @@
         self.assertIn("version 2 is in force", self.run_command("contract", "apply", path).output)
         conflict = self.run_command("contract", "apply", path, code=3)
         self.assertIn("expected_version", conflict.stderr)
-        self.assertIn("nightly/0", self.run_command("contract", "explain", "reports").output)
+        explained = self.run_command("contract", "explain", "reports").output
+        self.assertIn("nightly/0", explained)
+        self.assertEqual(explained.splitlines()[-1].split(), ["e1", "3", "16", "0", "64"])
+        # one entry that is down must not hide the others
+        entries = [self.entry.address, "127.0.0.1:1"]
+        explained = self.run_command("contract", "explain", "reports", entries=entries).output
+        self.assertIn("e1  ", explained.splitlines()[-2])
+        self.assertIn("127.0.0.1:1  refused", explained.splitlines()[-1])
         self.assertIn("nightly x2", self.run_command("contract", "list").output)
         self.run_command("contract", "delete", "reports", "--expected", "1", code=3)
         self.run_command("contract", "delete", "reports", "--expected", "2")
--- a/tests/entry/test_api.py
+++ b/tests/entry/test_api.py
@@ -90,9 +90,18 @@
         return self.decide(command)
 
 
+class FakeShares:
+    def used(self, key):
+        return {"running/reports": 3}.get(key, 0)
+
+    def limit(self, key):
+        return {"running/reports": 16, "queued/reports": 64}.get(key, 0)
+
+
 class FakeDispatcher:
     def __init__(self):
         self.calls = []
+        self.shares = FakeShares()
         self.hang = False
 
     async def dispatch(self, account, request_id, kind, repeatable, body, content_type, timeout):
@@ -657,6 +666,8 @@
             for item in explained["reservations"]:
                 self.assertEqual(bool(item["workers"]), item["state"] != "unmet")
             self.assertEqual(explained["limits"]["queued_jobs"]["limit"], 2)
+            running = explained["limits"]["running_requests"]
+            self.assertEqual((running["entry_used"], running["entry_share"]), (3, 16))
 
         self.run_case(case)
 
