--- a/packages/entry/src/ibiscart_entry/recorder.py
+++ b/packages/entry/src/ibiscart_entry/recorder.py
@@ -107,6 +107,9 @@
     async def _follow(self):
         while True:
             async for record in self._journal.subscribe():
+                if not record.events:
+                    # stands for records that a snapshot replaced; other entries have them
+                    continue
                 applied = RecordApplied(entry_id=self._entry_id, record=record)
                 self._add([{"record_applied": applied}])
             # the channel was closed because this reader fell behind
--- a/tests/entry/test_recorder.py
+++ b/tests/entry/test_recorder.py
@@ -10,6 +10,7 @@
 from ibiscart_entry.metric import Metrics
 from ibiscart_entry.recorder import FLUSH_SECONDS, Recorder, batch_key, index_key
 from ibiscart_entry.table import StoreError
+from ibiscart_schema.generated.journal_pb2 import Record
 from ibiscart_schema.generated.peer_pb2 import Command
 
 
@@ -32,16 +33,20 @@
 
 
 class Journal:
+    def __init__(self):
+        self.send, self._receive = trio.open_memory_channel(10)
+
     def subscribe(self):
-        return trio.open_memory_channel(0)[1]
+        return self._receive
 
 
 class RecorderTest(unittest.TestCase):
     def setUp(self):
         self.objects = Objects()
+        self.journal = Journal()
         clock_ns = iter(range(7_000_000, 10**9, 1000))
         self.recorder = Recorder(
-            "e1", "alba", Journal(), self.objects, Metrics(), clock_ns=lambda: next(clock_ns)
+            "e1", "alba", self.journal, self.objects, Metrics(), clock_ns=lambda: next(clock_ns)
         )
         self.prefix = "trace/alba/e1/7000000"
 
@@ -82,6 +87,14 @@
         self.run_steps(self.record)
         self.assertEqual(len({event.time_us for event in self.events(1)}), 1)
 
+    def test_a_record_that_stands_for_a_snapshot_is_not_recorded(self):
+        """It has the sequence of a record that another entry recorded with its events."""
+        for events in ([], [{"contract_removed": {"account": "reports"}}]):
+            self.journal.send.send_nowait(Record(region="alba", sequence=7, events=events))
+        self.run_steps(lambda: None)
+        (event,) = self.events(1)
+        self.assertTrue(event.record_applied.record.events)
+
     def test_an_index_entry_that_another_recorder_overwrote_is_written_again(self):
         key = index_key("alba")
         other = json.dumps(["trace/alba/e2/1"]).encode()
