Operator pages on counters, outages, workers and explaining

Cause: operators had no page on what counters mean, what stays served in an outage, what becomes of work on lost or bad workers, and how to find the reason of a state.

--- a/tests/cli/test_operator_docs.py
+++ b/tests/cli/test_operator_docs.py
@@ -2,10 +2,12 @@
 
 import re
 import unittest
+from fnmatch import fnmatch
 
 from ibiscart_core.ledger import Ledger
 from ibiscart_core.policies.adaptive import AdaptivePolicy
 from ibiscart_core.scheduler import Scheduler
+from ibiscart_entry.metric import Metrics
 from ibiscart_schema.check import check_mapping, check_yaml, to_mapping
 from ibiscart_schema.generated.journal_pb2 import (
     JOB_STATE_PLACED,
@@ -17,6 +19,8 @@
 from ibiscart_schema.generated.types_pb2 import Contract, JobSpec, WorkerInfo
 from tools import operator_docs
 
+SOURCES = operator_docs.DIRECTORY.parents[1] / "packages" / "entry" / "src"
+COUNTED = re.compile(r'\.count\(\s*"(\w+)",\s*(f?)"([^"]+)"')
 FENCE = re.compile(r"```yaml\n(.*?)```", re.DOTALL)
 START_US = 1_700_000_000_000_000
 
@@ -49,6 +53,21 @@
         self.assertEqual(set(operator_docs.ADVICE), kinds)
         names = {name for name, *_ in operator_docs.field_rows(EntrySettings.DESCRIPTOR)}
         self.assertEqual(set(operator_docs.SETTINGS), names)
+        self.assertEqual(set(operator_docs.COUNTERS), set(Metrics.COUNTERS))
+
+    def test_every_reason_that_is_counted_has_a_meaning(self):
+        """A new reason without a line in counters.md would leave operators guessing."""
+        found = set()
+        for path in SOURCES.rglob("*.py"):
+            found.update(COUNTED.findall(path.read_text()))
+        self.assertGreater(len(found), 30)
+        for name, formatted, reason in sorted(found):
+            key = reason.partition("{")[0] + "*" if formatted else reason
+            with self.subTest(counter=name, reason=reason):
+                reasons = operator_docs.COUNTERS[name][1]
+                # a value that begins with a variable, or the only kind that a counter has
+                if key != "*" and set(reasons) != {"*"}:
+                    self.assertTrue(any(fnmatch(key, r) for r in reasons if r != "*"))
 
     def test_examples_pass_the_check(self):
         """An example in the documentation must not be refused."""
--- a/tools/operator_docs.py
+++ b/tools/operator_docs.py
@@ -6,6 +6,7 @@
 
 from ibiscart_cli.outcome import EXIT_MEANINGS
 from ibiscart_core.error import ANSWERS, ErrorKind
+from ibiscart_entry.metric import Metrics
 from ibiscart_entry.routes.contract import ContractRoutes
 from ibiscart_entry.routes.job import JobRoutes
 from ibiscart_entry.routes.probe import ProbeRoutes
@@ -108,6 +109,131 @@
     "entry's log.",
 }
 
+# what to do when a counter grows, and its values: a name that ends in * stands for all that
+# begin like it
+COUNTERS = {
+    "requests": (
+        "Nothing by itself; compare entries to see whether the balancer spreads the load.",
+        {"*": "Path group and handler, such as `job_submit` or `request_send`."},
+    ),
+    "refusals": (
+        "Look the kind up in [errors](errors.md).",
+        {"*": "Kind of error."},
+    ),
+    "retries": (
+        "A few are normal at every replacement. Steady growth: look at the part that the reason "
+        "names.",
+        {
+            "append_*": "An append failed or its answer was lost; the same record is sent again.",
+            "forward_unsent": "Commands did not reach the preferred writer; others are tried.",
+            "forward_unknown": "The preferred writer's answer was lost; the commands are tried "
+            "again by their ids.",
+            "report_*": "A report on a worker, a member or a held gang was not decided yet.",
+            "start_*": "A member could not be started on its worker.",
+            "release_*": "A worker did not confirm a release.",
+            "stop_*": "A worker did not confirm a stop; its places stay taken.",
+            "budget_spent": "A request was not sent again, since retries exceed their share of "
+            "the requests. Look at the runners' errors.",
+            "*": "A request is sent to a runner again, by the error of the first try.",
+        },
+    ),
+    "decisions": (
+        "Nothing; the log of decisions has the reasons.",
+        {"*": "Kind of event in the journal, such as `job_placed`."},
+    ),
+    "append_conflicts": (
+        "A few when the preferred writer changes. Steady growth: two entries prefer themselves; "
+        "check the peers' connections.",
+        {
+            "sequence": "Another entry's record came first; the batch is decided again.",
+            "lost": "The row was deleted before the outcome was known; callers get "
+            "`commit_unknown`.",
+        },
+    ),
+    "store_operations": (
+        "Compare with the store's limits.",
+        {"*": "`transact`, `get`, `scan` of the table service, `put`, `get_object` of objects."},
+    ),
+    "store_errors": (
+        "See [outages](outages.md).",
+        {
+            "breaker_open": "Not sent, since earlier operations failed. Counts while an outage "
+            "lasts.",
+            "rate_limit": "Not sent, since this entry's part of the rate is used up. Raise "
+            "`store.writes_per_second` or `store.reads_per_second` if the store can take it.",
+            "*": "Error of the connection, or `status_` and the HTTP status.",
+        },
+    ),
+    "peer_messages": (
+        "Nothing.",
+        {"*": "`heartbeat`, `push` of a record, `commands`, `catch-up`, `loan`."},
+    ),
+    "peer_errors": (
+        "`refused` at replacements is normal. `timeout` between the same two entries: check the "
+        "network between their data centres.",
+        {"*": "Error of the connection, or `status_` and the HTTP status."},
+    ),
+    "target_calls": (
+        "Nothing.",
+        {
+            "run": "A request to a runner.",
+            "*": "A call to a worker: `start`, `release`, `renew`, `checkpoint`, `throttle`, "
+            "`stop`, `list`.",
+        },
+    ),
+    "target_errors": (
+        "See [workers](workers.md).",
+        {
+            "crossed": "A runner answered with another request's id; the answer is dropped and the "
+            "connections are closed. Check the runner.",
+            "leaving": "The target says that it leaves; it gets no new work.",
+            "full": "A runner had no free slot although its share said so.",
+            "unknown_task": "A worker does not know the task.",
+            "refused_task": "A worker refused a task.",
+            "bad_answer": "A worker's answer is not of the protocol.",
+            "probe_*": "A runner that was not reachable is still not.",
+            "*": "Error of the connection.",
+        },
+    ),
+    "claims": (
+        "`unknown` and `lost`: callers got `outcome_unknown`; find the cause in the target errors.",
+        {
+            "created": "A request that may run once was claimed.",
+            "finished": "Its outcome was stored.",
+            "answered_again": "A repeated call got the stored outcome.",
+            "not_run": "The claim was removed, since the request certainly did not run.",
+            "unknown": "The claim was closed without an outcome.",
+            "lost": "A caller was told `outcome_unknown` before the request was sent; it is not "
+            "sent.",
+            "refused": "No claim, since the store did not take it; the request did not run.",
+            "unsure": "It is not known whether the claim was stored; the request was not sent.",
+        },
+    ),
+    "share_loans": (
+        "Many loans: the balancer sends one account's requests to few entries.",
+        {
+            "borrowed": "This entry got a part of a peer's share.",
+            "lent": "This entry gave a part of its share.",
+            "refused": "This entry had nothing to lend.",
+            "late": "A loan arrived after the next grant and is not used.",
+            "unanswered": "A peer did not answer; what it may have lent is unused until the next "
+            "grant.",
+        },
+    ),
+    "dropped": (
+        "Any growth deserves a look at this entry's load.",
+        {
+            "broadcast": "A push to a peer; the peer reads the record from the store.",
+            "journal_subscriber": "A record for a part of this entry that lags.",
+            "claim_outcome": "The outcome of a request that ran once; a repeated call gets "
+            "`outcome_unknown`.",
+            "trace_event": "A recorded event; the object store was away for long.",
+            "trace_record": "Records were not recorded; other entries' recordings have them.",
+        },
+    ),
+    "bytes_sent": ("Nothing.", {"peers": "Bodies of messages to other entries."}),
+}
+
 GROUPS = (JobRoutes, RequestRoutes, ContractRoutes, ProbeRoutes)
 
 
@@ -189,7 +315,31 @@
     return table(("method", "path", "key", "query", "purpose"), rows)
 
 
+def counter_table():
+    rows = []
+    for name, (label, text) in Metrics.COUNTERS.items():
+        rows.append((f"`ibiscart_{name}_total`", f"`{label}`", text, COUNTERS[name][0]))
+    return table(("counter", "label", "counts", "what to do when it grows"), rows)
+
+
+def reason_table():
+    rows = []
+    for name, (_, reasons) in COUNTERS.items():
+        for reason, text in reasons.items():
+            rows.append((f"`{name}`", "others" if reason == "*" else f"`{reason}`", text))
+    return table(("counter", "value", "meaning"), rows)
+
+
+def latency_table():
+    latencies = Metrics.LATENCIES.items()
+    rows = [(f"`ibiscart_{name}`", f"`{label}`", text) for name, (label, text) in latencies]
+    return table(("summary", "label", "measures"), rows)
+
+
 TABLES = {
+    "counters": counter_table,
+    "reasons": reason_table,
+    "latencies": latency_table,
     "settings": settings_table,
     "fields": fields_table,
     "errors": error_table,
