State where a replay differs from a recorded run

Cause: the first placements differed between a recording and its replay. Conclusion: recorded decisions are checked by deciding again, not by replay.

--- a/packages/core/src/ibiscart_core/recording.py
+++ b/packages/core/src/ibiscart_core/recording.py
@@ -245,7 +245,10 @@
 
 
 class _Behaviours:
-    """Run times, failures and lost checkpoints of each attempt, read from the records."""
+    """Run times, failures and lost checkpoints of each attempt, read from the records.
+
+    A job's run time is that of its last member; a replay ends all members at that time.
+    """
 
     def __init__(self, records):
         self._total = {}
