Audit: report a guarantee that stays unmet although it fits

Cause: the audit checked the places that reservations have, not those that are missing, so a writer that never packed a reservation again passed.

Change: after each record with an event about workers or contracts, and at the end of a recording, JournalCheck packs the reservations without a place on the state that the records build, and reports those that find one, once while it lasts. It uses the packing of the writer: what that cannot pack is not reported. Recordings of traces without unmet guarantees pack nothing.

Figures: three planted violations in tests/core/test_audit.py are found and a reservation that fits nowhere passes.

--- a/packages/core/src/ibiscart_core/audit.py
+++ b/packages/core/src/ibiscart_core/audit.py
@@ -5,9 +5,10 @@
 Judges the properties P1 to P8 and the limits over the recorded events of any run.
 
 The properties are those of ``docs/design.md``, section 1.2. Further names of violations:
-``queue`` and ``burst`` (limits of a contract), ``capacity`` (released tasks exceed their
-worker), ``journal`` (records that conflict or do not apply) and ``recording`` (records are
-missing, so that the state cannot be rebuilt).
+``queue`` and ``burst`` (limits of a contract), ``guarantee`` (a reservation has no place
+although it could be packed), ``capacity`` (released tasks exceed their worker), ``journal``
+(records that conflict or do not apply) and ``recording`` (records are missing, so that the
+state cannot be rebuilt).
 """
 
 from ibiscart_core.audits.answer import AnswerCheck
--- a/packages/core/src/ibiscart_core/audits/journal.py
+++ b/packages/core/src/ibiscart_core/audits/journal.py
@@ -7,18 +7,29 @@
 
 from ibiscart_core.audits.check import Check
 from ibiscart_core.ledger import Ledger
+from ibiscart_core.packing import plan_reservations
 from ibiscart_core.shape import Shape
 
 __all__ = ["JournalCheck"]
 
+# after these the writer packs reservations without a place anew, in the same record
+REPACKING_EVENTS = (
+    "worker_registered",
+    "worker_state_changed",
+    "contract_changed",
+    "contract_removed",
+)
+
 
 class JournalCheck(Check):
-    """P1, and the limits ``queue`` and ``burst``."""
+    """P1, ``guarantee`` (unmet although it could be packed), and ``queue`` and ``burst``."""
 
     def __init__(self):
         super().__init__()
         self._ledgers = {}
         self._broken = set()
+        self._packable = set()
+        self._last = {}
 
     def on_record(self, record, event):
         """Applies the record and checks the limits at each event, P1 at its end."""
@@ -39,6 +50,14 @@
             self._check_burst(ledger, item, event)
         ledger.seal(record.sequence, record.time_us)
         self._check_reservations(ledger, event)
+        self._last[record.region] = event
+        if any(item.WhichOneof("kind") in REPACKING_EVENTS for item in record.events):
+            self._check_unmet(ledger, event)
+
+    def finish(self, time_us):
+        """Looks once more for reservations without a place that could have one."""
+        for region, ledger in self._ledgers.items():
+            self._check_unmet(ledger, self._last[region])
 
     def _check_queue(self, ledger, item, event):
         if item.WhichOneof("kind") != "job_submitted":
@@ -91,6 +110,21 @@
         self._broken = {k for k in self._broken if k[0] != ledger.region}
         self._broken |= {(ledger.region, subject) for subject in faults}
 
+    def _check_unmet(self, ledger, event):
+        """Reports what the packing finds a place for, once while it lasts."""
+        unmet = [k for k, r in ledger.reservations.items() if r.job is None and not r.workers]
+        places = plan_reservations(ledger).places if unmet else {}
+        found = {(ledger.region, key) for key in unmet if key in places}
+        for region, key in sorted(found - self._packable, key=lambda item: item[1].sort_key()):
+            self.report(
+                "guarantee",
+                event.time_us,
+                f"after record {ledger.sequence} of {region}: reservation {key!r} has no place "
+                f"but fits on {places[key]}",
+                event,
+            )
+        self._packable = {item for item in self._packable if item[0] != ledger.region} | found
+
 
 def _reservation_faults(ledger):
     reserved = {}
--- a/tests/core/test_audit.py
+++ b/tests/core/test_audit.py
@@ -193,6 +193,35 @@
         self.recording.record(1, self.recording.reserve("w2"))
         self.assert_found("P1")
 
+    def test_finds_a_guarantee_that_is_not_packed(self):
+        """A guarantee that stays unmet beside free workers is lost to its account."""
+        self.recording.record(1, self.recording.contract(1, "beta"))
+        (found,) = self.assert_found("guarantee")
+        self.assertIn("beta", found.message)
+        self.assertEqual((found.time_us, found.sources), (SECOND, ("e1",)))
+
+    def test_finds_a_guarantee_that_is_not_packed_when_a_worker_returns(self):
+        rec = self.recording
+        lost = [{"worker_state_changed": {"worker_id": f"w{n}", "state": 2}} for n in (1, 2)]
+        rec.record(1, *lost, rec.reserve())
+        self.assert_found()
+        rec.record(2, {"worker_state_changed": {"worker_id": "w2", "state": 0}})
+        (found,) = self.assert_found("guarantee")
+        self.assertEqual(found.time_us, 2 * SECOND)
+
+    def test_finds_a_guarantee_that_is_unmet_at_the_end(self):
+        """Places that other work gives back must be used, and no record names a worker then."""
+        rec = self.recording
+        rec.record(1, rec.reserve())
+        (found,) = self.assert_found("guarantee")
+        self.assertIn("after record 2", found.message)
+
+    def test_passes_a_guarantee_that_fits_nowhere(self):
+        rec = self.recording
+        rec.record(1, rec.contract(1, "beta"), rec.reserve("w1", "w2", account="beta"))
+        rec.record(2, rec.contract(1, "gamma"))
+        self.assert_found()
+
     def test_passes_repeatable_work_on_a_reservation(self):
         """Burst work may use reserved places since it can be preempted."""
         rec = self.recording
