--- a/packages/core/src/ibiscart_core/share.py
+++ b/packages/core/src/ibiscart_core/share.py
@@ -75,8 +75,9 @@
     def usable(self):
         """Whether this entry may use its shares at all.
 
-            The position must have been confirmed within ``SILENCE_SECONDS``. While the store is
-        XX knows no later grant, up to ``STORE_OUTAGE_SECONDS``.
+        The position must have been confirmed within ``SILENCE_SECONDS``. While the store is
+        down, shares stay usable up to ``STORE_OUTAGE_SECONDS`` if every other entry of the
+        grant is heard and none of them knows a later grant.
         """
         if not self._grants:
             return False
