One heartbeat exchange per pair of entries

Cause: each entry sent a heartbeat to every peer each second, and each answer already carried the receiver's state, so half of the messages told nothing. A record push carried neither the share epoch nor signs but held back the heartbeat that would have, so shares rose late under steady load. Change: the entry with the smaller id sends; the other answers, and sends itself when no request has arrived for 1.5 intervals. Answers carry the responder's new signs, which are kept until the next request acknowledges the answer. Pushes and their answers carry the whole state, so a push is a heartbeat. An answer tells how long ago the store confirmed the responder's sequence; the caller counts it from the start of its request, so that it still means confirmed by the store and a pause only makes it older. The tail poll is left out while the position is confirmed within the last second, as after an append. Requests do not carry a confirmation that counts: one that waited in a socket would look fresh. The membership list is parsed only when its bytes differ from the last ones.

--- a/packages/entry/src/ibiscart_entry/journal.py
+++ b/packages/entry/src/ibiscart_entry/journal.py
@@ -22,7 +22,6 @@
 from ibiscart_schema.generated.peer_pb2 import (
     CatchUpReply,
     CatchUpRequest,
-    Heartbeat,
     RecordPush,
 )
 
@@ -89,7 +88,9 @@
         self._ready = trio.Event()
         self.ledger = Ledger(region)
         peers.position = lambda: (self.sequence, self.ledger.share_epoch)
+        peers.confirmed_age = self.confirmed_age
         peers.on_heartbeat.append(self._take_heartbeat)
+        peers.on_confirmed = self._take_confirmation
         peers.route(PUSH, RecordPush, self._take_push)
         peers.route("catch-up", CatchUpRequest, self._answer_catch_up)
 
@@ -375,9 +376,12 @@
 
     async def _take_push(self, sender, message):
         self.offer(message.records)
-        if message.records:
-            self._peers.take_sequence(sender, message.records[-1].sequence)
-        return Heartbeat(sequence=self.sequence)
+        return self._peers.answer(sender, message.state)
+
+    def _take_confirmation(self, sequence, time):
+        """Notes that the journal had no record after ``sequence`` at ``time``."""
+        if self.ready and sequence <= self.sequence:
+            self._confirmed = max(self._confirmed, time)
 
     def _take_heartbeat(self, peer_id, sequence):
         # while the store answers, polls find the records
--- a/packages/entry/src/ibiscart_entry/membership.py
+++ b/packages/entry/src/ibiscart_entry/membership.py
@@ -44,6 +44,7 @@
         self._signs = signs
         self._missing = {}
         self._version = 0
+        self._body = None
         self._stale = 0
         self._readable = True
         self._changed = trio.Event()
@@ -72,7 +73,7 @@
         return self._with_role("runner")
 
     async def wait_changed(self):
-        """Waits until a poll has brought a new list."""
+        """Waits until a poll has brought a list that differs from the one before."""
         await self._changed.wait()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
@@ -89,6 +90,11 @@
             response = await self._client.request("GET", "/v1/members", timeout=TIMEOUT_SECONDS)
             if response.status != 200:
                 raise TransportError(f"status_{response.status}", True)
+            if response.body == self._body and not self._missing:
+                self._readable = True
+                self._stale = 0
+                self._report_leaving()
+                return True
             members = Parse(response.body, MembershipList(), ignore_unknown_fields=True)
         except (TransportError, ParseError, UnicodeDecodeError) as error:
             if self._readable:
@@ -101,6 +107,7 @@
             LOG.info("membership: A stale list was ignored.", extra={"version": members.version})
             return False
         self._take(members)
+        self._body = response.body
         return True
 
     def _take(self, members):
@@ -118,13 +125,16 @@
                 new.leaving = True
             self._missing.pop(machine_id, None)
         self.machines = machines
+        self._report_leaving()
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _report_leaving(self):
         if self._signs is not None:
-            for machine in machines.values():
+            for machine in self.machines.values():
                 if machine.leaving and machine.role != "entry":
                     if self._signs.eligible(machine.id):
                         self._signs.report(machine.id, TARGET_LEAVING, "membership")
-        self._changed.set()
-        self._changed = trio.Event()
 
     def _with_role(self, role):
         return [machine for machine in self.machines.values() if machine.role == role]
--- a/packages/entry/src/ibiscart_entry/peer.py
+++ b/packages/entry/src/ibiscart_entry/peer.py
@@ -3,10 +3,16 @@
 ~~~~~~~~~~~~~~~~~~~
 
 Calls and heartbeats among entries, and which of them are live.
+
+A heartbeat and its answer carry the state of both sides, so one exchange per pair and
+interval is enough: the entry with the smaller id sends it, the other answers. The other
+sends too while no request of the first has arrived for ``PASSIVE_INTERVALS``, so that a
+fault in one direction does not separate them. Record pushes carry the same state.
 """
 
 import hmac
 import logging
+import math
 
 import trio
 from google.protobuf.message import DecodeError
@@ -30,6 +36,9 @@
 PEERS_KEPT = 64
 HEARD_KEPT = 256
 PUSH = "push"
+# one interval for the expected heartbeat and half of one for its delay; below the 2 s after
+# which a silent peer counts as dead
+PASSIVE_INTERVALS = 1.5
 
 
 class PeerError(Exception):
@@ -55,8 +64,14 @@
         self.leaving = False
         self.sequence = 0
         self.share_epoch = 0
-        self.told = None
-        self.pushed = None
+        # time of the last request with the peer's state, and of the last exchange either way
+        self.asked = -math.inf
+        self.exchanged = -math.inf
+        self.tried = -math.inf
+        # number and signs of the last answer with signs, until it is acknowledged
+        self.answer = 0
+        self.answered_signs = ()
+        self.answer_taken = 0
         self.send, self.receive = trio.open_memory_channel(BROADCASTS_KEPT)
         self.scope = trio.CancelScope()
 
@@ -66,8 +81,10 @@
 
     ``membership`` gives the entries, ``settings`` is a ``PeerSettings`` message and
     ``connect`` maps an address to a client. The owner sets ``position``, a function that
-    returns (applied sequence, share epoch). ``on_heartbeat`` holds functions that are
-    called with (peer id, sequence) after each heartbeat.
+    returns (applied sequence, share epoch), and ``confirmed_age``, which returns the seconds
+    since the store confirmed that sequence. ``on_heartbeat`` holds functions that are called
+    with (peer id, sequence) after each heartbeat, and ``on_confirmed`` is called with
+    (sequence, time) when a peer has answered that the store confirmed its sequence then.
     """
 
     def __init__(
@@ -100,7 +117,10 @@
         self._nursery = None
         self.signs = TargetSigns() if signs is None else signs
         self.position = lambda: (0, 0)
+        self.confirmed_age = lambda: math.inf
         self.on_heartbeat = []
+        self.on_confirmed = lambda sequence, time: None
+        self._headers = [("authorization", f"Bearer {self._key}"), ("x-entry-id", self._id)]
         self.route("heartbeat", Heartbeat, self._take_heartbeat)
 
     @property
@@ -163,12 +183,6 @@
         peer = self._peers.get(entry_id)
         return 0 if peer is None else peer.share_epoch
 
-    def take_sequence(self, entry_id, sequence):
-        """Notes the journal sequence that a peer's message showed."""
-        peer = self._peers.get(entry_id)
-        if peer is not None:
-            peer.sequence = max(peer.sequence, sequence)
-
     def route(self, path, message_type, handler):
         """Serves ``path`` by ``handler``, an async function (sender id, message) -> message."""
         self._routes[path] = (message_type, handler)
@@ -203,33 +217,51 @@
         peer = self._peers.get(entry_id)
         if peer is None:
             raise self._failed("unknown_peer", False)
-        body = message.SerializeToString()
+        return await self._request(peer, path, message.SerializeToString(), reply_type, timeout)
+
+    async def _request(self, peer, path, body, reply_type, timeout):
         self._metrics.count("peer_messages", path)
         self._metrics.count("bytes_sent", "peers", len(body))
-        headers = [
-            ("authorization", f"Bearer {self._key}"),
-            ("content-type", CONTENT_TYPE),
-            ("x-entry-id", self._id),
-        ]
         try:
             response = await peer.client.request(
-                "POST", PATH_PREFIX + path, body=body, headers=headers, timeout=timeout
+                "POST", PATH_PREFIX + path, body=body, headers=self._headers, timeout=timeout
             )
         except TransportError as error:
             raise self._failed(error.reason, error.sent) from None
-        self._hear(entry_id)
+        self._hear(peer.id)
         return self._parse(response, reply_type)
 
     def broadcast(self, path, message):
-        """Sends a message to every live peer in the background; does not block."""
+        """Sends a message to every live peer in the background; does not block.
+
+        The message type has a field ``state``, which is filled in for each peer.
+        """
         now = self._clock()
+        # serialized once for all peers
+        item = (path, type(message), message.SerializeToString())
         for peer in self._peers.values():
             if self._is_live(peer, now):
                 try:
-                    peer.send.send_nowait((path, message, self.position()))
+                    peer.send.send_nowait(item)
                 except trio.WouldBlock:
                     self._metrics.count("dropped", "broadcast")
 
+    def answer(self, sender, state):
+        """Takes the state that a peer sent with a request; returns the answer with the own."""
+        self.signs.merge(state.signs)
+        self._take_position(sender, state)
+        peer = self._peers.get(sender)
+        if peer is None:
+            return self._state()
+        peer.asked = peer.exchanged = self._clock()
+        if peer.answered_signs and state.answer != peer.answer:
+            self.signs.put_back(sender, peer.answered_signs)
+        peer.answered_signs = self.signs.take_new(sender)
+        if not peer.answered_signs:
+            return self._state()
+        peer.answer += 1
+        return self._state(signs=peer.answered_signs, answer=peer.answer)
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Sends heartbeats and broadcasts until cancelled."""
         self._started = self._clock()
@@ -270,55 +302,64 @@
 
     async def _send_heartbeats(self, peer):
         while True:
-            start = self._clock()
-            if not self._covered(peer):
-                await self._send_heartbeat(peer)
-            await trio.sleep(max(0.0, start + self._heartbeat_seconds - self._clock()))
-
-    def _covered(self, peer):
-        """Whether a record push since the last heartbeat told the peer the same."""
-        now = self._clock()
-        return (
-            peer.pushed is not None
-            and now - peer.pushed[0] < self._heartbeat_seconds
-            and peer.pushed[1] == self.position()
-            and peer.told == self._leaving
-            and not self.signs.has_new(peer.id)
-        )
+            delay = self._heartbeat_due(peer) - self._clock()
+            if delay > 0:
+                await trio.sleep(delay)
+                continue
+            peer.tried = self._clock()
+            try:
+                await self._exchange(peer, "heartbeat", Heartbeat, b"")
+            except (PeerError, IbiscartError) as error:
+                LOG.debug("peer: A heartbeat failed.", extra={"peer": peer.id, "cause": str(error)})
 
-    async def _send_heartbeat(self, peer):
-        sequence, epoch = self.position()
-        signs = self.signs.take_new(peer.id)
-        leaving = self._leaving
-        message = Heartbeat(
-            entry_id=self._id, sequence=sequence, leaving=leaving, share_epoch=epoch, signs=signs
-        )
-        timeout = min(HEARTBEAT_TIMEOUT_SECONDS, self._silence_seconds)
-        try:
-            reply = await self.call(peer.id, "heartbeat", message, Heartbeat, timeout)
-        except (PeerError, IbiscartError) as error:
-            self.signs.put_back(peer.id, signs)
-            LOG.debug("peer: A heartbeat failed.", extra={"peer": peer.id, "cause": str(error)})
-            return
-        peer.told = leaving
-        self._take_position(peer.id, reply)
+    def _heartbeat_due(self, peer):
+        due = max(peer.tried, peer.exchanged) + self._heartbeat_seconds
+        if self._id > peer.id:
+            due = max(due, peer.asked + PASSIVE_INTERVALS * self._heartbeat_seconds)
+        return due
 
     async def _send_broadcasts(self, peer):
-        async for path, message, position in peer.receive:
+        async for path, message_type, body in peer.receive:
             try:
-                await self.call(peer.id, path, message, Heartbeat, HEARTBEAT_TIMEOUT_SECONDS)
+                await self._exchange(peer, path, message_type, body)
             except (PeerError, IbiscartError) as error:
                 LOG.info("peer: A push failed.", extra={"peer": peer.id, "cause": str(error)})
-                continue
-            if path == PUSH:
-                peer.pushed = (self._clock(), position)
+
+    async def _exchange(self, peer, path, message_type, body):
+        """Sends ``body`` with this entry's state and takes the peer's state from the answer."""
+        start = self._clock()
+        signs = self.signs.take_new(peer.id)
+        state = self._state(signs=signs, answer=peer.answer_taken)
+        # serialized messages that follow each other are merged by the receiver
+        body += (
+            state if message_type is Heartbeat else message_type(state=state)
+        ).SerializeToString()
+        timeout = min(HEARTBEAT_TIMEOUT_SECONDS, self._silence_seconds)
+        taken = False
+        try:
+            reply = await self._request(peer, path, body, Heartbeat, timeout)
+            taken = True
+        finally:
+            if not taken:
+                self.signs.put_back(peer.id, signs)
+        peer.exchanged = max(peer.exchanged, start)
+        peer.answer_taken = reply.answer or peer.answer_taken
+        self.signs.merge(reply.signs)
+        self._take_position(peer.id, reply)
+        if reply.HasField("confirmed_age_ms"):
+            # the answer was made after the request, so the store confirmed no earlier than this
+            self.on_confirmed(reply.sequence, start - reply.confirmed_age_ms / 1000)
 
     async def _take_heartbeat(self, sender, message):
-        self.signs.merge(message.signs)
-        self._take_position(message.entry_id, message)
+        return self.answer(message.entry_id, message)
+
+    def _state(self, **fields):
         sequence, epoch = self.position()
+        age = self.confirmed_age()
+        if age < math.inf:
+            fields["confirmed_age_ms"] = math.ceil(age * 1000)
         return Heartbeat(
-            entry_id=self._id, sequence=sequence, leaving=self._leaving, share_epoch=epoch
+            entry_id=self._id, sequence=sequence, leaving=self._leaving, share_epoch=epoch, **fields
         )
 
     def _take_position(self, entry_id, message):
