Test that a share is not used twice by an entry its peers do not hear

share.py was checked: an entry that gains raises its limit only once the other has told that it applied the grant, or after 10 s of silence counted from its own use of the grant. The other stops 10 s after its last confirmed position, and a position is confirmed only with all records up to it, so it applied the grant or stopped before. The test covers an entry that applies 0.5, 2 and 9.9 s late and never.

--- a/tests/core/test_share.py
+++ b/tests/core/test_share.py
@@ -67,6 +67,27 @@
         clock.now = 10.1
         self.assertEqual(a.limit("slots/r1"), 8)
 
+    def test_an_unheard_entry_keeps_its_share_until_it_must_have_stopped(self):
+        """Cut off from its peers, an entry learns of a grant late and only from the store."""
+        for applied_after in (0.5, 2.0, 9.9, 99.0):
+            clock = _Clock()
+            confirmed = [0.0]
+            a = _shares("a", clock)
+            b = _shares("b", clock, lambda clock=clock, c=confirmed: clock.now - c[0])
+            for part in (a, b):
+                part.apply_grant(1, ["a", "b"])
+            a.observe("b", 1)
+            a.apply_grant(2, ["a"])
+            for tick in range(1, 120):
+                clock.now = tick / 10
+                if clock.now >= applied_after:
+                    # a position is confirmed only with all records up to it
+                    b.apply_grant(2, ["a"])
+                    confirmed[0] = clock.now
+                usable = a.limit("slots/r1") + b.limit("slots/r1")
+                self.assertLessEqual(usable, 8, f"{applied_after} s, at {clock.now} s")
+                self.assertEqual(a.limit("slots/r1"), 4 if clock.now <= 10 else 8)
+
     def test_expires_without_a_confirmed_position(self):
         """A separated entry must stop before its share is granted to others."""
         clock = _Clock()
