--- a/packages/core/src/ibiscart_core/policies/burst.py
+++ b/packages/core/src/ibiscart_core/policies/burst.py
@@ -8,6 +8,7 @@
 import heapq
 
 from ibiscart_core.policies.hold import find_hold, least_spare
+from ibiscart_core.policies.reclaim import is_large, reclaim_places, reclaims_from_us
 from ibiscart_schema.generated.journal_pb2 import JOB_STATE_QUEUED
 
 __all__ = ["BurstPass", "avoids_reservations_until_us"]
@@ -18,6 +19,12 @@
 CLASSES_PROBED = 64
 # gangs for which an earliest start is worked out, until one has any
 GANGS_TRIED = 4
+# Share of the accelerators that long work other than large gangs leaves free for short work.
+# When all places are taken by work that does not end for long, short work waits as long.
+SHORT_LANE_SHARE = 0.04
+# a lane smaller than this keeps a whole worker idle where jobs take whole workers
+LEAST_SHORT_LANE = 4
+SHORT_SECONDS = 120
 # a preempted job keeps off unclaimed reservations for so long, twice as long each time:
 # otherwise claims that come and go would stop it again and again
 FIRST_AVOIDANCE_SECONDS = 60
@@ -47,6 +54,7 @@
         self._failed = {}
         self._closed = {}
         self._placed = 0
+        self._long_room = _long_room(self._ledger)
 
     def run(self):
         """Emits the placements."""
@@ -55,6 +63,7 @@
                 break
             if not self._try(group, job, "due"):
                 self._block(group, job)
+        self._reclaim()
         self._hold_largest()
         self._place_shares()
 
@@ -106,6 +115,26 @@
         elif not self._holds and avoids_reservations_until_us(job) <= self._now_us:
             self._add_hold(group, find_hold(self._view, job, self._now_us, strict=True))
 
+    def _reclaim(self):
+        """Places large gangs that have waited long for their run time, by preemption."""
+        late = []
+        for job_class in self._view.backlog.classes:
+            if not job_class.repeatable or not is_large(job_class.shape):
+                continue
+            group, job = self._first_of(job_class)
+            if job is None or reclaims_from_us(job, group.seconds) > self._now_us:
+                continue
+            waited = (self._now_us - job.submitted_us) / max(1.0, group.seconds)
+            late.append((-waited, job.key.sort_key(), group, job))
+        taken = {worker_id for hold in self._holds for worker_id in hold.spare}
+        for _, _, group, job in sorted(late)[:GANGS_TRIED]:
+            if self._try(group, job, "fair_share"):
+                return
+            workers = reclaim_places(self._batch, job, group.seconds, taken)
+            if workers is not None:
+                self._place(job, workers, "gang_preempts")
+                return
+
     def _hold_largest(self):
         taken = {worker_id for hold in self._holds for worker_id in hold.spare}
         tried = 0
@@ -195,6 +224,8 @@
         for group in self._view.backlog.groups(name):
             if self._is_dead(group) or any(group.job_class.over_limit(account)):
                 continue
+            if self.keeps_off_lane(group.job_class.shape, group.seconds):
+                continue
             for _, _, job in group.jobs:
                 if self._try(group, job, "fair_share"):
                     return True
@@ -230,6 +261,12 @@
             return False
         if len(binding) < sum(hold.job is not job for hold in self._holds):
             reason = "backfill"
+        self._place(job, workers, reason)
+        for hold in binding:
+            hold.use(workers, job.shape.member)
+        return True
+
+    def _place(self, job, workers, reason):
         self._batch.emit(
             job_placed={
                 "job": job.key.to_message(),
@@ -238,12 +275,16 @@
                 "reason": reason,
             }
         )
-        for hold in binding:
-            hold.use(workers, job.shape.member)
         self._holds = [hold for hold in self._holds if hold.job is not job]
         self._view.sync_workers()
+        self._long_room -= job.shape.accelerators
         self._placed += 1
-        return True
+
+    def keeps_off_lane(self, shape, seconds):
+        """Tells whether a job must leave what is free to short work."""
+        if seconds <= SHORT_SECONDS or is_large(shape) or not shape.accelerators:
+            return False
+        return shape.accelerators > self._long_room
 
     def _is_closed(self, account, group):
         accelerators, cpu = self._closed.get(account.name, (False, False))
@@ -291,3 +332,12 @@
                     if shape.covers(failed):
                         return True
         return False
+
+
+def _long_room(ledger):
+    """Returns the free accelerators beyond those kept for short work."""
+    live = [worker for worker in ledger.workers.values() if worker.accepts]
+    total = sum(worker.capacity.accelerators for worker in live)
+    free = sum(max(0, worker.free.accelerators) for worker in live)
+    lane = int(SHORT_LANE_SHARE * total)
+    return free - lane if lane >= LEAST_SHORT_LANE else free
