Split forwarding and pending commands off the writer

Change: forward.py sends commands to other entries and corrects replies to contract changes whose first answer was lost; pending.py holds a command that waits and the size of a batch.

--- a/packages/entry/src/ibiscart_entry/writer.py
+++ b/packages/entry/src/ibiscart_entry/writer.py
@@ -13,9 +13,10 @@
 from ibiscart_core.error import ErrorKind, IbiscartError
 from ibiscart_core.ledger import Ledger
 from ibiscart_core.scheduler import Scheduler
+from ibiscart_entry.forward import LIVENESS_CHECK_SECONDS, Forwarder, correct_contract
 from ibiscart_entry.journal import AppendConflict, AppendLost
 from ibiscart_entry.membership import Upkeep
-from ibiscart_entry.peer import PeerError
+from ibiscart_entry.pending import BATCH_COMMANDS, PendingCommand, split_batch
 from ibiscart_entry.table import StoreError
 from ibiscart_schema.generated.peer_pb2 import CommandBatch, Reply, ReplyBatch
 from ibiscart_schema.generated.types_pb2 import (
@@ -27,71 +28,14 @@
 
 LOG = logging.getLogger("ibiscart.writer")
 QUEUE_BOUND = 10_000
-BATCH_COMMANDS = 1000
-BATCH_BYTES = 512 * 1024
 TICK_SECONDS = 1.0
 # entries that are tried for one command before its caller is told to retry later
 ENTRIES_TRIED = 3
-LIVENESS_CHECK_SECONDS = 0.25
 # commands behind an append of unknown outcome go to other entries after this time; it
 # leaves room for a second attempt after the store's default timeout of 2 s
 BLOCKED_SECONDS = 3.0
 # a decision without events is answered only from a position confirmed this recently
 FRESH_SECONDS = 2.0
-CATCH_UP_SECONDS = 2.0
-NOT_PROCESSED = frozenset(
-    kind.value for kind in (ErrorKind.STORE_UNAVAILABLE, ErrorKind.NOT_READY, ErrorKind.OVERLOADED)
-)
-
-
-class _Item:
-    """A command on its way to a reply.
-
-    ``in_append`` and ``forwarded`` say that the command may be in a record whose outcome
-    this entry does not know: its own, or that of a peer whose answer was lost.
-    """
-
-    __slots__ = (
-        "abandoned",
-        "command",
-        "deadline",
-        "error",
-        "event",
-        "forwarded",
-        "from_peer",
-        "in_append",
-        "queued",
-        "reply",
-        "tried",
-    )
-
-    def __init__(self, command, deadline, from_peer=False):
-        self.command = command
-        self.deadline = deadline
-        self.from_peer = from_peer
-        self.tried = set()
-        self.in_append = False
-        self.forwarded = False
-        self.abandoned = False
-        self.queued = 0.0
-        self.reply = None
-        self.error = None
-        self.event = trio.Event()
-
-    def settle(self, reply):
-        """Ends the wait with a reply."""
-        self.reply = reply
-        self.event.set()
-
-    def failure(self):
-        """Returns the error for a command without a reply, which says whether it may have run."""
-        if self.in_append or self.forwarded:
-            return IbiscartError(
-                ErrorKind.COMMIT_UNKNOWN, "the outcome is not known yet; send the same id again"
-            )
-        return self.error or IbiscartError(
-            ErrorKind.STORE_UNAVAILABLE, "no entry could append to the journal; retry later"
-        )
 
 
 class _DecisionError(Exception):
@@ -133,7 +77,7 @@
         self._open = 0
         self._local = []
         self._arrived = trio.Event()
-        self._waiting = {}
+        self._forwarder = Forwarder(journal, peers, metrics, clock, self._dispatch)
         self._nursery = None
         # called with the commands of each batch that is decided here
         self.on_batch = lambda commands: None
@@ -153,7 +97,7 @@
         """
         if self._open >= QUEUE_BOUND:
             raise _overloaded()
-        item = _Item(command, self._clock() + timeout)
+        item = PendingCommand(command, self._clock() + timeout)
         self._open += 1
         try:
             self._dispatch(item)
@@ -193,20 +137,13 @@
         elif untried[0] == me:
             self._enqueue(item)
         else:
-            self._enqueue_forward(untried[0], item)
+            self._forwarder.add(untried[0], item, self._nursery)
 
     def _enqueue(self, item):
         item.queued = self._clock()
         self._local.append(item)
         self._arrived.set()
 
-    def _enqueue_forward(self, target, item):
-        if target in self._waiting:
-            self._waiting[target].append(item)
-            return
-        self._waiting[target] = [item]
-        self._nursery.start_soon(self._forward_all, target)
-
     def _refuse(self, items, error):
         for item in items:
             item.in_append = False
@@ -217,66 +154,6 @@
             elif not item.abandoned:
                 self._dispatch(item)
 
-    async def _forward_all(self, target):
-        """Forwards to one entry, one batch at a time, until no command waits for it."""
-        while True:
-            waiting = [item for item in self._waiting[target] if not item.abandoned]
-            batch, self._waiting[target] = _split(waiting)
-            if not batch:
-                del self._waiting[target]
-                return
-            await self._forward(target, batch)
-
-    async def _forward(self, target, items):
-        remaining = max(item.deadline for item in items) - self._clock()
-        message = CommandBatch(
-            entry_id=self._peers.entry_id,
-            commands=[item.command for item in items],
-            remaining_ms=max(1, int(remaining * 1000)),
-        )
-        unknown_before = [item.forwarded for item in items]
-        for item in items:
-            item.forwarded = True
-        answer, sent = await self._call_while_live(target, message, max(remaining, 0.001))
-        replies = answer.replies if answer is not None else ()
-        if len(replies) != len(items):
-            self._metrics.count("retries", "forward_unknown" if sent else "forward_unsent")
-            replies = [None] * len(items)
-        for item, reply, before in zip(items, replies, unknown_before, strict=True):
-            code = reply.error.code if reply is not None else ""
-            if reply is None:
-                item.forwarded = before or sent
-            elif code in NOT_PROCESSED:
-                item.forwarded = before
-                item.error = IbiscartError.from_message(reply.error)
-            elif code != ErrorKind.COMMIT_UNKNOWN.value:
-                item.settle(await self._corrected(item, reply, before))
-                continue
-            item.tried.add(target)
-            if not item.abandoned:
-                self._dispatch(item)
-
-    async def _call_while_live(self, target, message, timeout):
-        """Returns (answer or None, whether the peer may have decided the commands)."""
-        answer, sent = None, True
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, target, nursery.cancel_scope)
-            try:
-                answer = await self._peers.call(target, "commands", message, ReplyBatch, timeout)
-            except PeerError as error:
-                sent = error.sent
-            except IbiscartError:
-                sent = False
-            nursery.cancel_scope.cancel()
-        if not sent:
-            LOG.info("writer: Commands were not taken by a peer.", extra={"peer": target})
-        return answer, sent
-
-    async def _watch(self, target, scope):
-        while target in self._peers.live():
-            await trio.sleep(LIVENESS_CHECK_SECONDS)
-        scope.cancel()
-
     async def _answer_batch(self, sender, message):
         """Decides a batch that a peer forwarded; never forwards it again."""
         if not self._journal.ready or self._nursery is None:
@@ -285,7 +162,7 @@
             raise _overloaded()
         timeout = message.remaining_ms / 1000
         deadline = self._clock() + timeout
-        items = [_Item(command, deadline, from_peer=True) for command in message.commands]
+        items = [PendingCommand(command, deadline, from_peer=True) for command in message.commands]
         try:
             for item in items:
                 self._enqueue(item)
@@ -299,21 +176,6 @@
             replies=[item.reply or Reply(error=item.failure().to_message()) for item in items]
         )
 
-    async def _corrected(self, item, reply, unknown):
-        """Returns the true reply to a command that an earlier, lost answer may have decided.
-
-        A contract change that was applied and is decided again meets its own version.
-        """
-        kind = item.command.WhichOneof("kind")
-        if not unknown or kind not in ("put_contract", "remove_contract"):
-            return reply
-        if not reply.HasField("error"):
-            return reply
-        with trio.move_on_after(CATCH_UP_SECONDS):
-            await self._journal.wait_sequence(reply.sequence)
-            return _correct_contract(self._journal.ledger, item.command, reply)
-        return Reply(error=_commit_unknown().to_message())
-
     # deciding
 
     async def _collect(self):
@@ -326,7 +188,7 @@
             wait = self._local[0].queued + self._batch_seconds - self._clock()
             if wait > 0 and len(self._local) < BATCH_COMMANDS:
                 await trio.sleep(wait)
-        batch, self._local = _split([i for i in self._local if not i.abandoned])
+        batch, self._local = split_batch([i for i in self._local if not i.abandoned])
         self._pass_due = False
         return batch
 
@@ -377,7 +239,7 @@
         self._working = working
         for item, reply in zip(items, replies, strict=True):
             if item.forwarded:
-                reply = _correct_contract(self._journal.ledger, item.command, reply)
+                reply = correct_contract(self._journal.ledger, item.command, reply)
             item.settle(reply)
         return True
 
@@ -431,7 +293,7 @@
                 for command in self._upkeep.commands():
                     deadline = self._clock() + TICK_SECONDS
                     # without a caller, a refused command is tried again at the next tick
-                    self._enqueue(_Item(command, deadline, from_peer=True))
+                    self._enqueue(PendingCommand(command, deadline, from_peer=True))
             ledger = self._journal.ledger
             if ledger.queued_jobs or any(
                 worker.state == TARGET_QUARANTINED for worker in ledger.workers.values()
@@ -452,40 +314,6 @@
                 self._refuse(blocked, None)
 
 
-def _split(items):
-    """Returns (a batch within the bounds, the rest)."""
-    size = 0
-    for index, item in enumerate(items[:BATCH_COMMANDS]):
-        size += item.command.ByteSize()
-        if size > BATCH_BYTES and index:
-            return items[:index], items[index:]
-    return items[:BATCH_COMMANDS], items[BATCH_COMMANDS:]
-
-
-def _correct_contract(ledger, command, reply):
-    kind = command.WhichOneof("kind")
-    if not reply.HasField("error") or kind not in ("put_contract", "remove_contract"):
-        return reply
-    change = getattr(command, kind)
-    if kind == "remove_contract":
-        removed = ledger.removed_versions.get(change.account) == change.expected_version
-        return Reply(sequence=reply.sequence) if removed else reply
-    if reply.error.code != ErrorKind.VERSION_CONFLICT.value:
-        return reply
-    account = ledger.accounts.get(change.contract.account)
-    if account is None or account.version <= change.expected_version:
-        return reply
-    if account.version > change.expected_version + 1:
-        # later changes hide whether this one was applied
-        return Reply(error=_commit_unknown().to_message(), sequence=reply.sequence)
-    wanted = type(change.contract)()
-    wanted.CopyFrom(change.contract)
-    wanted.version = account.version
-    if wanted != account.contract:
-        return reply
-    return Reply(contract=account.contract, sequence=reply.sequence)
-
-
 def _overloaded():
     return IbiscartError(
         ErrorKind.OVERLOADED,
@@ -497,9 +325,3 @@
 
 def _not_ready():
     return IbiscartError(ErrorKind.NOT_READY, "this entry has not loaded the region's state")
-
-
-def _commit_unknown():
-    return IbiscartError(
-        ErrorKind.COMMIT_UNKNOWN, "the outcome is not known; read the contract before a retry"
-    )
