--- a/packages/entry/src/ibiscart_entry/peer.py
+++ b/packages/entry/src/ibiscart_entry/peer.py
@@ -20,6 +20,7 @@
 from ibiscart_core.error import ErrorKind, IbiscartError
 from ibiscart_core.rank import first, ranked
 from ibiscart_entry.client import HttpClient, TransportError
+from ibiscart_entry.link import PeerLink
 from ibiscart_entry.server import Response
 from ibiscart_entry.sign import TargetSigns
 from ibiscart_schema.generated.peer_pb2 import ErrorBody, Heartbeat
@@ -31,8 +32,6 @@
 CONTENT_TYPE = "application/x-protobuf"
 ERROR_CONTENT_TYPE = "application/x-protobuf-error"
 HEARTBEAT_TIMEOUT_SECONDS = 1.0
-# outgoing messages kept for a peer that answers slowly; a dropped push is read from the store
-BROADCASTS_KEPT = 256
 PEERS_KEPT = 64
 HEARD_KEPT = 256
 PUSH = "push"
@@ -53,29 +52,6 @@
         self.sent = sent
 
 
-class _Peer:
-    """What this entry knows and sends to one peer."""
-
-    def __init__(self, entry_id, address, client):
-        self.id = entry_id
-        self.address = address
-        self.client = client
-        self.heard = None
-        self.leaving = False
-        self.sequence = 0
-        self.share_epoch = 0
-        # time of the last request with the peer's state, and of the last exchange either way
-        self.asked = -math.inf
-        self.exchanged = -math.inf
-        self.tried = -math.inf
-        # number and signs of the last answer with signs, until it is acknowledged
-        self.answer = 0
-        self.answered_signs = ()
-        self.answer_taken = 0
-        self.send, self.receive = trio.open_memory_channel(BROADCASTS_KEPT)
-        self.scope = trio.CancelScope()
-
-
 class Peers:
     """Other entries by id, from the membership list.
 
@@ -286,7 +262,7 @@
                 self.signs.forget_peer(peer.id)
         for entry_id, address in wanted.items():
             if entry_id not in self._peers:
-                peer = _Peer(entry_id, address, self._connect(address))
+                peer = PeerLink(entry_id, address, self._connect(address))
                 self._peers[entry_id] = peer
                 self._nursery.start_soon(self._serve_peer, peer)
 
