Preempt young burst work for large gangs that have waited long

Cause: a large gang became due only after 10 times its estimate (7000 s for a run time of 700 s). Until then its hold kept only jobs that would end too late, and with three racks full of small work no rack ever drained.

Change: a gang of at least 16 accelerators that has waited half its estimated run time takes the domain where least work is lost, if the loss is at most half of the gang's own work. Only repeatable burst work of smaller jobs is stopped, each at most 3 times. Places that no guarantee needs come first.

--- a/packages/core/src/ibiscart_core/policies/burst.py
+++ b/packages/core/src/ibiscart_core/policies/burst.py
@@ -8,6 +8,7 @@
 import heapq
 
 from ibiscart_core.policies.hold import find_hold, least_spare
+from ibiscart_core.policies.reclaim import is_large, reclaim_places, reclaims_from_us
 from ibiscart_schema.generated.journal_pb2 import JOB_STATE_QUEUED
 
 __all__ = ["BurstPass", "avoids_reservations_until_us"]
@@ -55,6 +56,7 @@
                 break
             if not self._try(group, job, "due"):
                 self._block(group, job)
+        self._reclaim()
         self._hold_largest()
         self._place_shares()
 
@@ -106,6 +108,26 @@
         elif not self._holds and avoids_reservations_until_us(job) <= self._now_us:
             self._add_hold(group, find_hold(self._view, job, self._now_us, strict=True))
 
+    def _reclaim(self):
+        """Places large gangs that have waited long for their run time, by preemption."""
+        late = []
+        for job_class in self._view.backlog.classes:
+            if not job_class.repeatable or not is_large(job_class.shape):
+                continue
+            group, job = self._first_of(job_class)
+            if job is None or reclaims_from_us(job, group.seconds) > self._now_us:
+                continue
+            waited = (self._now_us - job.submitted_us) / max(1.0, group.seconds)
+            late.append((-waited, job.key.sort_key(), group, job))
+        taken = {worker_id for hold in self._holds for worker_id in hold.spare}
+        for _, _, group, job in sorted(late)[:GANGS_TRIED]:
+            if self._try(group, job, "fair_share"):
+                return
+            workers = reclaim_places(self._batch, job, group.seconds, taken)
+            if workers is not None:
+                self._place(job, workers, "gang_preempts")
+                return
+
     def _hold_largest(self):
         taken = {worker_id for hold in self._holds for worker_id in hold.spare}
         tried = 0
@@ -230,6 +252,12 @@
             return False
         if len(binding) < sum(hold.job is not job for hold in self._holds):
             reason = "backfill"
+        self._place(job, workers, reason)
+        for hold in binding:
+            hold.use(workers, job.shape.member)
+        return True
+
+    def _place(self, job, workers, reason):
         self._batch.emit(
             job_placed={
                 "job": job.key.to_message(),
@@ -238,12 +266,9 @@
                 "reason": reason,
             }
         )
-        for hold in binding:
-            hold.use(workers, job.shape.member)
         self._holds = [hold for hold in self._holds if hold.job is not job]
         self._view.sync_workers()
         self._placed += 1
-        return True
 
     def _is_closed(self, account, group):
         accelerators, cpu = self._closed.get(account.name, (False, False))
--- a/packages/core/src/ibiscart_core/policies/victim.py
+++ b/packages/core/src/ibiscart_core/policies/victim.py
@@ -50,17 +50,22 @@
     return missing
 
 
-def choose_victims(ledger, missing, now_us):
+def may_stop(job):
+    """Tells whether a job may be stopped for a guaranteed one."""
+    return job.preemptible and job.state in (JOB_STATE_PLACED, JOB_STATE_RUNNING)
+
+
+def choose_victims(ledger, missing, now_us, allowed=may_stop):
     """Returns (lost work, jobs) that free ``missing`` on each worker, or None.
 
-    ``missing`` maps worker ids to ``Resources``. Only preemptible jobs are chosen, and none
-    that is not needed.
+    ``missing`` maps worker ids to ``Resources``. Only jobs that ``allowed`` accepts are
+    chosen, and none that is not needed.
     """
     freed = {}
     for worker_id in missing:
         for (key, _, _), amount in ledger.workers[worker_id].members.items():
             job = ledger.jobs[key]
-            if job.preemptible and job.state in (JOB_STATE_PLACED, JOB_STATE_RUNNING):
+            if allowed(job):
                 places = freed.setdefault(key, {})
                 places[worker_id] = places.get(worker_id, Resources()) + amount
     jobs = [ledger.jobs[key] for key in freed]
--- /dev/null
+++ b/tests/core/test_reclaim.py
@@ -0,0 +1,65 @@
+"""Guards large gangs against waiting behind small work, and that work against needless stops."""
+
+import unittest
+
+from ibiscart_schema.generated.journal_pb2 import (
+    JOB_STATE_PLACED,
+    JOB_STATE_QUEUED,
+    JOB_STATE_RUNNING,
+)
+from ibiscart_schema.generated.types_pb2 import SCOPE_WORKER
+from tests.core.invariant import violations
+from tests.core.world import World, put_contract, register, shape, submit
+
+GANG = shape(2, 8)
+
+
+class ReclaimTest(unittest.TestCase):
+    def start(self, seconds=0, **small):
+        """One rack, filled by a job of each worker, and a gang of 1000 s run time."""
+        world = World()
+        world.send(register(1, 2), put_contract("leith", 0), put_contract("perth", 0))
+        world.send(*[submit("leith", f"s{n}", shape(1, 8), **small) for n in range(2)])
+        world.start_and_stop()
+        world.send(submit("perth", "gang", GANG, seconds=1000), seconds=seconds)
+        return world
+
+    def test_a_large_gang_preempts_once_it_has_waited_half_its_run_time(self):
+        """By ageing alone it would wait for ten times its run time behind small work."""
+        world = self.start()
+        world.finish(world.job("leith", "s1"), seconds=300)
+        world.send(submit("leith", "s2", shape(1, 8, scope=SCOPE_WORKER)), seconds=190)
+        world.start_and_stop(0)
+        self.assertEqual(world.job("perth", "gang").state, JOB_STATE_QUEUED)
+        world.send(seconds=20)
+        self.assertEqual(world.job("perth", "gang").state, JOB_STATE_PLACED)
+        self.assertEqual(violations(world.working, world.now_us), [])
+        world.start_and_stop()
+        self.assertEqual(world.job("perth", "gang").state, JOB_STATE_RUNNING)
+        self.assertEqual(world.job("leith", "s0").state, JOB_STATE_QUEUED)
+
+    def test_a_gang_stops_no_work_of_which_much_is_lost(self):
+        """Long-running work must not be thrown away for a gang that runs for less."""
+        world = self.start(seconds=500)
+        world.send(seconds=600)
+        self.assertEqual(world.job("perth", "gang").state, JOB_STATE_QUEUED)
+
+    def test_a_gang_stops_no_work_that_may_run_only_once(self):
+        """Work that may not be repeated is never preempted (P5)."""
+        world = self.start(repeatable=False)
+        world.send(seconds=600)
+        self.assertEqual(world.job("perth", "gang").state, JOB_STATE_QUEUED)
+
+    def test_a_gang_does_not_preempt_a_large_gang(self):
+        """Two gangs would stop each other in turn and neither would end."""
+        world = World()
+        world.send(register(1, 2), put_contract("leith", 0), put_contract("perth", 0))
+        world.send(submit("leith", "first", GANG))
+        world.start_and_stop()
+        world.send(submit("perth", "gang", GANG, seconds=1000))
+        world.send(seconds=600)
+        self.assertEqual(world.job("leith", "first").state, JOB_STATE_RUNNING)
+
+
+if __name__ == "__main__":
+    unittest.main()
