Keep a few accelerators free of long work for short work

Fair share and holds were ruled out: nothing was free at all.

Change: in its turn by fair share, a job of more than 120 s by estimate leaves 4 % of the accelerators free. Due jobs, large gangs and work without accelerators are exempt; below 4 accelerators there is no lane, because one worker-sized job would leave a whole worker idle. `explain` says so.

--- a/packages/core/src/ibiscart_core/policies/burst.py
+++ b/packages/core/src/ibiscart_core/policies/burst.py
@@ -19,6 +19,12 @@
 CLASSES_PROBED = 64
 # gangs for which an earliest start is worked out, until one has any
 GANGS_TRIED = 4
+# Share of the accelerators that long work other than large gangs leaves free for short work.
+# When all places are taken by work that does not end for long, short work waits as long.
+SHORT_LANE_SHARE = 0.04
+# a lane smaller than this keeps a whole worker idle where jobs take whole workers
+LEAST_SHORT_LANE = 4
+SHORT_SECONDS = 120
 # a preempted job keeps off unclaimed reservations for so long, twice as long each time:
 # otherwise claims that come and go would stop it again and again
 FIRST_AVOIDANCE_SECONDS = 60
@@ -48,6 +54,7 @@
         self._failed = {}
         self._closed = {}
         self._placed = 0
+        self._long_room = _long_room(self._ledger)
 
     def run(self):
         """Emits the placements."""
@@ -217,6 +224,8 @@
         for group in self._view.backlog.groups(name):
             if self._is_dead(group) or any(group.job_class.over_limit(account)):
                 continue
+            if self.keeps_off_lane(group.job_class.shape, group.seconds):
+                continue
             for _, _, job in group.jobs:
                 if self._try(group, job, "fair_share"):
                     return True
@@ -268,8 +277,15 @@
         )
         self._holds = [hold for hold in self._holds if hold.job is not job]
         self._view.sync_workers()
+        self._long_room -= job.shape.accelerators
         self._placed += 1
 
+    def keeps_off_lane(self, shape, seconds):
+        """Tells whether a job must leave what is free to short work."""
+        if seconds <= SHORT_SECONDS or is_large(shape) or not shape.accelerators:
+            return False
+        return shape.accelerators > self._long_room
+
     def _is_closed(self, account, group):
         accelerators, cpu = self._closed.get(account.name, (False, False))
         return (accelerators and group.job_class.accelerators > 0) or cpu
@@ -316,3 +332,12 @@
                     if shape.covers(failed):
                         return True
         return False
+
+
+def _long_room(ledger):
+    """Returns the free accelerators beyond those kept for short work."""
+    live = [worker for worker in ledger.workers.values() if worker.accepts]
+    total = sum(worker.capacity.accelerators for worker in live)
+    free = sum(max(0, worker.free.accelerators) for worker in live)
+    lane = int(SHORT_LANE_SHARE * total)
+    return free - lane if lane >= LEAST_SHORT_LANE else free
--- a/packages/core/src/ibiscart_core/policies/explanation.py
+++ b/packages/core/src/ibiscart_core/policies/explanation.py
@@ -8,7 +8,7 @@
 from datetime import UTC, datetime
 
 from ibiscart_core.policies.backlog import JobClass, due_us, estimated_seconds
-from ibiscart_core.policies.burst import BurstPass, avoids_reservations_until_us
+from ibiscart_core.policies.burst import SHORT_SECONDS, BurstPass, avoids_reservations_until_us
 from ibiscart_core.policies.claim import claimable
 from ibiscart_core.policy import Batch
 from ibiscart_core.resource import Resources
@@ -116,12 +116,17 @@
                 f"{job.preempted_by} preempted it, so it gets no place that a guarantee may need "
                 f"for {seconds} s more"
             )
-        holds = BurstPass(Batch(self._ledger, self._now_us), self._view).preview()
+        burst_pass = BurstPass(Batch(self._ledger, self._now_us), self._view)
+        holds = burst_pass.preview()
         if level.find(job.shape) is None:
             lines.append(self._largest_domain(level))
             lines += [self._own_hold(hold) for hold in holds if hold.job is job]
             return lines
         end_us = self._now_us + int(estimated_seconds(self._ledger, job) * 1e6)
+        if burst_pass.keeps_off_lane(job.shape, estimated_seconds(self._ledger, job)):
+            lines.append(
+                f"what is free is kept for short work, at most {SHORT_SECONDS} s by estimate"
+            )
         for hold in holds:
             if hold.binds(job, end_us) and level.find(job.shape, hold.spare) is None:
                 lines.append(self._behind(hold))
--- a/tests/core/test_reclaim.py
+++ b/tests/core/test_reclaim.py
@@ -60,6 +60,20 @@
         world.send(seconds=600)
         self.assertEqual(world.job("leith", "first").state, JOB_STATE_RUNNING)
 
+    def test_long_work_leaves_places_to_short_work(self):
+        """Where nothing ends for hours, a short job would wait for hours."""
+        world = World()
+        world.send(register(1, 14), put_contract("leith", 0, accelerators=112))
+        world.send(put_contract("perth", 0))
+        world.send(*[submit("leith", f"s{n}", shape(1, 1)) for n in range(120)])
+        world.start_and_stop()
+        world.send(submit("perth", "long", shape(1, 1)))
+        world.send(submit("perth", "short", shape(1, 1), kind="short", seconds=100))
+        self.assertEqual(world.job("perth", "short").state, JOB_STATE_PLACED)
+        job = world.job("perth", "long")
+        lines = world.policy.explain(world.working, job, world.now_us)
+        self.assertIn("what is free is kept for short work", "\n".join(lines))
+
 
 if __name__ == "__main__":
     unittest.main()
