Count stoppable work once per change of a worker

Cause: while large gangs wait, each pass went through all 10,000 running tasks for up to 4 gangs and searched victims in domains whose loss was far over the bound.

Change: `Clearable` keeps, for each worker until it changes, what would be free and the loss as a function of time; domains over twice the bound are skipped.

--- a/packages/core/src/ibiscart_core/policies/burst.py
+++ b/packages/core/src/ibiscart_core/policies/burst.py
@@ -130,7 +130,7 @@
         for _, _, group, job in sorted(late)[:GANGS_TRIED]:
             if self._try(group, job, "fair_share"):
                 return
-            workers = reclaim_places(self._batch, job, group.seconds, taken)
+            workers = reclaim_places(self._batch, self._view.clearable, job, group.seconds, taken)
             if workers is not None:
                 self._place(job, workers, "gang_preempts")
                 return
--- a/packages/core/src/ibiscart_core/policies/reclaim.py
+++ b/packages/core/src/ibiscart_core/policies/reclaim.py
@@ -6,14 +6,14 @@
 """
 
 from ibiscart_core.lifecycle import Lifecycle
-from ibiscart_core.policies.victim import choose_victims, lost_work, shortage
+from ibiscart_core.policies.victim import choose_victims, shortage, work_weight
 from ibiscart_schema.generated.journal_pb2 import (
     JOB_STATE_PLACED,
     JOB_STATE_RUNNING,
     STOP_PREEMPTED,
 )
 
-__all__ = ["is_large", "reclaim_places", "reclaims_from_us"]
+__all__ = ["Clearable", "is_large", "reclaim_places", "reclaims_from_us"]
 
 LARGE_ACCELERATORS = 16
 # A gang may preempt after it has waited for this share of its estimated run time. Ageing alone
@@ -26,6 +26,9 @@
 VICTIM_ATTEMPTS = 4
 # a domain is worked out exactly only if it is among the cheapest ones
 DOMAINS_COMPARED = 4
+# Clearing the chosen workers wholly loses more than stopping just what is in the way. A domain
+# whose figure is this many times over the bound is not worked out; the search takes milliseconds.
+CLEARED_FACTOR = 2
 
 
 def is_large(shape):
@@ -38,19 +41,22 @@
     return job.submitted_us + int(max(LEAST_WAIT_SECONDS, WAIT_SHARE * seconds) * 1e6)
 
 
-def reclaim_places(batch, job, seconds, taken):
+def reclaim_places(batch, clearable, job, seconds, taken):
     """Returns places for ``job`` after stopping the burst work on them, or None.
 
-    Workers in ``taken`` are left alone. Only repeatable burst work that is not itself a
-    large gang is stopped, and only if little of it is lost.
+    ``clearable`` is the ``Clearable`` of the batch's ledger. Workers in ``taken`` are left
+    alone. Only repeatable burst work that is not itself a large gang is stopped, and only if
+    little of it is lost.
     """
     ledger = batch.ledger
     bound = LOST_SHARE * seconds * job.shape.accelerators
     best = None
     # a claim would soon stop a gang on places that a guarantee needs
-    domains = _domains(ledger, job, batch.now_us, taken, True)
-    domains = domains or _domains(ledger, job, batch.now_us, taken, False)
-    for _, _, workers in domains[:DOMAINS_COMPARED]:
+    domains = _domains(ledger, clearable, job, batch.now_us, taken, True)
+    domains = domains or _domains(ledger, clearable, job, batch.now_us, taken, False)
+    for loss, _, workers in domains[:DOMAINS_COMPARED]:
+        if loss > CLEARED_FACTOR * bound:
+            break
         missing = shortage(ledger, workers, job.shape.member)
         found = choose_victims(ledger, missing, batch.now_us, may_stop)
         if found is not None and found[0] <= bound and (best is None or found[0] < best[0]):
@@ -73,18 +79,58 @@
     )
 
 
-def _domains(ledger, job, now_us, taken, clear):
+class Clearable:
+    """For each worker, what would be free once all that may be stopped has stopped.
+
+    Kept until the worker changes, so that a pass does not count all running tasks.
+    """
+
+    def __init__(self, ledger):
+        self._ledger = ledger
+        self._kept = {}
+
+    def forget(self, worker_id):
+        """Drops what is kept of a worker that has changed."""
+        self._kept.pop(worker_id, None)
+
+    def get(self, worker, now_us):
+        """Returns (free ``Resources``, lost work in accelerator seconds)."""
+        kept = self._kept.get(worker.id)
+        if kept is None:
+            kept = self._kept[worker.id] = self._count(worker)
+        free, weight, released = kept
+        return free, weight * now_us / 1e6 - released
+
+    def _count(self, worker):
+        free, weight, released = worker.free, 0.0, 0.0
+        for (key, _, _), amount in worker.members.items():
+            job = self._ledger.jobs[key]
+            if job.state not in (JOB_STATE_PLACED, JOB_STATE_RUNNING):
+                free = free + amount
+            elif may_stop(job):
+                free = free + amount
+                if job.released:
+                    weight += work_weight(job)
+                    released += work_weight(job) * job.released_us / 1e6
+        return free, weight, released
+
+
+def _domains(ledger, clearable, job, now_us, taken, clear):
     """Returns (loss, name, worker ids) of the domains that can be cleared, cheapest first."""
     shape = job.shape
     domains = {}
     for worker in ledger.workers.values():
-        if worker.id in taken or not worker.accepts or worker.quarantines:
+        if not worker.capacity.covers(shape.member) or worker.id in taken:
             continue
-        if worker.id in job.failed_workers or not worker.capacity.covers(shape.member):
+        if not worker.accepts or worker.quarantines or worker.id in job.failed_workers:
             continue
-        entry = _clearable(ledger, worker, shape, now_us, clear)
-        if entry is not None:
-            domains.setdefault(worker.domain(shape.scope), []).append((*entry, worker.id))
+        free, loss = clearable.get(worker, now_us)
+        if clear:
+            free = free - worker.reserved
+        fits = min(shape.members, shape.member.times_within(free))
+        if fits:
+            entry = (loss / fits, fits, worker.id)
+            domains.setdefault(worker.domain(shape.scope), []).append(entry)
     usable = []
     for name, entries in domains.items():
         entries.sort()
@@ -97,19 +143,3 @@
                 usable.append((loss, name, chosen))
                 break
     return sorted(usable)
-
-
-def _clearable(ledger, worker, shape, now_us, clear):
-    """Returns (loss for each member, members) of a worker once its burst work is stopped."""
-    free, loss = worker.free, 0.0
-    for (key, _, _), amount in worker.members.items():
-        job = ledger.jobs[key]
-        if job.state not in (JOB_STATE_PLACED, JOB_STATE_RUNNING):
-            free = free + amount
-        elif may_stop(job):
-            free = free + amount
-            loss += lost_work(job, now_us)
-    if clear:
-        free = free - worker.reserved
-    fits = min(shape.members, shape.member.times_within(free))
-    return (loss / fits, fits) if fits else None
--- a/packages/core/src/ibiscart_core/policies/victim.py
+++ b/packages/core/src/ibiscart_core/policies/victim.py
@@ -8,7 +8,7 @@
 from ibiscart_core.resource import Resources
 from ibiscart_schema.generated.journal_pb2 import JOB_STATE_PLACED, JOB_STATE_RUNNING
 
-__all__ = ["choose_victims", "lost_work", "shortage"]
+__all__ = ["choose_victims", "lost_work", "shortage", "work_weight"]
 
 # a worker of 128 cores has 8 accelerators, so 16 cores weigh as much as one accelerator
 CPU_MILLIS_PER_ACCELERATOR = 16_000
@@ -26,9 +26,13 @@
     """
     if not job.released:
         return 0.0
+    return max(0, now_us - job.released_us) / 1e6 * work_weight(job)
+
+
+def work_weight(job):
+    """Returns the accelerators of a gang, with its processors counted as parts of one."""
     total = job.shape.total
-    weight = total.accelerators + total.cpu_millis / CPU_MILLIS_PER_ACCELERATOR
-    return max(0, now_us - job.released_us) / 1e6 * weight
+    return total.accelerators + total.cpu_millis / CPU_MILLIS_PER_ACCELERATOR
 
 
 def shortage(ledger, workers, member):
--- a/packages/core/src/ibiscart_core/policies/view.py
+++ b/packages/core/src/ibiscart_core/policies/view.py
@@ -7,6 +7,7 @@
 
 from ibiscart_core.capacity import Capacity
 from ibiscart_core.policies.backlog import Backlog
+from ibiscart_core.policies.reclaim import Clearable
 from ibiscart_core.policies.timeline import Timeline
 from ibiscart_core.resource import Resources
 from ibiscart_core.usage import Changes
@@ -31,6 +32,7 @@
         self.clear = Capacity()
         self.fixed = Capacity()
         self.timeline = Timeline(ledger)
+        self.clearable = Clearable(ledger)
         self._changes = Changes()
         if watch:
             ledger.watch(self._changes)
@@ -44,6 +46,7 @@
         self._changes.workers = set()
         for worker_id in changed:
             self.timeline.forget(worker_id)
+            self.clearable.forget(worker_id)
             worker = self.ledger.workers.get(worker_id)
             if worker is not None:
                 self._set(worker)
