--- a/packages/core/src/ibiscart_core/shape.py
+++ b/packages/core/src/ibiscart_core/shape.py
@@ -5,11 +5,16 @@
 Shape of a gang: its members, what each needs, and how near they must lie.
 """
 
+from functools import lru_cache
+
 from ibiscart_core.resource import Resources
 from ibiscart_schema.generated.types_pb2 import Shape as ShapeMessage
 
 __all__ = ["Shape"]
 
+# 5,000 queued jobs have a few dozen shapes; one object for each job took several MB
+SHAPES_SHARED = 1024
+
 
 class Shape:
     """A gang of ``members`` that each need ``member``, within one domain of ``scope``."""
@@ -32,15 +37,22 @@
         return self.member.scaled(self.members)
 
     def __eq__(self, other):
-        return isinstance(other, Shape) and self._key() == other._key()
+        return self is other or (isinstance(other, Shape) and self._key() == other._key())
 
     def __hash__(self):
         return hash(self._key())
 
     @classmethod
     def from_message(cls, message):
-        """Builds the shape from a ``Shape`` message."""
-        return cls(message.members, Resources.from_message(message.member), message.scope)
+        """Returns the shape of a ``Shape`` message; equal messages share one object."""
+        member = message.member
+        return _shared(
+            message.members,
+            member.accelerators,
+            member.cpu_millis,
+            member.memory_mb,
+            message.scope,
+        )
 
     def to_message(self):
         """Returns the shape as a ``Shape`` message."""
@@ -56,3 +68,8 @@
 
     def _key(self):
         return (self.members, self.member, self.scope)
+
+
+@lru_cache(maxsize=SHAPES_SHARED)
+def _shared(members, accelerators, cpu_millis, memory_mb, scope):
+    return Shape(members, Resources(accelerators, cpu_millis, memory_mb), scope)
