Refuse once-only work that fits only on reserved places

Cause: burst work that may run only once gets no place that a guarantee needs.

Change: refused at submission with impossible_shape, ran = no, when no guarantee covers it and no domain holds it beside the present places of all reservations, claimed or not. A job that a later contract makes impossible stays queued, and `explain` says so. Treating reservations as movable was not chosen: every such job would need a repack, and refusing is safe for the caller.

--- a/packages/core/src/ibiscart_core/admission.py
+++ b/packages/core/src/ibiscart_core/admission.py
@@ -5,16 +5,22 @@
 Decides whether a submitted job is taken into its account's queue.
 """
 
+from types import MappingProxyType
+
 from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_core.resource import Resources
+
+__all__ = ["check_submission", "fits_unreserved"]
 
-__all__ = ["check_submission"]
+NOTHING = Resources()
 
 
-def check_submission(ledger, account, shape):
+def check_submission(ledger, account, shape, repeatable):
     """Raises ``IbiscartError`` when a job of this shape must be refused.
 
     ``shape`` is a ``Shape``. A job that can claim a free guarantee is admitted even when
-    the account's queue is full.
+    the account's queue is full. A job that may run only once (``repeatable`` False) is
+    refused when no guarantee covers it and no domain could hold it beside the guarantees.
     """
     guarantees = [r for r in account.reservations.values() if r.shape.covers(shape)]
     contract = account.contract
@@ -39,6 +45,15 @@
             value=f"{shape.members} members of {shape.member!r}",
             bound="largest domain of the scope",
         )
+    if not repeatable and not guarantees and not fits_unreserved(ledger, shape):
+        raise IbiscartError(
+            ErrorKind.IMPOSSIBLE_SHAPE,
+            "a job that may run only once gets no place that a guarantee needs, and no domain "
+            "has as much beside the guarantees; use a smaller shape or a guarantee",
+            field="shape",
+            value=f"{shape.members} members of {shape.member!r}",
+            bound="largest unreserved domain of the scope",
+        )
     limit = contract.queued_jobs
     unclaimed = sum(r.job is None for r in guarantees)
     if len(account.queued) >= limit + unclaimed:
@@ -51,11 +66,27 @@
         )
 
 
-def _possible(ledger, shape):
+def fits_unreserved(ledger, shape):
+    """Tells whether some domain, without burst work, can hold ``shape`` beside all guarantees.
+
+    Counts the present places of the reservations, claimed or not.
+    """
+    reserved = {}
+    for reservation in ledger.reservations.values():
+        for worker_id in reservation.workers:
+            kept = reserved.get(worker_id, NOTHING)
+            reserved[worker_id] = kept + reservation.shape.member
+    return _possible(ledger, shape, reserved)
+
+
+def _possible(ledger, shape, reserved=MappingProxyType({})):
     counts = {}
     for worker in ledger.workers.values():
         domain = worker.domain(shape.scope)
-        counts[domain] = counts.get(domain, 0) + shape.member.times_within(worker.capacity)
+        room = worker.capacity
+        if worker.id in reserved:
+            room = room - reserved[worker.id]
+        counts[domain] = counts.get(domain, 0) + shape.member.times_within(room)
         if counts[domain] >= shape.members:
             return True
     return False
--- a/packages/core/src/ibiscart_core/policies/explanation.py
+++ b/packages/core/src/ibiscart_core/policies/explanation.py
@@ -7,6 +7,7 @@
 
 from datetime import UTC, datetime
 
+from ibiscart_core.admission import fits_unreserved
 from ibiscart_core.policies.backlog import JobClass, due_us, estimated_seconds
 from ibiscart_core.policies.burst import SHORT_SECONDS, BurstPass, avoids_reservations_until_us
 from ibiscart_core.policies.claim import claimable
@@ -109,6 +110,11 @@
         if not job.spec.repeatable:
             level = self._view.fixed
             lines.append("it may run only once, so it gets no place that a guarantee may need")
+            if not fits_unreserved(self._ledger, job.shape):
+                lines.append(
+                    "no domain can ever hold it beside the present guarantees; cancel it, or ask "
+                    "an operator for a guarantee"
+                )
         elif avoids_reservations_until_us(job) > self._now_us:
             level = self._view.clear
             seconds = _seconds(avoids_reservations_until_us(job), self._now_us)
--- a/packages/core/src/ibiscart_core/scheduler.py
+++ b/packages/core/src/ibiscart_core/scheduler.py
@@ -73,7 +73,8 @@
         account = self._account(spec.account)
         job = self._ledger.jobs.get(JobKey.from_message(spec))
         if job is None:
-            check_submission(self._ledger, account, Shape.from_message(spec.shape))
+            shape = Shape.from_message(spec.shape)
+            check_submission(self._ledger, account, shape, spec.repeatable)
             batch.emit(job_submitted={"spec": spec})
             job = self._ledger.jobs[JobKey.from_message(spec)]
         elif not job.same_body(spec):
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from ibiscart_schema.generated.types_pb2 import RAN_NO
 from tests.core.world import World, put_contract, register, shape, submit
 
 
@@ -29,6 +30,17 @@
         self.assertFalse(reply.HasField("error"), reply.error)
         self.assertEqual(len(world.events_of("job_placed")), 1)
 
+    def test_refuses_once_only_work_that_fits_only_on_reserved_places(self):
+        """Such a job gets no reserved place and would wait without end, untold."""
+        world = World()
+        world.send(register(1, 2), put_contract("leith", 0))
+        world.send(put_contract("perth", 0, [("a", shape(2, 4), 1)]))
+        error = world.send(submit("leith", "late", shape(2, 6), repeatable=False))[0].error
+        self.assertEqual((error.code, error.ran), ("impossible_shape", RAN_NO))
+        for job_shape, repeatable in ((shape(2, 4), False), (shape(2, 6), True)):
+            command = submit("leith", f"{repeatable}", job_shape, repeatable=repeatable)
+            self.assertFalse(world.send(command)[0].HasField("error"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/core/test_explanation.py
+++ b/tests/core/test_explanation.py
@@ -70,10 +70,13 @@
 
     def test_says_why_work_that_may_run_once_waits(self):
         """Free places that such work may not use must not look like a fault."""
-        self.world.send(put_contract("perth", 0, [("a", shape(1, 8), 4)]))
         self.world.send(put_contract("leith", 0))
+        self.world.send(*[submit("leith", f"f{n}", shape(1, 8)) for n in range(4)])
         self.world.send(submit("leith", "once", shape(1, 1), repeatable=False))
+        # submitted after this contract it would be refused
+        self.world.send(put_contract("perth", 0, [("a", shape(1, 8), 4)]))
         text = self.explain("leith", "once")
+        self.assertIn("no domain can ever hold it beside the present guarantees", text)
         self.assertIn("may run only once", text)
         self.assertIn("has room for 0 members and 0 free accelerators", text)
 
