Faults of members are broadcast in a message that carries the sender's state

On a real process the first failed member of a gang would have raised in the task that serves the peer and ended the entry; the tests' fake peers did not add the state. Change: MemberFault has the field, its answer carries the receiver's state, and the fake adds the state as the real one does. New scenario on real processes: gangs whose members fail (FailingMemberTest).

--- a/packages/entry/src/ibiscart_entry/stop.py
+++ b/packages/entry/src/ibiscart_entry/stop.py
@@ -20,7 +20,7 @@
     MEMBER_LAPSED,
     MemberEnded,
 )
-from ibiscart_schema.generated.peer_pb2 import Heartbeat
+from ibiscart_schema.generated.peer_pb2 import MemberFault
 
 __all__ = ["FaultStops"]
 
@@ -53,7 +53,7 @@
         self._random = random
         self._attempts = {}
         self._nursery = None
-        peers.route(PATH, MemberEnded, self._take_fault)
+        peers.route(PATH, MemberFault, self._take_fault)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Stops what is added, until cancelled."""
@@ -80,7 +80,7 @@
             return
         self._attempts[key] = attempt
         fault = MemberEnded(job=key.to_message(), attempt=attempt, rank=rank, outcome=outcome)
-        self._peers.broadcast(PATH, fault)
+        self._peers.broadcast(PATH, MemberFault(ended=fault))
         LOG.info(
             "controller: A gang is stopped after the fault of a member.",
             extra={"job": repr(key), "attempt": attempt, "rank": rank},
@@ -88,13 +88,14 @@
         self._stop_members(job, [r for r in job.open_members if r not in ended])
 
     async def _take_fault(self, sender, message):
-        key = JobKey.from_message(message.job)
+        ended = message.ended
+        key = JobKey.from_message(ended.job)
         job = self._journal.ledger.jobs.get(key)
-        known = self.stopped(key, message.attempt) or message.outcome == MEMBER_COMPLETED
-        if not known and _unstopped(job, message.attempt) and self._nursery is not None:
-            self._attempts[key] = message.attempt
+        known = self.stopped(key, ended.attempt) or ended.outcome == MEMBER_COMPLETED
+        if not known and _unstopped(job, ended.attempt) and self._nursery is not None:
+            self._attempts[key] = ended.attempt
             self._nursery.start_soon(self._stop_owned, copy(job))
-        return Heartbeat(sequence=self._journal.sequence)
+        return self._peers.answer(sender, message.state)
 
     async def _stop_owned(self, job):
         await trio.sleep(RECORD_SECONDS)
--- a/tests/demo/test_scenarios.py
+++ b/tests/demo/test_scenarios.py
@@ -264,6 +264,28 @@
         self.run_scenario(scenario)
 
 
+class FailingMemberTest(ScenarioTest):
+    def test_gangs_whose_members_fail(self):
+        """Guards against gangs that run on without a failed member, and against a fault of
+        one job that ends an entry (P2)."""
+
+        async def scenario(run):
+            caller = run.callers[0]
+            spec = {
+                "shape": shape(2, 4, "rack"),
+                "kind": "failing",
+                "payload": "run_seconds=3 fail_after=0.3",
+            }
+            outcome = await caller.submit_job("failing", spec)
+            self.assertEqual(outcome.status, 202, outcome.value)
+            await run.run_jobs(2, run_seconds=0.5)
+            job = await caller.wait_job("failing")
+            self.assertEqual(job["outcome"], "failed", job)
+            self.assertTrue(all(entry.child.running for entry in run.fleet.entries))
+
+        self.run_scenario(scenario)
+
+
 class LeavingTest(ScenarioTest):
     def test_leaving_targets_get_no_new_work(self):
         """Guards against new work on a worker and a runner that leave (P6)."""
--- a/tests/entry/fake.py
+++ b/tests/entry/fake.py
@@ -16,7 +16,7 @@
 from ibiscart_entry.peer import PeerError
 from ibiscart_entry.table import Row, StoreError, Table, TableConflict
 from ibiscart_schema.generated.journal_pb2 import Record
-from ibiscart_schema.generated.peer_pb2 import Command
+from ibiscart_schema.generated.peer_pb2 import Command, Heartbeat
 from ibiscart_schema.generated.settings_pb2 import DispatchSettings, SchedulerSettings
 
 START_US = 1_700_000_000_000_000
@@ -230,11 +230,17 @@
 
     def broadcast(self, path, message):
         """Hands the message to the live entries that serve ``path``, in the background."""
+        # the real one adds its state to every broadcast
+        message = type(message).FromString(message.SerializeToString())
+        message.state.entry_id = self.entry_id
         for entry_id in self._network.live:
             peers = self._network.peers.get(entry_id)
             if peers is not self and peers is not None and path in peers.routes:
                 trio.lowlevel.spawn_system_task(peers.routes[path], self.entry_id, message)
 
+    def answer(self, sender, state):
+        return Heartbeat(entry_id=self.entry_id)
+
     async def call(self, entry_id, path, message, reply_type, timeout):
         await trio.sleep(0.001)
         if entry_id not in self._network.live:
