--- a/packages/entry/src/ibiscart_entry/call.py
+++ b/packages/entry/src/ibiscart_entry/call.py
@@ -167,7 +167,7 @@
 
 
 def read_flag(values, name, default):
-    """Returns a truth value from a mapping of texts."""
+    """Returns a boolean from a mapping of texts."""
     text = values.get(name)
     if text is None:
         return default
--- a/packages/entry/src/ibiscart_entry/claim.py
+++ b/packages/entry/src/ibiscart_entry/claim.py
@@ -121,7 +121,7 @@
     async def recheck(self, claim):
         """Reads a claim again that is older than a second, right before it is sent.
 
-        Raises ``outcome_unknown`` when a caller was told so meanwhile.
+        Raises ``outcome_unknown`` when a caller was answered so meanwhile.
         """
         while trio.current_time() - claim.checked_at > RECHECK_SECONDS:
             start = trio.current_time()
@@ -220,7 +220,7 @@
         return recent and claim.entry_id in self._live()
 
     async def _close_lost(self, row, claim):
-        """Closes a claim without a live holder before a caller is told that it is lost."""
+        """Closes a claim without a live holder before a caller is answered that it is lost."""
         claim.closed = True
         message = TableWrite(
             key=row.key, value=claim.SerializeToString(), expected_version=row.version
@@ -293,7 +293,7 @@
         with trio.move_on_after(OUTCOME_SECONDS):
             await write.done.wait()
         if write.conflict is not None and not message.delete:
-            # a caller was told "unknown" and the row was closed; the true outcome replaces it
+            # a caller was answered "unknown" and the row was closed; the real outcome replaces it
             message.expected_version = write.conflict.version
             write.abandoned = True
             write = Write(message, same)
--- a/packages/entry/src/ibiscart_entry/peer.py
+++ b/packages/entry/src/ibiscart_entry/peer.py
@@ -150,7 +150,7 @@
         return self._clock() - self._heard.get(entry_id, self._started)
 
     def sequence_of(self, entry_id):
-        """Returns the journal sequence that a peer last told."""
+        """Returns the journal sequence that a peer last reported."""
         peer = self._peers.get(entry_id)
         return peer.sequence if peer is not None else 0
 
--- a/packages/entry/src/ibiscart_entry/writer.py
+++ b/packages/entry/src/ibiscart_entry/writer.py
@@ -29,7 +29,7 @@
 LOG = logging.getLogger("ibiscart.writer")
 QUEUE_BOUND = 10_000
 TICK_SECONDS = 1.0
-# entries that are tried for one command before its caller is told to retry later
+# entries that are tried for one command before its caller is asked to retry later
 ENTRIES_TRIED = 3
 # commands behind an append of unknown outcome go to other entries after this time; it
 # leaves room for a second attempt after the store's default timeout of 2 s
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -313,7 +313,7 @@
         )
 
     def test_wait_ends_with_its_time(self):
-        """A job that goes on is told apart from one that failed."""
+        """A job that goes on is distinguished from one that failed."""
         self.create()
         arguments = ("job", "submit", "reports", "--accelerators", "1", "--id", "j1")
         self.run_command(*arguments, "--wait", "--wait-time", "0.3", key="caller", code=8)
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -97,7 +97,7 @@
             self.world.send(seconds=100)
             self.world.start_and_stop(seconds=0)
         self.assertEqual([job.state for job in jobs], [JOB_STATE_ENDED] * 3)
-        # the first failures alone cannot be told from those of a bad worker
+        # the first failures alone cannot be distinguished from those of a bad worker
         counts = [w.quarantines for w in self.world.working.workers.values()]
         self.assertEqual(counts, [1, 0, 0])
 
--- a/tests/entry/test_claim.py
+++ b/tests/entry/test_claim.py
@@ -125,7 +125,7 @@
 
     @in_virtual_time
     async def test_holder_paused_for_minutes(self, setup):
-        """A holder that resumes must not send what a caller was told is unknown."""
+        """A holder that resumes must not send what a caller was answered is unknown."""
         e1, e2 = await setup.start("e1"), await setup.start("e2")
         claim = await e1.claim("acme", "i1", b"x")
         setup.live.remove("e1")
--- a/tests/entry/test_writer.py
+++ b/tests/entry/test_writer.py
@@ -440,7 +440,7 @@
 
     @virtual
     async def test_a_command_answered_as_not_run_is_not_decided_again(self, nursery):
-        """A caller that was told ran = no must not find its job in the journal later (P4)."""
+        """A caller that was answered ran = no must not find its job in the journal later (P4)."""
         cluster = await started(nursery)
         node = cluster.nodes["a"]
         cluster.network.partition({"a"}, {"b", "c"})
