Demo and measuring scripts stand beside the tests, not among them

They are no tests: demo/ holds the fleet, the callers and the demo, tools/ the measuring scripts and the generator of traces. The stand-ins stay in the test tree.

--- a/Makefile
+++ b/Makefile
@@ -25,18 +25,18 @@
 setup: $(VENV)/.installed
 
 demo: setup
-	$(BIN)/python -m tests.demo.demo
+	$(BIN)/python -m demo.demo
 
 test: setup
 	$(BIN)/python tools/run_tests.py
 
 lint: setup
-	$(BIN)/black --check --quiet packages tests tools || { echo "black: run 'make format'"; exit 1; }
-	$(BIN)/ruff check packages tests tools
+	$(BIN)/black --check --quiet packages demo tests tools || { echo "black: run 'make format'"; exit 1; }
+	$(BIN)/ruff check packages demo tests tools
 
 format: setup
-	$(BIN)/black --quiet packages tests tools
-	$(BIN)/ruff check --fix packages tests tools
+	$(BIN)/black --quiet packages demo tests tools
+	$(BIN)/ruff check --fix packages demo tests tools
 
 generate: setup
 	PYTHON=$(abspath $(BIN)/python) tools/generate
--- a/tests/demo/caller.py
+++ b/demo/caller.py
@@ -1,5 +1,5 @@
 """
-tests.demo.caller
+demo.caller
 ~~~~~~~~~~~~~~~~~
 
 Callers behind a load balancer: picks ready entries, resends by id, and records answers.
--- a/tests/demo/demo.py
+++ b/demo/demo.py
@@ -1,5 +1,5 @@
 """
-tests.demo.demo
+demo.demo
 ~~~~~~~~~~~~~~~
 
 Runs ibiscart on loopback: stand-ins, four entries, two client accounts, a mixed load, one
@@ -15,9 +15,9 @@
 
 import trio
 
+from demo.caller import Balancer, Caller
+from demo.fleet import Fleet, FleetError, key_hash, usage
 from ibiscart_core.audit import audit
-from tests.demo.caller import Balancer, Caller
-from tests.demo.fleet import Fleet, FleetError, key_hash, usage
 
 __all__ = ["contract", "main", "shape"]
 
--- a/tests/demo/fleet.py
+++ b/demo/fleet.py
@@ -1,5 +1,5 @@
 """
-tests.demo.fleet
+demo.fleet
 ~~~~~~~~~~~~~~~~
 
 Starts stand-ins and entry processes on loopback, and injects faults into them.
--- a/tests/core/test_measure.py
+++ b/tests/core/test_measure.py
@@ -17,7 +17,7 @@
 from ibiscart_core.trace import read_trace, write_trace
 from ibiscart_schema.generated.trace_pb2 import TraceEvent
 from ibiscart_schema.generated.types_pb2 import SCOPE_RACK, SCOPE_WORKER
-from tests.core import trace_generator
+from tools import trace_generator
 
 SECOND = 1_000_000
 LARGEST_FILE_BYTES = 300_000
--- a/tests/core/test_replay.py
+++ b/tests/core/test_replay.py
@@ -11,7 +11,7 @@
 from ibiscart_schema.generated.trace_pb2 import TraceEvent
 from ibiscart_schema.generated.types_pb2 import SCOPE_RACK, TARGET_LIVE, TARGET_LOST
 from tests.core.random_trace import random_trace
-from tests.core.trace_generator import FOLDER
+from tools.trace_generator import FOLDER
 
 SECOND = 1_000_000
 MEMBER = {"accelerators": 4, "cpu_millis": 8000, "memory_mb": 1000}
--- a/tests/demo/test_scenarios.py
+++ b/tests/demo/test_scenarios.py
@@ -12,10 +12,10 @@
 
 import trio
 
+from demo.caller import Balancer, Caller
+from demo.demo import contract, shape
+from demo.fleet import Fleet
 from ibiscart_core.audit import audit
-from tests.demo.caller import Balancer, Caller
-from tests.demo.demo import contract, shape
-from tests.demo.fleet import Fleet
 
 SEED = 7
 SCENARIO_SECONDS = 90
--- a/tests/entry/bench_authority.py
+++ b/tools/bench_authority.py
@@ -1,6 +1,6 @@
 """Compares ways to choose who appends to the journal; prints one table.
 
-``python -m tests.entry.bench_authority [seed]``. Virtual time over the in-process stand-ins:
+``python -m tools.bench_authority [seed]``. Virtual time over the in-process stand-ins:
 the figures count waits for the store, the network and leases, but no processor time. A gap is
 the longest time without a successful reply at the entries that are not at fault; ``+`` means
 that it lasted until the end of the run.
--- a/tests/core/bench_decisions.py
+++ b/tools/bench_decisions.py
@@ -1,6 +1,6 @@
 """Prints decision times and memory at the two-year size.
 
-Run with ``python -m tests.core.bench_decisions``; takes about a minute. Not a unit test.
+Run with ``python -m tools.bench_decisions``; takes about a minute. Not a unit test.
 """
 
 import random
--- a/tests/capacity/caller.py
+++ b/tools/capacity/caller.py
@@ -1,6 +1,6 @@
 """Bytes and processor time of the calls that balancers, collectors and callers make.
 
-Run with ``python -m tests.capacity.caller``: one entry, no workers, one call at a time.
+Run with ``python -m tools.capacity.caller``: one entry, no workers, one call at a time.
 """
 
 import json
@@ -8,11 +8,11 @@
 
 import trio
 
+from demo.fleet import key_hash, usage
 from ibiscart_entry.client import HttpClient
 from ibiscart_entry.metric import Metrics
-from tests.capacity.fleet import CapacityFleet
-from tests.capacity.table import print_command, print_table
-from tests.demo.fleet import key_hash, usage
+from tools.capacity.fleet import CapacityFleet
+from tools.capacity.table import print_command, print_table
 
 CALLS = 300
 SETTLE_SECONDS = 3
@@ -72,7 +72,7 @@
 
 
 def main():
-    print_command("tests.capacity.caller")
+    print_command("tools.capacity.caller")
     trio.run(run)
 
 
--- a/tests/capacity/contract.py
+++ b/tools/capacity/contract.py
@@ -1,6 +1,6 @@
 """Time until a contract change is in force on every entry, and the messages that it takes.
 
-Run with ``python -m tests.capacity.contract ENTRIES``: 850 workers and 280 contracts, no running
+Run with ``python -m tools.capacity.contract ENTRIES``: 850 workers and 280 contracts, no running
 tasks. Changes go to all entries in turn; an entry is done when it answers with the new version.
 """
 
@@ -9,10 +9,10 @@
 
 import trio
 
-from tests.capacity.fleet import CapacityFleet
-from tests.capacity.region import Region, Size
-from tests.capacity.table import print_command, print_table, spread
-from tests.demo.fleet import key_hash
+from demo.fleet import key_hash
+from tools.capacity.fleet import CapacityFleet
+from tools.capacity.region import Region, Size
+from tools.capacity.table import print_command, print_table, spread
 
 BOUND_SECONDS = 6.0
 CHANGES = 30
@@ -130,7 +130,7 @@
     parser.add_argument("entries", type=int)
     parser.add_argument("--changes", type=int, default=CHANGES)
     options = parser.parse_args()
-    print_command("tests.capacity.contract")
+    print_command("tools.capacity.contract")
     trio.run(run, options)
 
 
--- a/tests/capacity/decision.py
+++ b/tools/capacity/decision.py
@@ -1,6 +1,6 @@
 """Processor time and memory of the decision code at the two-year size, and their slopes.
 
-Run with ``python -m tests.capacity.decision``; takes about two minutes. Each size runs in a
+Run with ``python -m tools.capacity.decision``; takes about two minutes. Each size runs in a
 process of its own, because memory that was freed would distort the next size.
 """
 
@@ -16,9 +16,9 @@
 from ibiscart_core.ledger import Ledger
 from ibiscart_core.packing import plan_reservations
 from ibiscart_schema.generated.journal_pb2 import Record, Snapshot
-from tests.capacity.region import Region, Size
-from tests.capacity.table import fit, print_command, print_table
 from tests.core.world import ended
+from tools.capacity.region import Region, Size
+from tools.capacity.table import fit, print_command, print_table
 
 REPEATS = 30
 POINTS = {
@@ -136,7 +136,7 @@
     """Measures one size in a process of its own."""
     arguments = [str(number) for number in size.as_tuple()]
     result = subprocess.run(
-        [sys.executable, "-m", "tests.capacity.decision", "one", *arguments],
+        [sys.executable, "-m", "tools.capacity.decision", "one", *arguments],
         stdout=subprocess.PIPE,
         check=True,
     )
@@ -147,7 +147,7 @@
     if sys.argv[1:2] == ["one"]:
         print(json.dumps(measure(Size(*map(int, sys.argv[2:])))))
         return
-    print_command("tests.capacity.decision")
+    print_command("tools.capacity.decision")
     cache = {}
 
     def figures(**changes):
--- a/tests/capacity/fleet.py
+++ b/tools/capacity/fleet.py
@@ -5,9 +5,9 @@
 import re
 import time
 
+from demo.fleet import Fleet, usage
 from ibiscart_entry.client import HttpClient
-from tests.capacity.region import Region, worker_infos
-from tests.demo.fleet import Fleet, usage
+from tools.capacity.region import Region, worker_infos
 
 __all__ = ["CapacityFleet", "Reading", "preload"]
 
@@ -82,7 +82,7 @@
             count = -(-left // (SWARMS - index))
             left -= count
             name = f"swarm-{index}"
-            self._spawn(name, ["tests.capacity.swarm", "--id", name, "--count", str(count)])
+            self._spawn(name, ["tools.capacity.swarm", "--id", name, "--count", str(count)])
             child = self.children[name]
             await child.port()
             line = next(x for x in child.output.read_text().splitlines() if x.startswith("ports"))
--- a/tests/capacity/hotspot.py
+++ b/tools/capacity/hotspot.py
@@ -1,6 +1,6 @@
 """Processor time of one entry by package and by function, from a profile.
 
-Run with ``python -m tests.capacity.hotspot ENTRIES WORKERS``; the first entry runs under cProfile,
+Run with ``python -m tools.capacity.hotspot ENTRIES WORKERS``; the first entry runs under cProfile,
 which about doubles the time of code that makes many small calls.
 """
 
@@ -12,9 +12,9 @@
 
 import trio
 
-from tests.capacity.fleet import CapacityFleet
-from tests.capacity.table import print_command, print_table
-from tests.demo.fleet import Child
+from demo.fleet import Child
+from tools.capacity.fleet import CapacityFleet
+from tools.capacity.table import print_command, print_table
 
 SETTLE_SECONDS = 10
 END_SECONDS = 15
@@ -35,7 +35,7 @@
         # the settings are written by the start of an unprofiled entry
         super().start_entry(entry)
         entry.child.stop()
-        arguments = ["-m", "tests.capacity.profiled", str(self.profile), str(path)]
+        arguments = ["-m", "tools.capacity.profiled", str(self.profile), str(path)]
         entry.child = Child(entry.id, arguments, self.folder)
         self.children[entry.id] = entry.child
 
@@ -92,7 +92,7 @@
     parser.add_argument("workers", type=int)
     parser.add_argument("--seconds", type=float, default=60)
     options = parser.parse_args()
-    print_command("tests.capacity.hotspot")
+    print_command("tools.capacity.hotspot")
     trio.run(run, options)
 
 
--- a/tests/capacity/loopback.py
+++ b/tools/capacity/loopback.py
@@ -1,6 +1,6 @@
 """Processor share, memory and bytes of entry processes on loopback.
 
-Run with ``python -m tests.capacity.loopback ENTRIES WORKERS [TASKS …]``: measures idle and then
+Run with ``python -m tools.capacity.loopback ENTRIES WORKERS [TASKS …]``: measures idle and then
 with each number of running tasks. The entries use their default settings.
 """
 
@@ -9,11 +9,11 @@
 
 import trio
 
+from demo.caller import Balancer, Caller
+from demo.fleet import key_hash
 from ibiscart_entry.client import TransportError
-from tests.capacity.fleet import CapacityFleet
-from tests.capacity.table import print_command, print_table
-from tests.demo.caller import Balancer, Caller
-from tests.demo.fleet import key_hash
+from tools.capacity.fleet import CapacityFleet
+from tools.capacity.table import print_command, print_table
 
 SECONDS = 20
 SETTLE_SECONDS = 12
@@ -152,7 +152,7 @@
     parser.add_argument("tasks", type=int, nargs="*")
     parser.add_argument("--seconds", type=float, default=SECONDS)
     options = parser.parse_args()
-    print_command("tests.capacity.loopback")
+    print_command("tools.capacity.loopback")
     trio.run(run, options)
 
 
--- a/tests/capacity/members.py
+++ b/tools/capacity/members.py
@@ -1,6 +1,6 @@
 """Size of the membership list and processor time of reading it, by number of workers.
 
-Run with ``python -m tests.capacity.members``.
+Run with ``python -m tools.capacity.members``.
 """
 
 import time
@@ -8,15 +8,15 @@
 from google.protobuf.json_format import MessageToJson, Parse, ParseDict
 
 from ibiscart_schema.generated.target_pb2 import MembershipList
-from tests.capacity.region import worker_infos
-from tests.capacity.table import fit, print_command, print_table, spread
+from tools.capacity.region import worker_infos
+from tools.capacity.table import fit, print_command, print_table, spread
 
 WORKERS = (24, 212, 425, 850)
 REPEATS = 20
 
 
 def main():
-    print_command("tests.capacity.members")
+    print_command("tools.capacity.members")
     rows = []
     for count in WORKERS:
         members = MembershipList(version=7)
--- a/tests/capacity/metrics.py
+++ b/tools/capacity/metrics.py
@@ -1,13 +1,13 @@
 """Processor time of the counters and of one answer to ``GET /metrics``.
 
-Run with ``python -m tests.capacity.metrics``.
+Run with ``python -m tools.capacity.metrics``.
 """
 
 import time
 import timeit
 
 from ibiscart_entry.metric import Metrics
-from tests.capacity.table import print_command, print_table
+from tools.capacity.table import print_command, print_table
 
 CALLS = 1_000_000
 RENDERS = 10
@@ -17,7 +17,7 @@
 
 
 def main():
-    print_command("tests.capacity.metrics")
+    print_command("tools.capacity.metrics")
     metrics = Metrics()
     traffic = metrics.traffic("peers")
     best = min(timeit.repeat(lambda: traffic.add_sent(300), number=CALLS, repeat=5)) / CALLS
--- a/tests/capacity/startup.py
+++ b/tools/capacity/startup.py
@@ -1,6 +1,6 @@
 """Start time and memory of fresh entries from a snapshot at the two-year size.
 
-Run with ``python -m tests.capacity.startup``. The workers of the stored state cannot be reached;
+Run with ``python -m tools.capacity.startup``. The workers of the stored state cannot be reached;
 each entry is ended as soon as it is ready, before that makes a difference.
 """
 
@@ -10,10 +10,10 @@
 
 import trio
 
-from tests.capacity.fleet import CapacityFleet
-from tests.capacity.region import Size
-from tests.capacity.table import print_command, print_table, spread
-from tests.demo.fleet import usage
+from demo.fleet import usage
+from tools.capacity.fleet import CapacityFleet
+from tools.capacity.region import Size
+from tools.capacity.table import print_command, print_table, spread
 
 REPEATS = 5
 HEADS = ("state in the store", "ready after s (spread)", "processor s", "MB when ready")
@@ -58,7 +58,7 @@
     parser = argparse.ArgumentParser(description="Start of an entry from a snapshot.")
     parser.add_argument("--repeats", type=int, default=REPEATS)
     options = parser.parse_args()
-    print_command("tests.capacity.startup")
+    print_command("tools.capacity.startup")
     trio.run(run, options)
 
 
--- a/tests/capacity/storage.py
+++ b/tools/capacity/storage.py
@@ -1,6 +1,6 @@
 """Store operations a second in steady state and around an outage of 30 s.
 
-Run with ``python -m tests.capacity.storage ENTRIES``: contract changes arrive all the time, so
+Run with ``python -m tools.capacity.storage ENTRIES``: contract changes arrive all the time, so
 that appends go on; both the table service and the object store are down during the outage.
 """
 
@@ -9,8 +9,8 @@
 import trio
 
 from ibiscart_entry.client import TransportError
-from tests.capacity.fleet import CapacityFleet
-from tests.capacity.table import print_command, print_table
+from tools.capacity.fleet import CapacityFleet
+from tools.capacity.table import print_command, print_table
 
 STEADY_SECONDS = 30
 OUTAGE_SECONDS = 30
@@ -116,7 +116,7 @@
     parser.add_argument("entries", type=int)
     parser.add_argument("--rate", type=float, default=5.0, help="contract changes a second")
     options = parser.parse_args()
-    print_command("tests.capacity.storage")
+    print_command("tools.capacity.storage")
     trio.run(run, options)
 
 
--- a/tests/capacity/swarm.py
+++ b/tools/capacity/swarm.py
@@ -1,6 +1,6 @@
 """Serves many doubles of workers from one process.
 
-Prints ``ports P P …`` and then ``ready 0``, as ``tests.demo.fleet`` expects of a stand-in.
+Prints ``ports P P …`` and then ``ready 0``, as ``demo.fleet`` expects of a stand-in.
 """
 
 import argparse
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -19,7 +19,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SWITCHES = ROOT / "tests" / "proof" / "switches.yaml"
 REPORT = ROOT / "docs" / "switches.md"
-COPIED = ("packages", "tests", "traces", "docs", "tools")
+COPIED = ("packages", "demo", "tests", "traces", "docs", "tools")
 PACKAGES = ("schema", "core", "entry", "cli")
 WORKERS = 4
 TIMEOUT_SECONDS = 600
--- a/tests/core/trace_generator.py
+++ b/tools/trace_generator.py
@@ -1,4 +1,4 @@
-"""Generates the committed traces: python -m tests.core.trace_generator [folder].
+"""Generates the committed traces: python -m tools.trace_generator [folder].
 
 Every outcome stated in a header follows from the trace by construction, whatever the policy:
 cancelled jobs run longer than the time to their cancellation, queues are long enough for all
@@ -20,7 +20,7 @@
     TARGET_LOST,
 )
 
-FOLDER = pathlib.Path(__file__).resolve().parents[2] / "traces"
+FOLDER = pathlib.Path(__file__).resolve().parents[1] / "traces"
 SECOND_US = 1_000_000
 MINUTE = 60.0
 HOUR = 3600.0
