--- a/packages/core/src/ibiscart_core/player.py
+++ b/packages/core/src/ibiscart_core/player.py
@@ -92,7 +92,7 @@
         self._report_held(now_us, attempt)
 
     def _report_held(self, now_us, attempt):
-        # a controller releases a gang only once the work it displaces has stopped
+        # a controller releases a gang only once the work it preempts has stopped
         job = self._current(attempt, JOB_STATE_PLACED)
         if job is None:
             self._blocked.pop(attempt, None)
--- a/packages/core/src/ibiscart_core/resource.py
+++ b/packages/core/src/ibiscart_core/resource.py
@@ -13,7 +13,7 @@
 class Resources:
     """Accelerators, processors in millicores and memory in MB; immutable by convention.
 
-    Amounts may be negative for a worker whose places are committed twice while displaced
+    Amounts may be negative for a worker whose places are committed twice while preempted
     work is still stopping.
     """
 
--- a/packages/entry/src/ibiscart_entry/gang.py
+++ b/packages/entry/src/ibiscart_entry/gang.py
@@ -30,7 +30,7 @@
 __all__ = ["OUTCOMES", "STALE_SECONDS", "Gang"]
 
 LOG = logging.getLogger("ibiscart.controller")
-# longest time from a placement to clear places: displaced work that does not answer is
+# longest time from a placement to clear places: preempted work that does not answer is
 # gone after two leases
 PLACES_SECONDS = 90.0
 START_SECONDS = 10.0
@@ -76,7 +76,7 @@
 
     @property
     def waits_places(self):
-        """Whether the job waits for displaced work to leave its workers."""
+        """Whether the job waits for preempted work to leave its workers."""
         return self._waits_places
 
     def note_placed(self, attempt):
@@ -128,7 +128,7 @@
             await self._reports.submit(self._start_failed(job, worker_id, reason))
 
     async def _wait_places(self, job):
-        """Waits until displaced work has left the workers."""
+        """Waits until preempted work has left the workers."""
         deadline = trio.current_time() + PLACES_SECONDS
         try:
             while crowded := self._crowded(job):
--- a/tests/entry/test_controller.py
+++ b/tests/entry/test_controller.py
@@ -403,7 +403,7 @@
         self.assertEqual(len(setup.region.events("member_ended")), 4)
 
     @in_virtual_time
-    async def test_start_waits_for_displaced_work(self, setup):
+    async def test_start_waits_for_preempted_work(self, setup):
         """A worker starts what it is given, so places must be clear before a start."""
         await setup.start(workers=1)
         ledger = setup.region.working
