--- a/tests/entry/test_journal.py
+++ b/tests/entry/test_journal.py
@@ -13,7 +13,7 @@
 from tests.entry.test_writer import EPOCH, Cluster, virtual
 
 
-def change(version, account="lipi"):
+def change(version, account="labels"):
     """Returns the events of a contract change."""
     event = Event()
     event.contract_changed.contract.account = account
@@ -25,7 +25,7 @@
     return int((EPOCH + trio.current_time()) * 1e6)
 
 
-def version(node, account="lipi"):
+def version(node, account="labels"):
     held = node.journal.ledger.accounts.get(account)
     return held.version if held else 0
 
@@ -127,7 +127,7 @@
         record = await a.journal.append(change(2), now_us())
         self.assertEqual(record.sequence, 2)
         accounts = [r.events[0].contract_changed.contract for r in cluster.records()]
-        self.assertEqual([(c.account, c.version) for c in accounts], [("lipi", 1), ("lipi", 2)])
+        self.assertEqual([(c.account, c.version) for c in accounts], [("labels", 1), ("labels", 2)])
 
     @virtual
     async def test_a_conflict_applies_the_winners_records(self, nursery):
--- a/tests/entry/test_table.py
+++ b/tests/entry/test_table.py
@@ -112,7 +112,7 @@
                 port = await nursery.start(server.serve)
                 client = HttpClient(f"127.0.0.1:{port}")
                 table = make_table(client, timeout=10.0)
-                key = "claim/lipi/a%2Fb c"
+                key = "claim/labels/a%2Fb c"
                 await table.transact([TableWrite(key=key, value=b"\x00\xff")])
                 row = await table.get(key)
                 self.assertEqual((row.key, row.value), (key, b"\x00\xff"))
--- a/tests/entry/test_writer.py
+++ b/tests/entry/test_writer.py
@@ -265,7 +265,7 @@
 async def started(nursery, **options):
     cluster = Cluster(nursery, **options)
     await cluster.ready()
-    await cluster.preferred.submit(put_contract("lipi", 0))
+    await cluster.preferred.submit(put_contract("labels", 0))
     await trio.sleep(1)
     return cluster
 
@@ -285,7 +285,7 @@
         """Entries must not decide on states of their own."""
         cluster = await started(nursery)
         for name, node in cluster.nodes.items():
-            reply = await node.submit(submit_job("lipi", f"job-{name}"))
+            reply = await node.submit(submit_job("labels", f"job-{name}"))
             self.assertEqual(reply.job.spec.request_id, f"job-{name}")
         await trio.sleep(2)
         self.assert_converged(cluster)
@@ -301,7 +301,7 @@
         async with trio.open_nursery() as inner:
             for number in range(200):
                 node = cluster.nodes["abc"[number % 3]]
-                inner.start_soon(attempt, node, submit_job("lipi", f"j{number}"), results, number)
+                inner.start_soon(attempt, node, submit_job("labels", f"j{number}"), results, number)
         self.assertEqual(len(results), 200)
         self.assertLess(len(cluster.records()) - before, 8)
 
@@ -313,7 +313,7 @@
             results = {}
             async with trio.open_nursery() as inner:
                 for index, name in enumerate(names):
-                    command = put_contract("lipi", 1, burst=50 + index)
+                    command = put_contract("labels", 1, burst=50 + index)
                     inner.start_soon(attempt, cluster.nodes[name], command, results, index)
             conflicts = [r for r in results.values() if r is ErrorKind.VERSION_CONFLICT]
             replies = [r for r in results.values() if r is not ErrorKind.VERSION_CONFLICT]
@@ -329,7 +329,7 @@
         results = {}
         async with trio.open_nursery() as inner:
             for index, name in enumerate("ab"):
-                command = put_contract("lipi", 1, burst=50 + index)
+                command = put_contract("labels", 1, burst=50 + index)
                 inner.start_soon(attempt, cluster.nodes[name], command, results, index)
         kinds = [r if isinstance(r, ErrorKind) else r.contract.version for r in results.values()]
         self.assertCountEqual(kinds, [2, ErrorKind.VERSION_CONFLICT])
@@ -346,7 +346,7 @@
         async with trio.open_nursery() as inner:
             for number in range(60):
                 node = cluster.nodes["abc"[number % 3]]
-                inner.start_soon(attempt, node, submit_job("lipi", f"j{number}"), results, number)
+                inner.start_soon(attempt, node, submit_job("labels", f"j{number}"), results, number)
                 await trio.sleep(0.01)
         self.assertFalse([r for r in results.values() if isinstance(r, ErrorKind)])
         conflicts = sum(
@@ -366,7 +366,7 @@
         async with trio.open_nursery() as inner:
             for number in range(40):
                 node = cluster.nodes["abc"[number % 3]]
-                command = submit_job("lipi", f"j{number}")
+                command = submit_job("labels", f"j{number}")
                 inner.start_soon(insist, node, command, results, number, 30.0)
                 await trio.sleep(0.2)
         cluster.table.faults.lose = 0.0
@@ -384,7 +384,7 @@
         times, results = [], {}
 
         async def client(number):
-            await insist(others[number % 2], submit_job("lipi", f"j{number}"), results, number)
+            await insist(others[number % 2], submit_job("labels", f"j{number}"), results, number)
             times.append(trio.current_time())
 
         async with trio.open_nursery() as inner:
@@ -410,18 +410,20 @@
         others = [n for n in cluster.nodes.values() if n is not paused]
         results = {}
         async with trio.open_nursery() as inner:
-            inner.start_soon(attempt, paused, put_contract("lipi", 1, burst=7), results, "old", 60)
+            inner.start_soon(
+                attempt, paused, put_contract("labels", 1, burst=7), results, "old", 60
+            )
             await trio.sleep(0.005)
             cluster.network.pause(paused.id)
             await trio.sleep(4)
-            await others[0].submit(put_contract("lipi", 1, burst=8))
+            await others[0].submit(put_contract("labels", 1, burst=8))
             for number in range(5):
-                await others[1].submit(submit_job("lipi", f"j{number}"))
+                await others[1].submit(submit_job("labels", f"j{number}"))
             cluster.network.resume(paused.id)
         self.assertEqual(results["old"], ErrorKind.VERSION_CONFLICT)
         await trio.sleep(3)
         self.assert_converged(cluster)
-        self.assertEqual(paused.journal.ledger.accounts["lipi"].contract.burst_accelerators, 8)
+        self.assertEqual(paused.journal.ledger.accounts["labels"].contract.burst_accelerators, 8)
 
     @virtual
     async def test_an_old_view_is_confirmed_before_a_refusal(self, nursery):
@@ -466,7 +468,7 @@
         async with trio.open_nursery() as inner:
             for number in range(60):
                 node = cluster.nodes["abc"[number % 3]]
-                command = submit_job("lipi", f"j{number}")
+                command = submit_job("labels", f"j{number}")
                 inner.start_soon(attempt, node, command, results, f"j{number}", 4.0)
                 await trio.sleep(0.1)
         kinds = set(results.values())
@@ -477,7 +479,7 @@
         found = set(submissions(cluster))
         refused = {k for k, r in results.items() if r is ErrorKind.STORE_UNAVAILABLE}
         self.assertFalse(found & refused)
-        reply = await cluster.nodes["a"].submit(submit_job("lipi", "after"))
+        reply = await cluster.nodes["a"].submit(submit_job("labels", "after"))
         self.assertEqual(reply.job.spec.request_id, "after")
         await trio.sleep(3)
         self.assert_converged(cluster)
@@ -489,7 +491,7 @@
         node = cluster.preferred
         cluster.network.hold = lambda s, d, r: 3.0 if (s, d) == (node.id, "table:1") else 0.0
         results = {}
-        await attempt(node, submit_job("lipi", "late"), results, "late", 1.0)
+        await attempt(node, submit_job("labels", "late"), results, "late", 1.0)
         self.assertEqual(results["late"], ErrorKind.COMMIT_UNKNOWN)
         await trio.sleep(5)
         self.assertEqual(submissions(cluster), {"late": 1})
@@ -504,7 +506,7 @@
         async with trio.open_nursery() as inner:
             for number in range(200):
                 node = cluster.nodes["abc"[number % 3]]
-                command = submit_job("lipi", f"j{number}")
+                command = submit_job("labels", f"j{number}")
                 inner.start_soon(attempt, node, command, results, number, 20.0)
                 await trio.sleep(0.05)
         self.assertFalse([r for r in results.values() if isinstance(r, ErrorKind)])
@@ -519,11 +521,11 @@
         results = {}
         async with trio.open_nursery() as inner:
             # the first is sent, and stays undecided
-            inner.start_soon(attempt, node, submit_job("lipi", "first"), results, "first", 20.0)
+            inner.start_soon(attempt, node, submit_job("labels", "first"), results, "first", 20.0)
             await trio.sleep(1)
-            inner.start_soon(attempt, node, submit_job("lipi", "own"), results, "own", 8.0)
+            inner.start_soon(attempt, node, submit_job("labels", "own"), results, "own", 8.0)
             other = next(n for n in cluster.nodes.values() if n is not node)
-            inner.start_soon(attempt, other, submit_job("lipi", "peer"), results, "peer", 8.0)
+            inner.start_soon(attempt, other, submit_job("labels", "peer"), results, "peer", 8.0)
             await trio.sleep(10)
             cluster.network.heal()
         self.assertEqual([k for k, r in results.items() if isinstance(r, ErrorKind)], [])
@@ -536,7 +538,7 @@
         writer = cluster.preferred.id
         sender = next(n for n in cluster.nodes.values() if n.id != writer)
         cluster.network.blocked.add((writer, sender.id))
-        reply = await sender.submit(put_contract("lipi", 1, burst=77))
+        reply = await sender.submit(put_contract("labels", 1, burst=77))
         self.assertEqual((reply.contract.version, reply.contract.burst_accelerators), (2, 77))
         versions = [
             e.contract_changed.contract.version
@@ -551,14 +553,14 @@
         """A requeued job must be placed after its delay even when no command arrives."""
         cluster = await started(nursery)
         node = cluster.nodes["a"]
-        await node.submit(submit_job("lipi", "j"))
+        await node.submit(submit_job("labels", "j"))
         held = Command()
-        held.report_held.job.account, held.report_held.job.request_id = "lipi", "j"
+        held.report_held.job.account, held.report_held.job.request_id = "labels", "j"
         held.report_held.attempt = 1
         await node.submit(held)
         failed = Command()
         ended = failed.report_member.ended
-        ended.job.account, ended.job.request_id = "lipi", "j"
+        ended.job.account, ended.job.request_id = "labels", "j"
         ended.attempt, ended.outcome = 1, journal_pb2.MEMBER_FAILED
         reply = await node.submit(failed)
         self.assertEqual(reply.job.state, journal_pb2.JOB_STATE_QUEUED)
@@ -631,7 +633,7 @@
         with mock.patch.object(Scheduler, "decide", fail):
             async with trio.open_nursery() as inner:
                 for name in ("j1", "bad", "j2"):
-                    command = submit_job("lipi", name)
+                    command = submit_job("labels", name)
                     inner.start_soon(attempt, cluster.nodes["a"], command, results, name)
         self.assertEqual(results.pop("bad"), ErrorKind.INTERNAL)
         self.assertFalse([r for r in results.values() if isinstance(r, ErrorKind)])
@@ -648,7 +650,7 @@
         with mock.patch("ibiscart_entry.writer.QUEUE_BOUND", 20):
             async with trio.open_nursery() as inner:
                 for number in range(30):
-                    command = submit_job("lipi", f"j{number}")
+                    command = submit_job("labels", f"j{number}")
                     inner.start_soon(attempt, cluster.preferred, command, results, number, 3.0)
         kinds = list(results.values())
         self.assertEqual(kinds.count(ErrorKind.OVERLOADED), 10)
@@ -695,9 +697,11 @@
             insisting = number % 2
             with trio.move_on_after(40):
                 if insisting:
-                    await self.insist_anywhere(cluster, rng, submit_job("lipi", key), results, key)
+                    await self.insist_anywhere(
+                        cluster, rng, submit_job("labels", key), results, key
+                    )
                 else:
-                    await attempt(node, submit_job("lipi", key), results, key, 5.0)
+                    await attempt(node, submit_job("labels", key), results, key, 5.0)
             await trio.sleep(rng.random() * 4)
 
     async def insist_anywhere(self, cluster, rng, command, results, key):
@@ -714,13 +718,13 @@
         for _ in range(30):
             node = cluster.nodes[rng.choice(sorted(cluster.nodes))]
             results = {}
-            command = put_contract("lipi", versions[-1], burst=100 + len(versions))
+            command = put_contract("labels", versions[-1], burst=100 + len(versions))
             await attempt(node, command, results, "change", 4.0)
             if not isinstance(results["change"], ErrorKind):
                 versions.append(results["change"].contract.version)
             elif results["change"] is not ErrorKind.STORE_UNAVAILABLE:
                 await trio.sleep(1)
-                held = [n.journal.ledger.accounts.get("lipi") for n in cluster.nodes.values()]
+                held = [n.journal.ledger.accounts.get("labels") for n in cluster.nodes.values()]
                 newest = max((a.version for a in held if a), default=versions[-1])
                 versions.append(max(newest, versions[-1]))
             await trio.sleep(rng.random() * 2)
@@ -800,7 +804,7 @@
             self.assertGreaterEqual(node.journal.sequence, written, f"{node.id} is behind")
             wanted = states[node.journal.sequence]
             self.assertTrue(node.state() == wanted, f"{node.id} differs from the journal")
-            shown = [seen.get("lipi", 0) for _, _, seen in node.history]
+            shown = [seen.get("labels", 0) for _, _, seen in node.history]
             self.assertEqual(shown, sorted(shown), f"{node.id} went back (P8)")
         counts = submissions(cluster)
         self.assertTrue(all(count == 1 for count in counts.values()), "decided twice")
@@ -810,7 +814,7 @@
                     self.assertNotIn(key, counts, f"{result} was false")
             elif result is not None:
                 self.assertIn(key, counts, "an accepted command is lost")
-        self.assertLessEqual(versions[-1], ledger.accounts["lipi"].version)
+        self.assertLessEqual(versions[-1], ledger.accounts["labels"].version)
 
 
 if __name__ == "__main__":
