Run jobs of several steps on the platform through an adapter

Cause: nothing of the product ran on the users' platform: no deploy file, no adapter, no jobs of several steps. Change: ibiscart_core.workflow holds the state of such jobs and the decisions about them; ibiscart_entry.coordination accepts jobs on every entry and lets one entry lead, whose every write is conditional on the leader's row; platform/ translates names, formats and calls. Tasks placed within one pass count against the bound per worker.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 PACKAGES := schema core entry cli
-export PYTHONPATH := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src:)$(CURDIR)
+export PYTHONPATH := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src:)$(CURDIR)/platform/src:$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 
 .PHONY: help setup demo test lint format generate generated-check measure prove clean
@@ -16,10 +16,10 @@
 	@echo "make prove    switch each mechanism off and check that its tests fail"
 	@echo "make generate write the generated code again from the schema"
 
-$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
-	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 	@touch $@
 
 setup: $(VENV)/.installed
@@ -31,12 +31,12 @@
 	$(BIN)/python tools/run_tests.py
 
 lint: setup
-	$(BIN)/black --check --quiet packages demo tests tools || { echo "black: run 'make format'"; exit 1; }
-	$(BIN)/ruff check packages demo tests tools
+	$(BIN)/black --check --quiet packages platform deploy demo tests tools || { echo "black: run 'make format'"; exit 1; }
+	$(BIN)/ruff check packages platform deploy demo tests tools
 
 format: setup
-	$(BIN)/black --quiet packages demo tests tools
-	$(BIN)/ruff check --fix packages demo tests tools
+	$(BIN)/black --quiet packages platform deploy demo tests tools
+	$(BIN)/ruff check --fix packages platform deploy demo tests tools
 
 generate: setup
 	PYTHON=$(abspath $(BIN)/python) tools/generate
--- /dev/null
+++ b/packages/core/src/ibiscart_core/workflow/catalog.py
@@ -0,0 +1,98 @@
+"""
+ibiscart_core.workflow.catalog
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Queues, worker pools and client accounts of one configuration version.
+"""
+
+__all__ = ["AccountEntry", "Catalog", "PoolEntry", "QueueEntry"]
+
+
+class QueueEntry:
+    """A queue: jobs under ``host`` and ``prefix`` run on the workers of ``pool``.
+
+    ``priority`` 0 comes first. A task that failed ``max_attempts`` times fails its job. A job
+    is in time within ``stretch`` times its longest chain plus ``target_latency_ms``.
+    """
+
+    __slots__ = (
+        "host",
+        "max_attempts",
+        "name",
+        "pool",
+        "prefix",
+        "priority",
+        "public",
+        "stretch",
+        "target_latency_ms",
+    )
+
+    def __init__(
+        self,
+        name,
+        host,
+        prefix,
+        pool,
+        *,
+        priority=0,
+        max_attempts=1,
+        stretch=1.0,
+        target_latency_ms=0,
+        public=False,
+    ):
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.pool = pool
+        self.priority = priority
+        self.max_attempts = max_attempts
+        self.stretch = stretch
+        self.target_latency_ms = target_latency_ms
+        self.public = public
+
+
+class PoolEntry:
+    """A pool of workers; ``checks_capacity`` tells that they refuse what does not fit."""
+
+    __slots__ = ("checks_capacity", "name")
+
+    def __init__(self, name, checks_capacity):
+        self.name = name
+        self.checks_capacity = checks_capacity
+
+
+class AccountEntry:
+    """A client account; ``guaranteed_accelerators`` are its own for jobs of priority 0."""
+
+    __slots__ = ("guaranteed_accelerators", "keys", "name")
+
+    def __init__(self, name, keys, guaranteed_accelerators=0):
+        self.name = name
+        self.keys = tuple(keys)
+        self.guaranteed_accelerators = guaranteed_accelerators
+
+
+class Catalog:
+    """One version of the configuration; immutable by convention."""
+
+    def __init__(self, version, queues, pools, accounts):
+        self.version = version
+        self.queues = {queue.name: queue for queue in queues}
+        self.pools = {pool.name: pool for pool in pools}
+        self.accounts = {account.name: account for account in accounts}
+        self._by_key = {key: account for account in accounts for key in account.keys}
+        # the longest prefix comes first
+        self._by_host = {}
+        for queue in sorted(queues, key=lambda queue: -len(queue.prefix)):
+            self._by_host.setdefault(queue.host, []).append(queue)
+
+    def account_of(self, key):
+        """Returns the account of a key, or None."""
+        return self._by_key.get(key)
+
+    def queue_at(self, host, path):
+        """Returns the queue with the longest prefix of ``path`` under ``host``, or None."""
+        for queue in self._by_host.get(host, ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
--- /dev/null
+++ b/packages/core/src/ibiscart_core/workflow/fleet.py
@@ -0,0 +1,177 @@
+"""
+ibiscart_core.workflow.fleet
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The workers as the scheduler sees them: capacity, places in use, state.
+"""
+
+from ibiscart_core.resource import Resources
+
+__all__ = ["Fleet", "FleetWorker", "WorkerInfo"]
+
+# a worker that failed so many runs in a row without a success takes no new work for a time
+FAILURES_TO_SUSPEND = 2
+# first suspension; doubles with each further failure, as quarantine_seconds does for workers
+SUSPEND_SECONDS = 2.0
+LONGEST_SUSPEND_SECONDS = 16.0
+
+
+class WorkerInfo:
+    """What a worker reports of itself.
+
+    ``incarnation`` changes when it starts again, also under the same id. ``pool`` names the
+    group of workers that queues are sent to.
+    """
+
+    __slots__ = (
+        "address",
+        "capacity",
+        "data_centre",
+        "draining",
+        "id",
+        "incarnation",
+        "labels",
+        "pool",
+        "rack",
+        "remaining_ms",
+    )
+
+    def __init__(
+        self,
+        worker_id,
+        address,
+        incarnation,
+        capacity,
+        *,
+        pool="",
+        data_centre="",
+        labels=(),
+        rack="",
+        draining=False,
+        remaining_ms=None,
+    ):
+        self.id = worker_id
+        self.address = address
+        self.incarnation = incarnation
+        self.capacity = capacity
+        self.pool = pool
+        self.data_centre = data_centre
+        self.labels = tuple(labels)
+        self.rack = rack
+        self.draining = draining
+        self.remaining_ms = remaining_ms
+
+
+class FleetWorker:
+    """One worker with the places that are in use on it.
+
+    ``reachable`` is False until its list of runs was read and while it does not answer.
+    ``places`` maps (task key, run) to the unit that holds the place.
+    """
+
+    __slots__ = (
+        "failed_in_row",
+        "info",
+        "places",
+        "present",
+        "reachable",
+        "suspended_until",
+        "used",
+    )
+
+    def __init__(self, info):
+        self.info = info
+        self.places = {}
+        self.used = Resources()
+        self.reachable = False
+        self.present = True
+        self.suspended_until = 0.0
+        self.failed_in_row = 0
+
+    @property
+    def id(self):
+        """Id of the worker."""
+        return self.info.id
+
+    @property
+    def free(self):
+        """Resources that no place holds."""
+        return self.info.capacity - self.used
+
+    def usable(self, now):
+        """Whether new work may be placed here at ``now``, in monotonic seconds."""
+        return (
+            self.present
+            and self.reachable
+            and not self.info.draining
+            and self.suspended_until <= now
+        )
+
+    def hold(self, task_key, run, unit):
+        """Takes the resources of one task's run."""
+        if (task_key, run) not in self.places:
+            self.places[(task_key, run)] = unit
+            self.used = self.used + unit.spec.demand
+
+    def release(self, task_key, run):
+        """Frees the resources of one task's run; does nothing when it holds none."""
+        unit = self.places.pop((task_key, run), None)
+        if unit is not None:
+            self.used = self.used - unit.spec.demand
+
+    def suspend(self, now, seconds=SUSPEND_SECONDS):
+        """Keeps new work away for ``seconds``."""
+        self.suspended_until = max(self.suspended_until, now + seconds)
+
+    def record_failure(self, now):
+        """Counts a failed run; suspends the worker after several in a row."""
+        self.failed_in_row += 1
+        if self.failed_in_row >= FAILURES_TO_SUSPEND:
+            factor = 2 ** min(10, self.failed_in_row - FAILURES_TO_SUSPEND)
+            self.suspend(now, min(LONGEST_SUSPEND_SECONDS, SUSPEND_SECONDS * factor))
+
+    def record_success(self):
+        """Ends the count of failed runs."""
+        self.failed_in_row = 0
+        self.suspended_until = 0.0
+
+
+class Fleet:
+    """All workers by id."""
+
+    def __init__(self):
+        self.workers = {}
+
+    def get(self, worker_id):
+        """Returns the ``FleetWorker``, or None."""
+        return self.workers.get(worker_id)
+
+    def add(self, info):
+        """Adds a worker or takes over what it reports now; returns the ``FleetWorker``."""
+        worker = self.workers.get(info.id)
+        if worker is None:
+            worker = self.workers[info.id] = FleetWorker(info)
+            return worker
+        if info.incarnation > worker.info.incarnation:
+            # its clock and its list of runs have to be read first
+            worker.reachable = False
+        info.incarnation = max(info.incarnation, worker.info.incarnation)
+        worker.info = info
+        worker.present = True
+        return worker
+
+    def remove(self, worker_id):
+        """Forgets a worker that holds no place."""
+        self.workers.pop(worker_id, None)
+
+    def usable(self, pool, now):
+        """Returns the workers of a pool on which new work may be placed."""
+        return [w for w in self.workers.values() if w.info.pool == pool and w.usable(now)]
+
+    def capacity(self, pool):
+        """Returns the capacity of all present workers of a pool."""
+        total = Resources()
+        for worker in self.workers.values():
+            if worker.present and worker.info.pool == pool:
+                total = total + worker.info.capacity
+        return total
--- /dev/null
+++ b/packages/core/src/ibiscart_core/workflow/ordering.py
@@ -0,0 +1,128 @@
+"""
+ibiscart_core.workflow.ordering
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The order in which waiting jobs are offered workers.
+"""
+
+from ibiscart_core.workflow.job import UnitState
+
+__all__ = ["Ordering", "Standing"]
+
+# an accelerator weighs as much as eight cores in the users' accounting of work
+CORES_PER_ACCELERATOR = 8
+# value of work that ends late, and of work that ends too late to count, against work in time;
+# late work earns a tenth to a half of the credit, depending on the kind of job
+LATE_FACTOR = 0.3
+EXPIRED_FACTOR = 0.01
+# a job earns late credit until this many times its objective
+LATE_LIMIT = 3.0
+# credit of a job without its part that grows with the amount of work
+BASE_CREDIT = 0.3
+# a job without an estimate counts with this run time
+DEFAULT_ESTIMATE_MS = 1000
+MEAN_WEIGHT = 0.05
+SMALLEST_COST = 1e-6
+
+
+class Standing:
+    """Where one job stands: larger ``value`` first; ``late`` is past its objective."""
+
+    __slots__ = ("late", "slack", "value")
+
+    def __init__(self, value, slack, late):
+        self.value = value
+        self.slack = slack
+        self.late = late
+
+
+class Ordering:
+    """Ranks jobs by the credit they can still earn for the capacity that they need.
+
+    Credit grows with the priority of the queue and with the work of the job against the mean
+    of its queue, which is learned from accepted jobs.
+    """
+
+    def __init__(self):
+        self._mean_work = {}
+
+    def observe(self, job):
+        """Takes an accepted job into the mean of its queue."""
+        work = job_work(job)
+        mean = self._mean_work.get(job.queue)
+        self._mean_work[job.queue] = work if mean is None else mean + MEAN_WEIGHT * (work - mean)
+
+    def standing(self, job, queue, capacity, now_ms):
+        """Returns the ``Standing`` of a job; ``capacity`` is that of its whole pool."""
+        objective = queue.stretch * job.spec.chain_ms() + queue.target_latency_ms
+        begin = _begin_ms(job, now_ms)
+        remaining, cost = _remaining(job, capacity)
+        finish = now_ms - begin + remaining
+        slack = objective - finish
+        if slack >= 0:
+            factor = 1.0
+        elif finish <= LATE_LIMIT * objective:
+            factor = LATE_FACTOR
+        else:
+            factor = EXPIRED_FACTOR
+        value = self._credit(job, queue) * factor / max(cost, SMALLEST_COST)
+        return Standing(value, slack, slack < 0)
+
+    def _credit(self, job, queue):
+        mean = self._mean_work.get(job.queue) or 1.0
+        relative = min(4.0, BASE_CREDIT + (1 - BASE_CREDIT) * job_work(job) / mean)
+        return relative / (1 + queue.priority)
+
+
+def job_work(job):
+    """Estimated work of a job in core-seconds, accelerators included."""
+    return sum(step.tasks * _step_work(step) for step in job.spec.steps) * job.spec.runs
+
+
+def step_estimate_ms(step):
+    """Estimated run time of a task in milliseconds."""
+    return step.estimate_ms or DEFAULT_ESTIMATE_MS
+
+
+def share_of(resources, capacity):
+    """Share of ``capacity`` that ``resources`` take, by the scarcest kind."""
+    return max(
+        resources.accelerators / max(1, capacity.accelerators),
+        resources.cpu_millis / max(1, capacity.cpu_millis),
+        resources.memory_mb / max(1, capacity.memory_mb),
+    )
+
+
+def _step_work(step):
+    cores = step.resources.cpu_millis / 1000
+    cores += step.resources.accelerators * CORES_PER_ACCELERATOR
+    return cores * step_estimate_ms(step) / 1000
+
+
+def _begin_ms(job, now_ms):
+    """Unix milliseconds from which the job's time counts."""
+    if not job.spec.timed:
+        return job.accepted_ms
+    due = [
+        job.spec.due_ms(unit.occurrence) for unit in job.units() if unit.state is not UnitState.DONE
+    ]
+    return min(due, default=now_ms)
+
+
+def _remaining(job, capacity):
+    """Returns (remaining chain in ms, remaining cost in share-seconds)."""
+    ends = []
+    cost = 0.0
+    left = {}
+    for unit in job.units():
+        if unit.state is not UnitState.DONE:
+            key = unit.step
+            left[key] = left.get(key, 0) + unit.size
+    opened = {unit.step for unit in job.units()}
+    for number, step in enumerate(job.spec.steps):
+        tasks = left.get(number, 0 if number in opened else step.tasks)
+        length = step_estimate_ms(step) if tasks else 0
+        begin = max((ends[earlier] for earlier in step.after), default=0)
+        ends.append(begin + length)
+        cost += tasks * share_of(step.demand, capacity) * length / 1000
+    return max(ends, default=0), cost
--- /dev/null
+++ b/packages/core/src/ibiscart_core/workflow/placement.py
@@ -0,0 +1,171 @@
+"""
+ibiscart_core.workflow.placement
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Finds workers for the tasks of a unit.
+"""
+
+__all__ = ["Room", "RoomSet"]
+
+UNBOUNDED = 1 << 30
+
+
+class Room:
+    """Free resources of one worker during one scheduling pass."""
+
+    __slots__ = (
+        "_placed",
+        "accelerators",
+        "cpu_millis",
+        "labels",
+        "memory_mb",
+        "rack",
+        "worker",
+    )
+
+    def __init__(self, worker):
+        free = worker.free
+        self.worker = worker
+        self.accelerators = free.accelerators
+        self.cpu_millis = free.cpu_millis
+        self.memory_mb = free.memory_mb
+        self.labels = worker.info.labels
+        self.rack = worker.info.rack
+        self._placed = {}
+
+    def present(self, unit):
+        """Number of tasks here of the unit's step and occurrence, this pass included."""
+        wanted = (unit.job.id, unit.occurrence, unit.step)
+        before = sum(1 for task_key, _ in self.worker.places if task_key[:3] == wanted)
+        return before + self._placed.get(wanted, 0)
+
+    def place(self, unit, tasks):
+        """Takes the resources of ``tasks`` tasks of a unit."""
+        key = (unit.job.id, unit.occurrence, unit.step)
+        self._placed[key] = self._placed.get(key, 0) + tasks
+        demand = unit.spec.demand
+        self.accelerators -= demand.accelerators * tasks
+        self.cpu_millis -= demand.cpu_millis * tasks
+        self.memory_mb -= demand.memory_mb * tasks
+
+    def times(self, demand):
+        """Number of tasks with ``demand`` that fit."""
+        count = UNBOUNDED
+        if demand.accelerators > 0:
+            count = min(count, self.accelerators // demand.accelerators)
+        if demand.cpu_millis > 0:
+            count = min(count, self.cpu_millis // demand.cpu_millis)
+        if demand.memory_mb > 0:
+            count = min(count, self.memory_mb // demand.memory_mb)
+        return max(0, count)
+
+
+class RoomSet:
+    """Free resources of the usable workers of one pool.
+
+    ``held`` maps worker ids to the key of the unit that they are kept for.
+    """
+
+    def __init__(self, workers, held=None):
+        self.rooms = [Room(worker) for worker in workers]
+        self._held = held or {}
+
+    def eligible(self, unit):
+        """Yields (room, tasks that fit) of the workers on which the unit may run."""
+        step = unit.spec
+        demand = step.demand
+        for room in self.rooms:
+            keeper = self._held.get(room.worker.id)
+            if keeper is not None and keeper != unit.key:
+                continue
+            if step.required_label and step.required_label not in room.labels:
+                continue
+            count = room.times(demand)
+            if step.max_per_worker:
+                count = min(count, step.max_per_worker - room.present(unit))
+            if count > 0:
+                yield room, count
+
+    def find(self, unit, anywhere):
+        """Returns [(room, tasks)] that hold the whole unit, or None.
+
+        Unless ``anywhere``, a unit that runs slower off its rack is placed only on it.
+        """
+        candidates = list(self.eligible(unit))
+        step = unit.spec
+        if unit.size == 1:
+            return self._find_single(candidates, step, anywhere)
+        for rooms in self._groups(candidates, step, anywhere):
+            chosen = _fill(rooms, unit.size)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def take(self, unit, chosen):
+        """Takes the resources of a unit that was placed."""
+        for room, tasks in chosen:
+            room.place(unit, tasks)
+
+    def _find_single(self, candidates, step, anywhere):
+        preferred = step.preferred_rack
+        if preferred:
+            near = [pair for pair in candidates if pair[0].rack == preferred]
+            if near or not anywhere:
+                candidates = near
+        if not candidates:
+            return None
+        room, _ = min(candidates, key=lambda pair: _leftover(pair[0], step.demand))
+        return [(room, 1)]
+
+    def _groups(self, candidates, step, anywhere):
+        """Yields groups of rooms to try for a gang, the best first."""
+        racks = {}
+        for room, count in candidates:
+            racks.setdefault(room.rack, []).append((room, count))
+        if step.preferred_rack:
+            yield racks.get(step.preferred_rack, [])
+        elif step.same_rack:
+            # the rack with the least room to spare keeps the larger ones whole
+            yield from sorted(racks.values(), key=lambda rooms: sum(count for _, count in rooms))
+        else:
+            yield candidates
+            return
+        if anywhere:
+            yield from sorted(racks.values(), key=lambda rooms: sum(count for _, count in rooms))
+            yield candidates
+
+
+def _leftover(room, demand):
+    return (
+        room.accelerators - demand.accelerators,
+        room.memory_mb - demand.memory_mb,
+        room.cpu_millis - demand.cpu_millis,
+    )
+
+
+def _fill(rooms, size):
+    """Returns [(room, tasks)] for ``size`` tasks on as few workers as possible, or None."""
+    if sum(count for _, count in rooms) < size:
+        return None
+    chosen = []
+    for room, count in sorted(rooms, key=lambda pair: -pair[1]):
+        tasks = min(count, size)
+        chosen.append((room, tasks))
+        size -= tasks
+        if not size:
+            break
+    # the last worker takes the rest, so the tightest one that holds it is preferred
+    room, tasks = chosen[-1]
+    used = {id(other) for other, _ in chosen}
+    better = [
+        (count, index, other)
+        for index, (other, count) in enumerate(rooms)
+        if count >= tasks and id(other) not in used
+    ]
+    if better:
+        chosen[-1] = (min(better)[2], tasks) if min(better)[0] < _count(rooms, room) else chosen[-1]
+    return chosen
+
+
+def _count(rooms, wanted):
+    return next(count for room, count in rooms if room is wanted)
--- /dev/null
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -0,0 +1,209 @@
+"""
+ibiscart_core.workflow.scheduler
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Decides which units start where, and which are stopped to make room.
+"""
+
+from ibiscart_core.workflow.job import Place, UnitState
+from ibiscart_core.workflow.ordering import Ordering
+from ibiscart_core.workflow.placement import RoomSet
+from ibiscart_core.workflow.preemption import choose_victims
+
+__all__ = ["Decision", "Scheduler", "StopDecision"]
+
+# a guaranteed unit waits so long for a place that comes free by itself before work is stopped
+PREEMPT_AFTER_SECONDS = 0.2
+# workers are kept for a guaranteed unit until the stops have surely ended
+HOLD_SECONDS = 2.5
+# off its rack a task runs several times longer, so a unit waits for its rack while the pool
+# is busy; with this share of the pool free, the slower run costs nobody a place
+SPREAD_AFTER_SECONDS = 1.0
+SPREAD_FREE_SHARE = 0.5
+GUARANTEED_PRIORITY = 0
+
+
+class Decision:
+    """A unit to start: ``places`` maps task indexes to the ``Place`` of each."""
+
+    __slots__ = ("places", "reason", "unit")
+
+    def __init__(self, unit, places, reason):
+        self.unit = unit
+        self.places = places
+        self.reason = reason
+
+
+class StopDecision:
+    """A unit to stop; ``gaining`` is the unit that gets its room, or None."""
+
+    __slots__ = ("gaining", "reason", "unit")
+
+    def __init__(self, unit, reason, gaining=None):
+        self.unit = unit
+        self.reason = reason
+        self.gaining = gaining
+
+
+class Scheduler:
+    """One pass over all waiting units; ``fleet`` is the ``Fleet`` whose rooms are given out."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._holds = {}
+        self.ordering = Ordering()
+
+    def plan(self, jobs, catalog, now, now_ms):
+        """Returns (starts, stops) for the waiting units of ``jobs``.
+
+        ``now`` is monotonic seconds, ``now_ms`` Unix milliseconds. The starts are applied to
+        nothing yet; the rooms they take are counted within the pass only.
+        """
+        starts, stops = [], []
+        self._drop_holds(jobs, now)
+        by_pool = {}
+        for job in jobs.values():
+            queue = catalog.queues.get(job.queue)
+            if queue is not None and not job.ended:
+                by_pool.setdefault(queue.pool, []).append((job, queue))
+        for pool, entries in by_pool.items():
+            self._plan_pool(pool, entries, catalog, now, now_ms, starts, stops)
+        return starts, stops
+
+    def _plan_pool(self, pool, entries, catalog, now, now_ms, starts, stops):
+        waiting = [
+            (job, queue, units) for job, queue in entries if (units := _waiting_units(job, now))
+        ]
+        if not waiting:
+            return
+        capacity = self._fleet.capacity(pool)
+        workers = self._fleet.usable(pool, now)
+        held = {worker: key for key, (ids, _) in self._holds.items() for worker in ids}
+        rooms = RoomSet(workers, held)
+        claims = _claims([(job, queue) for job, queue in entries], catalog)
+        order = []
+        for job, queue, units in waiting:
+            standing = self.ordering.standing(job, queue, capacity, now_ms)
+            claimed = job.id in claims
+            first = (0, job.accepted_ms) if claimed else (1, -standing.value)
+            order.append((first, job.accepted_ms, job.id, claimed, units))
+        free_share = _free_share(rooms, capacity)
+        blocked = set()
+        for _, _, _, claimed, units in sorted(order, key=lambda entry: entry[:3]):
+            for unit in units:
+                shape = _shape(unit)
+                if shape in blocked:
+                    continue
+                anywhere = self._may_spread(unit, pool, free_share, now)
+                chosen = rooms.find(unit, anywhere)
+                if chosen is not None:
+                    rooms.take(unit, chosen)
+                    self._holds.pop(unit.key, None)
+                    reason = "guaranteed" if claimed else "ordered"
+                    starts.append(Decision(unit, _places(unit, chosen), reason))
+                    continue
+                if claimed:
+                    self._preempt(unit, rooms, entries, claims, capacity, now, stops)
+                else:
+                    blocked.add(shape)
+
+    def _preempt(self, unit, rooms, entries, claims, capacity, now, stops):
+        if unit.key in self._holds or now - unit.ready_at < PREEMPT_AFTER_SECONDS:
+            return
+        priority = {job.id: queue.priority for job, queue in entries}
+
+        def may_stop(victim):
+            return (
+                victim.state is UnitState.ACTIVE
+                and victim.job.id not in claims
+                and victim.key not in stopping
+                and (victim.spec.long_running is False)
+            )
+
+        stopping = {stop.unit.key for stop in stops}
+        preemption = choose_victims(unit, rooms, may_stop, capacity, now)
+        if preemption is None:
+            return
+        self._holds[unit.key] = (preemption.worker_ids, now + HOLD_SECONDS)
+        for victim in preemption.victims:
+            reason = f"preempted_priority_{priority.get(victim.job.id, -1)}"
+            stops.append(StopDecision(victim, reason, unit))
+
+    def _may_spread(self, unit, pool, free_share, now):
+        step = unit.spec
+        if not step.same_rack and not step.preferred_rack:
+            return True
+        if free_share >= SPREAD_FREE_SHARE and now - unit.ready_at >= SPREAD_AFTER_SECONDS:
+            return True
+        return not self._fits_rack(unit, pool)
+
+    def _fits_rack(self, unit, pool):
+        """Whether the unit would fit on its rack if that were empty."""
+        step = unit.spec
+        counts = {}
+        for worker in self._fleet.workers.values():
+            info = worker.info
+            if not worker.present or info.pool != pool or info.draining:
+                continue
+            if step.required_label and step.required_label not in info.labels:
+                continue
+            times = step.demand.times_within(info.capacity)
+            if step.max_per_worker:
+                times = min(times, step.max_per_worker)
+            counts[info.rack] = counts.get(info.rack, 0) + times
+        if step.preferred_rack:
+            return counts.get(step.preferred_rack, 0) >= unit.size
+        return max(counts.values(), default=0) >= unit.size
+
+    def _drop_holds(self, jobs, now):
+        for key, (_, until) in list(self._holds.items()):
+            job = jobs.get(key[0])
+            if until <= now or job is None or job.ended:
+                del self._holds[key]
+
+
+def _waiting_units(job, now):
+    return [
+        unit for unit in job.units() if unit.state is UnitState.WAITING and unit.retry_at <= now
+    ]
+
+
+def _claims(entries, catalog):
+    """Ids of the jobs of priority 0 that lie within their accounts' guarantees."""
+    claimed = set()
+    used = {}
+    for job, queue in sorted(entries, key=lambda entry: entry[0].accepted_ms):
+        account = catalog.accounts.get(job.account)
+        if queue.priority != GUARANTEED_PRIORITY or account is None:
+            continue
+        need = max(step.tasks * step.resources.accelerators for step in job.spec.steps)
+        total = used.get(job.account, 0) + need
+        if total <= account.guaranteed_accelerators:
+            used[job.account] = total
+            claimed.add(job.id)
+    return claimed
+
+
+def _free_share(rooms, capacity):
+    """Share of the pool that is free, by the kind of resource with the least left."""
+    if not rooms.rooms:
+        return 0.0
+    return min(
+        sum(room.accelerators for room in rooms.rooms) / max(1, capacity.accelerators),
+        sum(room.cpu_millis for room in rooms.rooms) / max(1, capacity.cpu_millis),
+        sum(room.memory_mb for room in rooms.rooms) / max(1, capacity.memory_mb),
+    )
+
+
+def _shape(unit):
+    """Units of one step and size are interchangeable within a pass."""
+    return (unit.job.id, unit.occurrence, unit.step, unit.size)
+
+
+def _places(unit, chosen):
+    indexes = iter(unit.indexes)
+    return {
+        next(indexes): Place(room.worker.id, room.worker.info.incarnation)
+        for room, tasks in chosen
+        for _ in range(tasks)
+    }
--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -0,0 +1,140 @@
+"""
+ibiscart_entry.coordination.job_service
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What every entry answers about jobs: accepts, shows, cancels and counts them.
+"""
+
+import logging
+
+import trio
+
+from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_core.workflow.job import Job, Outcome
+from ibiscart_entry.coordination.record import (
+    JOBS,
+    PENDING_KEY,
+    cancel_key,
+    decode,
+    encode,
+    job_key,
+    progress_key,
+    shown_state,
+)
+from ibiscart_entry.table import StoreError, TableConflict
+from ibiscart_schema.generated.store_pb2 import TableWrite
+
+__all__ = ["JobService"]
+
+LOG = logging.getLogger("ibiscart.jobs")
+RETRY_SECONDS = 0.05
+ATTEMPTS = 3
+ACCEPTED = "accepted"
+KNOWN = "known"
+
+
+class JobService:
+    """Operations on jobs by their rows; holds no state of its own.
+
+    ``now_ms`` returns Unix milliseconds.
+    """
+
+    def __init__(self, table, now_ms):
+        self._table = table
+        self._now_ms = now_ms
+
+    async def submit(self, queue, account, job_id, spec):
+        """Stores a job; returns ``accepted``, or ``known`` when it was stored before.
+
+        Raises ``IbiscartError``: ``store_unavailable`` when the job is surely not stored,
+        ``commit_unknown`` when it may be.
+        """
+        spec.check()
+        job = Job(job_id, account, queue.name, spec, self._now_ms())
+        write = TableWrite(key=job_key(job_id), value=encode(job.to_document()), expected_version=0)
+        try:
+            await self._write(write, job_id)
+        except TableConflict as conflict:
+            self._check_owner(decode(conflict.rows[0].value), account)
+            return KNOWN
+        return ACCEPTED
+
+    async def state(self, account, job_id):
+        """Returns the state that the caller sees, or None when there is no such job."""
+        document, cancelled, progress = await self._read(job_id)
+        if document is None:
+            return None
+        self._check_owner(document, account)
+        return shown_state(progress, cancelled)
+
+    async def cancel(self, account, job_id):
+        """Cancels a job; returns the state it has then, or None when there is no such job."""
+        document, cancelled, progress = await self._read(job_id)
+        if document is None:
+            return None
+        self._check_owner(document, account)
+        state = shown_state(progress, cancelled)
+        if state in (outcome.value for outcome in Outcome):
+            return state
+        write = TableWrite(key=cancel_key(job_id), value=encode({"at_ms": self._now_ms()}))
+        await self._write(write, job_id)
+        return Outcome.CANCELLED.value
+
+    async def pending(self, queue):
+        """Returns the number of accepted jobs of which no task has started."""
+        try:
+            row = await self._table.get(PENDING_KEY)
+        except StoreError as error:
+            raise _unavailable(error) from None
+        return decode(row.value).get(queue.name, 0) if row is not None else 0
+
+    async def _read(self, job_id):
+        found = {}
+
+        async def read_progress():
+            found["progress"] = await self._table.get(progress_key(job_id))
+
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read_progress)
+                rows = await self._table.scan(f"{JOBS}/{job_id}", limit=2)
+        except* StoreError as group:
+            raise _unavailable(group.exceptions[0]) from None
+        by_key = {row.key: row for row in rows}
+        job = by_key.get(job_key(job_id))
+        progress = found["progress"]
+        return (
+            decode(job.value) if job is not None else None,
+            cancel_key(job_id) in by_key,
+            decode(progress.value) if progress is not None else None,
+        )
+
+    async def _write(self, write, job_id):
+        """Applies one write; a lost answer is found out by writing the same again."""
+        unknown = False
+        for attempt in range(ATTEMPTS):
+            try:
+                await self._table.transact([write])
+                return
+            except StoreError as error:
+                unknown = unknown or error.sent
+                fields = {"job": job_id, "cause": error.reason, "attempt": attempt + 1}
+                LOG.warning("A write has no answer.", extra=fields)
+            except TableConflict as conflict:
+                if unknown and conflict.rows[0].value == write.value:
+                    return
+                raise
+            await trio.sleep(RETRY_SECONDS * (attempt + 1))
+        if unknown:
+            raise IbiscartError(
+                ErrorKind.COMMIT_UNKNOWN, "the job may be stored; send the same request again"
+            )
+        raise IbiscartError(ErrorKind.STORE_UNAVAILABLE, "the job is not stored; retry later")
+
+    def _check_owner(self, document, account):
+        if document["account"] != account:
+            raise IbiscartError(ErrorKind.NOT_FOUND, "no such job")
+
+
+def _unavailable(error):
+    return IbiscartError(ErrorKind.STORE_UNAVAILABLE, f"the state cannot be read: {error.reason}")
--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/coordination/node.py
@@ -0,0 +1,139 @@
+"""
+ibiscart_entry.coordination.node
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+One entry process of the platform's kind: serves callers, and leads when it is its turn.
+"""
+
+import logging
+import random
+import signal
+
+import trio
+
+from ibiscart_entry.coordination.coordinator import Coordinator
+from ibiscart_entry.coordination.leadership import Leadership, LeadershipLost
+from ibiscart_entry.coordination.session import LEASE_SECONDS
+from ibiscart_entry.server import HttpServer, Response
+from ibiscart_schema.generated.settings_pb2 import ServerSettings
+
+__all__ = ["Node"]
+
+LOG = logging.getLogger("ibiscart.process")
+# an entry whose configuration was not confirmed for so long takes no new connections
+READY_AGE_SECONDS = 3.0
+# the balancer checks once a second and needs two misses; the rest is for open requests
+BALANCER_SECONDS = 2.5
+EXIT_MARGIN_SECONDS = 0.8
+SETTLE_SECONDS = 0.3
+MAX_CONNECTIONS = 2000
+MAX_BODY_BYTES = 262_144
+HEADER_SECONDS = 3.0
+BODY_SECONDS = 5.0
+
+
+class Node:
+    """Builds and supervises the tasks of one process."""
+
+    def __init__(
+        self,
+        settings,
+        *,
+        holder,
+        table,
+        directory,
+        catalogs,
+        connect_agent,
+        handler,
+        metrics,
+        rng=None,
+    ):
+        self._settings = settings
+        self._metrics = metrics
+        self._catalogs = catalogs
+        self._rng = rng or random.SystemRandom()
+        self._draining = False
+        address = f"{settings.ip}:{settings.first_port}"
+        self._leadership = Leadership(table, settings.node, holder, address, rng=self._rng)
+        self._new_coordinator = lambda: Coordinator(
+            self._leadership,
+            table,
+            directory,
+            catalogs,
+            connect_agent,
+            metrics,
+            lease_seconds=min(LEASE_SECONDS, settings.lease_limit_seconds),
+            retention_seconds=settings.retention_seconds,
+        )
+        self._coordinator = None
+        self._server = HttpServer(handler, _server(settings.front_address))
+        self._readiness = HttpServer(self._answer_ready, _server(settings.readiness_address))
+        self._metrics_server = HttpServer(self._answer_metrics, _server(address))
+        metrics.gauge("configuration_age_seconds", lambda: catalogs.age)
+        metrics.gauge("leads", lambda: int(self._coordinator is not None))
+
+    async def run(self):
+        """Serves until SIGTERM, then ends gracefully."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._readiness.serve)
+                await nursery.start(self._server.serve)
+                await nursery.start(self._metrics_server.serve)
+                await nursery.start(self._catalogs.run)
+                leading = await nursery.start(self._lead)
+                LOG.info("The process has started.", extra={"address": self._settings.ip})
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    LOG.info("The settings were read again.")
+                await self._drain(leading)
+                nursery.cancel_scope.cancel()
+        LOG.info("The process has stopped.")
+
+    async def _lead(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Campaigns and leads in turn; hands the scope that ends it to the caller."""
+        with trio.CancelScope() as scope:
+            task_status.started(scope)
+            while True:
+                await self._leadership.campaign()
+                self._coordinator = self._new_coordinator()
+                try:
+                    await self._coordinator.run()
+                except LeadershipLost:
+                    continue
+                finally:
+                    self._coordinator = None
+
+    async def _drain(self, leading):
+        self._draining = True
+        fields = {"leads": self._coordinator is not None, "requests": self._server.requests}
+        LOG.info("The shutdown begins.", extra=fields)
+        self._server.close_connections()
+        led = self._coordinator is not None
+        leading.cancel()
+        if led:
+            await self._leadership.resign()
+        await trio.sleep(BALANCER_SECONDS)
+        self._server.stop_accepting()
+        await trio.sleep(SETTLE_SECONDS)
+        self._server.close_idle()
+        left = self._settings.drain_seconds - BALANCER_SECONDS - SETTLE_SECONDS
+        with trio.move_on_after(max(0.0, left - EXIT_MARGIN_SECONDS)):
+            await self._server.wait_closed()
+
+    async def _answer_ready(self, request):
+        ready = not self._draining and self._catalogs.age < READY_AGE_SECONDS
+        return Response.from_json(200 if ready else 503, {"ready": ready})
+
+    async def _answer_metrics(self, request):
+        return Response(200, self._metrics.render().encode(), "text/plain; version=0.0.4")
+
+
+def _server(address):
+    return ServerSettings(
+        address=address,
+        max_connections=MAX_CONNECTIONS,
+        max_body_bytes=MAX_BODY_BYTES,
+        header_timeout_seconds=HEADER_SECONDS,
+        body_timeout_seconds=BODY_SECONDS,
+    )
--- a/packages/entry/src/ibiscart_entry/metric.py
+++ b/packages/entry/src/ibiscart_entry/metric.py
@@ -68,6 +68,9 @@
         "claims": ("outcome", "Durable claims of requests that may run only once."),
         "share_loans": ("outcome", "Loans of shares between entries."),
         "dropped": ("what", "Items dropped because a bounded buffer was full."),
+        "orders": ("result", "Orders to start a run, by the worker's answer."),
+        "stops": ("reason", "Stops sent to workers, by reason or error."),
+        "lists": ("result", "Lists of runs read from workers, by result."),
         "wire_bytes_sent": ("to", "Bytes written to sockets, HTTP heads included."),
         "wire_bytes_received": ("from", "Bytes read from sockets, HTTP heads included."),
     }
@@ -76,6 +79,7 @@
         "append_seconds": ("outcome", "Time to append a record to the journal."),
         "decision_seconds": ("part", "Processor time of one batch of decisions."),
         "queue_seconds": ("lane", "Wait of requests for a runner slot."),
+        "commit_seconds": ("part", "Time to record the decisions of one pass."),
         "start_seconds": ("kind", "Time from submission to release of a job."),
     }
 
--- a/packages/entry/src/ibiscart_entry/table.py
+++ b/packages/entry/src/ibiscart_entry/table.py
@@ -7,7 +7,15 @@
 
 from abc import ABC, abstractmethod
 
-__all__ = ["Row", "StoreError", "Table", "TableConflict"]
+__all__ = [
+    "Changes",
+    "FollowedTable",
+    "HistoryLost",
+    "Row",
+    "StoreError",
+    "Table",
+    "TableConflict",
+]
 
 
 class StoreError(Exception):
@@ -62,3 +70,33 @@
         Raises ``TableConflict`` when a row has another version than expected, and
         ``StoreError`` when there is no valid answer.
         """
+
+
+class HistoryLost(Exception):  # noqa: N818 - a result of the protocol, not a failure
+    """The table no longer holds the changes after the version that was asked for."""
+
+
+class Changes:
+    """Rows of one table at ``version``; ``removed`` are the keys of rows that were dropped."""
+
+    __slots__ = ("removed", "rows", "version")
+
+    def __init__(self, rows, removed, version):
+        self.rows = rows
+        self.removed = removed
+        self.version = version
+
+
+class FollowedTable(Table):
+    """Rows grouped in tables, ``table/key``, whose changes can be followed."""
+
+    @abstractmethod
+    async def snapshot(self, table):
+        """Returns ``Changes`` with all rows of a table; later changes have a higher version."""
+
+    @abstractmethod
+    async def changes(self, table, after, wait_seconds):
+        """Returns ``Changes`` after version ``after``, waiting until there is one.
+
+        Raises ``HistoryLost`` when a snapshot has to be taken instead.
+        """
