Stop work of lower priority for jobs about to be late; let leases of silent workers end

Change: a preemption compares the credit at stake with the credit of what it stops, and leaves out workers that are kept for another unit; calls to a silent worker carry no lease.

--- a/packages/core/src/ibiscart_core/workflow/ordering.py
+++ b/packages/core/src/ibiscart_core/workflow/ordering.py
@@ -21,19 +21,27 @@
 BASE_CREDIT = 0.3
 # a job without an estimate counts with this run time
 DEFAULT_ESTIMATE_MS = 1000
+# credit of a job of priority 0 with the mean work of its queue; the users' figure
+TOP_CREDIT = 4.0
 MEAN_WEIGHT = 0.05
 SMALLEST_COST = 1e-6
 
 
 class Standing:
-    """Where one job stands: larger ``value`` first; ``late`` is past its objective."""
+    """Where one job stands: larger ``value`` first.
 
-    __slots__ = ("late", "slack", "value")
+    ``slack`` is in milliseconds: how much later its waiting units may start from the beginning
+    and end within the objective. ``credit`` is what it earns in time, ``at_stake`` the part of
+    it that is lost when it ends late.
+    """
+
+    __slots__ = ("at_stake", "credit", "slack", "value")
 
-    def __init__(self, value, slack, late):
+    def __init__(self, value, slack, credit, at_stake):
         self.value = value
         self.slack = slack
-        self.late = late
+        self.credit = credit
+        self.at_stake = at_stake
 
 
 class Ordering:
@@ -59,19 +67,22 @@
         remaining, cost = _remaining(job, capacity)
         finish = now_ms - begin + remaining
         slack = objective - finish
+        credit = self._credit(job, queue)
+        at_stake = 0.0
         if slack >= 0:
             factor = 1.0
+            at_stake = credit * (1.0 - LATE_FACTOR)
         elif finish <= LATE_LIMIT * objective:
             factor = LATE_FACTOR
         else:
             factor = EXPIRED_FACTOR
-        value = self._credit(job, queue) * factor / max(cost, SMALLEST_COST)
-        return Standing(value, slack, slack < 0)
+        value = credit * factor / max(cost, SMALLEST_COST)
+        return Standing(value, slack, credit, at_stake)
 
     def _credit(self, job, queue):
         mean = self._mean_work.get(job.queue) or 1.0
         relative = min(4.0, BASE_CREDIT + (1 - BASE_CREDIT) * job_work(job) / mean)
-        return relative / (1 + queue.priority)
+        return relative * TOP_CREDIT / (1 + queue.priority)
 
 
 def job_work(job):
@@ -93,10 +104,13 @@
     )
 
 
+def cores_of(resources):
+    """Resources in cores, as the users account for work."""
+    return resources.cpu_millis / 1000 + resources.accelerators * CORES_PER_ACCELERATOR
+
+
 def _step_work(step):
-    cores = step.resources.cpu_millis / 1000
-    cores += step.resources.accelerators * CORES_PER_ACCELERATOR
-    return cores * step_estimate_ms(step) / 1000
+    return cores_of(step.resources) * step_estimate_ms(step) / 1000
 
 
 def _begin_ms(job, now_ms):
--- a/packages/core/src/ibiscart_core/workflow/placement.py
+++ b/packages/core/src/ibiscart_core/workflow/placement.py
@@ -70,16 +70,23 @@
         self.rooms = [Room(worker) for worker in workers]
         self._held = held or {}
 
+    def hold(self, worker_ids, key):
+        """Keeps workers for one unit for the rest of the pass."""
+        self._held.update(dict.fromkeys(worker_ids, key))
+
+    def open_to(self, unit):
+        """Yields the rooms that are kept for no other unit and have the required label."""
+        label = unit.spec.required_label
+        for room in self.rooms:
+            if self._held.get(room.worker.id, unit.key) == unit.key:
+                if not label or label in room.labels:
+                    yield room
+
     def eligible(self, unit):
         """Yields (room, tasks that fit) of the workers on which the unit may run."""
         step = unit.spec
         demand = step.demand
-        for room in self.rooms:
-            keeper = self._held.get(room.worker.id)
-            if keeper is not None and keeper != unit.key:
-                continue
-            if step.required_label and step.required_label not in room.labels:
-                continue
+        for room in self.open_to(unit):
             count = room.times(demand)
             if step.max_per_worker:
                 count = min(count, step.max_per_worker - room.present(unit))
--- a/packages/core/src/ibiscart_core/workflow/preemption.py
+++ b/packages/core/src/ibiscart_core/workflow/preemption.py
@@ -2,11 +2,10 @@
 ibiscart_core.workflow.preemption
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Chooses the running units whose stop makes room for a guaranteed unit.
+Chooses the running units whose stop makes room for a waiting unit.
 """
 
 from ibiscart_core.workflow.job import PlaceState
-from ibiscart_core.workflow.ordering import share_of
 
 __all__ = ["Preemption", "choose_victims"]
 
@@ -22,15 +21,15 @@
         self.cost = cost
 
 
-def choose_victims(unit, rooms, may_stop, capacity, now):
+def choose_victims(unit, rooms, loss_of):
     """Returns the cheapest ``Preemption`` for ``unit``, or None.
 
-    ``may_stop`` tells whether a unit may be stopped. The cost is the work since the last
-    checkpoint, in shares of ``capacity`` times seconds.
+    ``loss_of`` returns the credit that a stop of a unit loses, None for a unit that must not
+    be stopped.
     """
     best = None
     for group in _groups(unit, rooms):
-        found = _preempt_in(unit, group, may_stop, capacity, now)
+        found = _preempt_in(unit, group, loss_of)
         if found is not None and (best is None or found.cost < best.cost):
             best = found
     return best
@@ -38,11 +37,8 @@
 
 def _groups(unit, rooms):
     step = unit.spec
-    fitting = [
-        room
-        for room in rooms.rooms
-        if not step.required_label or step.required_label in room.labels
-    ]
+    # what comes free on workers that are kept for another unit belongs to that one
+    fitting = list(rooms.open_to(unit))
     racks = {}
     for room in fitting:
         racks.setdefault(room.rack, []).append(room)
@@ -51,50 +47,44 @@
     return [fitting]
 
 
-def _preempt_in(unit, group, may_stop, capacity, now):
-    demand = unit.spec.demand
-    room_of = {room.worker.id: room for room in group}
+def _preempt_in(unit, group, loss_of):
+    losses = {}
     candidates = {}
     for room in group:
         for victim in room.worker.places.values():
-            if victim.key not in candidates and victim is not unit and may_stop(victim):
+            if victim.key in losses or victim is unit:
+                continue
+            losses[victim.key] = loss = loss_of(victim)
+            if loss is not None:
                 candidates[victim.key] = victim
-    ranked = sorted(candidates.values(), key=lambda victim: _loss(victim, capacity, now))
-    freed = {room.worker.id: [0, 0, 0] for room in group}
-    # what is being stopped already comes free without a further loss
-    for room in group:
-        for (task_key, _), other in room.worker.places.items():
-            place = other.places.get(task_key[3])
-            if place is not None and place.state is PlaceState.STOPPING:
-                _add(freed[room.worker.id], other.spec.demand, 1)
+    ranked = sorted(candidates.values(), key=lambda victim: losses[victim.key])
+    freed = {room.worker.id: _stopping(room) for room in group}
     victims = []
-    while _count(group, freed, demand) < unit.size:
+    while _count(group, freed, unit) < unit.size:
         if not ranked:
             return None
         victim = ranked.pop(0)
         victims.append(victim)
         _free(victim, freed, 1)
-    for victim in sorted(victims, key=lambda v: -_loss(v, capacity, now)):
+    # a later victim may have made an earlier one needless
+    for victim in sorted(victims, key=lambda victim: -losses[victim.key]):
         _free(victim, freed, -1)
-        if _count(group, freed, demand) >= unit.size:
+        if _count(group, freed, unit) >= unit.size:
             victims.remove(victim)
         else:
             _free(victim, freed, 1)
-    worker_ids = _needed_workers(group, freed, demand, unit.size)
-    cost = sum(_loss(victim, capacity, now) for victim in victims)
-    return Preemption(victims, {room_of[w].worker.id for w in worker_ids}, cost)
+    worker_ids = _needed_workers(group, freed, unit)
+    return Preemption(victims, worker_ids, sum(losses[victim.key] for victim in victims))
 
 
-def _loss(victim, capacity, now):
-    """Work that a stop throws away; the stop itself saves the state of some units."""
-    share = share_of(victim.spec.demand, capacity) * victim.size
-    started = min(
-        (p.confirmed_at for p in victim.places.values() if p.confirmed_at is not None),
-        default=now,
-    )
-    if victim.spec.checkpointing:
-        return share * 0.1
-    return share * (0.1 + max(0.0, now - started))
+def _stopping(room):
+    """Resources that come free without a further stop."""
+    amounts = [0, 0, 0]
+    for (task_key, _), unit in room.worker.places.items():
+        place = unit.places.get(task_key[3])
+        if place is not None and place.state is PlaceState.STOPPING:
+            _add(amounts, unit.spec.demand, 1)
+    return amounts
 
 
 def _free(victim, freed, sign):
@@ -110,7 +100,8 @@
     amounts[2] += sign * demand.memory_mb
 
 
-def _times(room, amounts, demand):
+def _times(room, amounts, unit):
+    demand = unit.spec.demand
     times = []
     if demand.accelerators:
         times.append((room.accelerators + amounts[0]) // demand.accelerators)
@@ -118,20 +109,23 @@
         times.append((room.cpu_millis + amounts[1]) // demand.cpu_millis)
     if demand.memory_mb:
         times.append((room.memory_mb + amounts[2]) // demand.memory_mb)
+    if unit.spec.max_per_worker:
+        times.append(unit.spec.max_per_worker - room.present(unit))
     return max(0, min(times, default=0))
 
 
-def _count(group, freed, demand):
-    return sum(_times(room, freed[room.worker.id], demand) for room in group)
+def _count(group, freed, unit):
+    return sum(_times(room, freed[room.worker.id], unit) for room in group)
 
 
-def _needed_workers(group, freed, demand, size):
-    needed = []
-    counts = [(_times(room, freed[room.worker.id], demand), room) for room in group]
+def _needed_workers(group, freed, unit):
+    """Returns the ids of workers that together hold the unit, those with most room first."""
+    needed = set()
+    size = unit.size
+    counts = [(_times(room, freed[room.worker.id], unit), room) for room in group]
     for count, room in sorted(counts, key=lambda pair: -pair[0]):
-        if size <= 0:
+        if size <= 0 or not count:
             break
-        if count:
-            needed.append(room.worker.id)
-            size -= count
+        needed.add(room.worker.id)
+        size -= count
     return needed
--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -6,7 +6,7 @@
 """
 
 from ibiscart_core.workflow.job import Place, UnitState
-from ibiscart_core.workflow.ordering import Ordering
+from ibiscart_core.workflow.ordering import Ordering, cores_of
 from ibiscart_core.workflow.placement import RoomSet
 from ibiscart_core.workflow.preemption import choose_victims
 
@@ -14,8 +14,13 @@
 
 # a guaranteed unit waits so long for a place that comes free by itself before work is stopped
 PREEMPT_AFTER_SECONDS = 0.2
-# workers are kept for a guaranteed unit until the stops have surely ended
+# other units stop work of lower priority when their slack has shrunk to this: a stop takes up
+# to 0.9 s, and the order half a second at most
+PREEMPT_SLACK_MS = 1400
+# workers are kept for a unit until the stops made for it have surely ended
 HOLD_SECONDS = 2.5
+# credit that the users take off for work thrown away
+WASTE_PER_CORE_SECOND = 0.001
 # off its rack a task runs several times longer, so a unit waits for its rack while the pool
 # is busy; with this share of the pool free, the slower run costs nobody a place
 SPREAD_AFTER_SECONDS = 1.0
@@ -71,63 +76,75 @@
         return starts, stops
 
     def _plan_pool(self, pool, entries, catalog, now, now_ms, starts, stops):
-        waiting = [
-            (job, queue, units) for job, queue in entries if (units := _waiting_units(job, now))
-        ]
+        capacity = self._fleet.capacity(pool)
+        waiting = []
+        claims = _claims(entries, catalog)
+        standings = {}
+        for job, queue in entries:
+            standing = self.ordering.standing(job, queue, capacity, now_ms)
+            standings[job.id] = (queue.priority, standing)
+            units = _waiting_units(job, now)
+            if units:
+                claimed = job.id in claims
+                rank = (0, job.accepted_ms) if claimed else (1, -standing.value)
+                waiting.append((rank, job.accepted_ms, job.id, units))
         if not waiting:
             return
-        capacity = self._fleet.capacity(pool)
-        workers = self._fleet.usable(pool, now)
         held = {worker: key for key, (ids, _) in self._holds.items() for worker in ids}
-        rooms = RoomSet(workers, held)
-        claims = _claims([(job, queue) for job, queue in entries], catalog)
-        order = []
-        for job, queue, units in waiting:
-            standing = self.ordering.standing(job, queue, capacity, now_ms)
-            claimed = job.id in claims
-            first = (0, job.accepted_ms) if claimed else (1, -standing.value)
-            order.append((first, job.accepted_ms, job.id, claimed, units))
+        rooms = RoomSet(self._fleet.usable(pool, now), held)
         free_share = _free_share(rooms, capacity)
         blocked = set()
-        for _, _, _, claimed, units in sorted(order, key=lambda entry: entry[:3]):
+        for _, _, job_id, units in sorted(waiting, key=lambda entry: entry[:3]):
             for unit in units:
                 shape = _shape(unit)
                 if shape in blocked:
                     continue
-                anywhere = self._may_spread(unit, pool, free_share, now)
-                chosen = rooms.find(unit, anywhere)
+                chosen = rooms.find(unit, self._may_spread(unit, pool, free_share, now))
                 if chosen is not None:
                     rooms.take(unit, chosen)
                     self._holds.pop(unit.key, None)
-                    reason = "guaranteed" if claimed else "ordered"
+                    reason = "guaranteed" if job_id in claims else "ordered"
                     starts.append(Decision(unit, _places(unit, chosen), reason))
-                    continue
-                if claimed:
-                    self._preempt(unit, rooms, entries, claims, capacity, now, stops)
-                else:
+                elif not self._preempt(unit, rooms, claims, standings, now, stops):
                     blocked.add(shape)
 
-    def _preempt(self, unit, rooms, entries, claims, capacity, now, stops):
-        if unit.key in self._holds or now - unit.ready_at < PREEMPT_AFTER_SECONDS:
-            return
-        priority = {job.id: queue.priority for job, queue in entries}
-
-        def may_stop(victim):
-            return (
-                victim.state is UnitState.ACTIVE
-                and victim.job.id not in claims
-                and victim.key not in stopping
-                and (victim.spec.long_running is False)
-            )
-
+    def _preempt(self, unit, rooms, claims, standings, now, stops):
+        """Stops cheaper work for a unit; returns whether it was done now."""
+        claimed = unit.job.id in claims
+        priority, standing = standings[unit.job.id]
+        if unit.key in self._holds:
+            return False
+        if claimed:
+            if now - unit.ready_at < PREEMPT_AFTER_SECONDS:
+                return False
+        elif not 0 <= standing.slack <= PREEMPT_SLACK_MS:
+            return False
         stopping = {stop.unit.key for stop in stops}
-        preemption = choose_victims(unit, rooms, may_stop, capacity, now)
+
+        def loss_of(victim):
+            if victim.state is not UnitState.ACTIVE or victim.key in stopping:
+                return None
+            if victim.job.id in claims or victim.spec.long_running:
+                return None
+            victim_priority, victim_standing = standings.get(victim.job.id, (None, None))
+            if victim_priority is None or victim.job.ended:
+                return None
+            if not claimed and victim_priority <= priority:
+                return None
+            # a restart from the beginning makes a job late that has no slack for it
+            late = 0.0 if victim_standing.slack > PREEMPT_SLACK_MS else victim_standing.at_stake
+            return _waste(victim, now) + late
+
+        preemption = choose_victims(unit, rooms, loss_of)
         if preemption is None:
-            return
+            return False
+        if not claimed and preemption.cost >= standing.at_stake:
+            return False
         self._holds[unit.key] = (preemption.worker_ids, now + HOLD_SECONDS)
+        rooms.hold(preemption.worker_ids, unit.key)
         for victim in preemption.victims:
-            reason = f"preempted_priority_{priority.get(victim.job.id, -1)}"
-            stops.append(StopDecision(victim, reason, unit))
+            stops.append(StopDecision(victim, "guarantee" if claimed else "deadline", unit))
+        return True
 
     def _may_spread(self, unit, pool, free_share, now):
         step = unit.spec
@@ -162,6 +179,18 @@
                 del self._holds[key]
 
 
+def _waste(victim, now):
+    """Credit lost with the work of a unit that its stop throws away."""
+    if victim.spec.checkpointing:
+        return 0.0
+    started = min(
+        (p.confirmed_at for p in victim.places.values() if p.confirmed_at is not None),
+        default=now,
+    )
+    cores = cores_of(victim.spec.resources) * victim.size
+    return cores * max(0.0, now - started) * WASTE_PER_CORE_SECOND
+
+
 def _waiting_units(job, now):
     return [
         unit for unit in job.units() if unit.state is UnitState.WAITING and unit.retry_at <= now
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -161,11 +161,26 @@
                 self._ended_at[job_id] = now
             self._engine.add_job(job)
             if record is None:
-                self._note("job_taken", job=job_id, queue=job.queue, account=job.account)
+                self._note_taken(job)
         for job_id in cancelled:
             if self._engine.cancel(job_id):
                 self._ended_at[job_id] = now
 
+    def _note_taken(self, job):
+        steps = [
+            {"tasks": step.tasks, "accelerators": step.resources.accelerators, "gang": step.gang}
+            for step in job.spec.steps
+        ]
+        self._note(
+            "job_taken",
+            job=job.id,
+            queue=job.queue,
+            account=job.account,
+            steps=steps,
+            chain_ms=job.spec.chain_ms(),
+            accepted_ms=job.accepted_ms,
+        )
+
     def _add_absent_workers(self, job, now):
         """Adds the workers that hold a place and are not in the directory.
 
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -185,7 +185,8 @@
         asked_at = trio.current_time()
         acknowledged = self._acknowledged
         deadline_ms = None
-        if self._clock_ms is not None and self._may_extend(asked_at):
+        # a worker that does not answer gets no further leases, so that they end
+        if self._worker.reachable and self._clock_ms is not None and self._may_extend(asked_at):
             deadline_ms = self._deadline_ms(asked_at)
             self._extend(asked_at)
         try:
--- /dev/null
+++ b/tests/core/workflow/test_preemption.py
@@ -0,0 +1,89 @@
+"""Tests of preemption: guarantees, deadlines, no room given out twice."""
+
+import unittest
+
+from ibiscart_core.workflow.job import EndCause, UnitState
+from tests.core.workflow.world import World, step
+
+
+class PreemptionTest(unittest.TestCase):
+    def test_guaranteed_job_gets_its_accelerators(self):
+        world = World(workers=1, guaranteed=8)
+        world.submit("low", step(8), priority=2)
+        world.play()
+        job = world.submit("claim", step(1, 8), priority=0)
+        world.play()
+        world.play(0.3)
+        world.report()
+        world.play()
+        self.assertTrue(all(unit.running for unit in job.units()))
+
+    def test_two_guaranteed_jobs_do_not_count_on_the_same_room(self):
+        # the second claim counted on what was stopped for the first, and waited for it
+        world = World(workers=2, guaranteed=16)
+        world.submit("low", step(2, 8), priority=2)
+        world.play()
+        world.submit("first", step(1, 8), priority=0)
+        world.play()
+        _, stops = world.plan(0.3)
+        self.assertEqual(1, len(stops))
+        world.submit("second", step(1, 8), priority=0)
+        world.plan()
+        _, stops = world.plan(0.3)
+        self.assertEqual(1, len(stops))
+
+    def test_job_about_to_be_late_stops_cheaper_work(self):
+        # jobs of priority 0 beyond their account's guarantee waited until work ended by itself
+        world = World(workers=1)
+        world.submit("low", step(8, estimate_ms=6000), priority=2)
+        world.play()
+        world.submit("urgent", step(1, 8, estimate_ms=500), priority=0)
+        world.play()
+        _, stops = world.plan(0.3)
+        self.assertEqual(
+            {"deadline"}, {"deadline" if s.reason == "preempted" else "" for s in stops}
+        )
+
+    def test_job_with_time_left_stops_nothing(self):
+        world = World(workers=1)
+        world.submit("low", step(8, estimate_ms=6000), priority=2)
+        world.play()
+        world.submit("patient", step(1, 8, estimate_ms=20000), priority=1)
+        world.play()
+        _, stops = world.plan(0.3)
+        self.assertEqual([], stops)
+
+    def test_work_of_the_same_priority_is_not_stopped(self):
+        world = World(workers=1)
+        world.submit("first", step(1, 8, estimate_ms=6000), priority=0)
+        world.play()
+        world.submit("second", step(1, 8, estimate_ms=500), priority=0)
+        world.play()
+        _, stops = world.plan(0.3)
+        self.assertEqual([], stops)
+
+    def test_preempted_unit_runs_again_with_a_higher_number(self):
+        world = World(workers=1, guaranteed=8)
+        low = world.submit("low", step(1, 8), priority=2)
+        world.play()
+        claim = world.submit("claim", step(1, 8), priority=0)
+        world.play()
+        world.play(0.3)
+        world.report()
+        world.play()
+        world.end_unit(next(claim.units()))
+        world.play()
+        unit = next(low.units())
+        self.assertEqual((UnitState.ACTIVE, 2, 0), (unit.state, unit.run, unit.failures))
+
+    def test_failed_runs_end_the_job_after_the_allowed_attempts(self):
+        world = World(workers=2)
+        job = world.submit("bad", step(1, 1))
+        for _ in range(2):
+            world.play(1.0)
+            world.end_unit(next(job.units()), EndCause.FAILED)
+        self.assertEqual("failed", job.outcome.value)
+
+
+if __name__ == "__main__":
+    unittest.main()
