Gangs fill the fullest workers first

Cause: gangs took the workers with the most room, which leaves none whole for tasks that need all accelerators of one.

--- a/packages/core/src/ibiscart_core/workflow/placement.py
+++ b/packages/core/src/ibiscart_core/workflow/placement.py
@@ -151,28 +151,17 @@
 
 
 def _fill(rooms, size):
-    """Returns [(room, tasks)] for ``size`` tasks on as few workers as possible, or None."""
+    """Returns [(room, tasks)] for ``size`` tasks, the fullest workers first, or None.
+
+    Whole free workers are kept for the tasks that need all accelerators of one.
+    """
     if sum(count for _, count in rooms) < size:
         return None
     chosen = []
-    for room, count in sorted(rooms, key=lambda pair: -pair[1]):
+    for room, count in sorted(rooms, key=lambda pair: (pair[0].accelerators, pair[1])):
         tasks = min(count, size)
         chosen.append((room, tasks))
         size -= tasks
         if not size:
             break
-    # the last worker takes the rest, so the tightest one that holds it is preferred
-    room, tasks = chosen[-1]
-    used = {id(other) for other, _ in chosen}
-    better = [
-        (count, index, other)
-        for index, (other, count) in enumerate(rooms)
-        if count >= tasks and id(other) not in used
-    ]
-    if better:
-        chosen[-1] = (min(better)[2], tasks) if min(better)[0] < _count(rooms, room) else chosen[-1]
     return chosen
-
-
-def _count(rooms, wanted):
-    return next(count for room, count in rooms if room is wanted)
--- a/tests/core/workflow/test_placement.py
+++ b/tests/core/workflow/test_placement.py
@@ -50,6 +50,16 @@
         world.submit("gang", step(3, 8, gang=True, same_rack=True))
         self.assertEqual(3, len(world.play()))
 
+    def test_gang_of_small_tasks_leaves_whole_workers_free(self):
+        # gangs took the emptiest workers, so that tasks with 8 accelerators found none
+        world = World(workers=2)
+        world.submit("small", step(1, 4))
+        world.play()
+        world.submit("gang", step(4, 1, gang=True))
+        world.play()
+        world.submit("large", step(1, 8))
+        self.assertEqual(1, len(world.play()))
+
     def test_gang_starts_whole_or_not_at_all(self):
         world = World(workers=2)
         world.submit("small", step(1, 8))
