Choose what is stopped by the cheapest room for each task

Change: the loss counts the elapsed work and the credit at stake of a job without slack for it; room is gained step by step at the lowest loss for each task.

--- a/packages/core/src/ibiscart_core/workflow/ordering.py
+++ b/packages/core/src/ibiscart_core/workflow/ordering.py
@@ -25,22 +25,22 @@
 TOP_CREDIT = 4.0
 MEAN_WEIGHT = 0.05
 SMALLEST_COST = 1e-6
+# a run that has passed its estimate counts with this share of it
+LEAST_REMAINING = 0.2
 
 
 class Standing:
     """Where one job stands: larger ``value`` first.
 
-    ``slack`` is in milliseconds: how much later its waiting units may start from the beginning
-    and end within the objective. ``credit`` is what it earns in time, ``at_stake`` the part of
-    it that is lost when it ends late.
+    ``slack`` is in milliseconds: how much later it may go on and still end within the
+    objective, by its estimates. ``at_stake`` is the credit that is lost when it ends late.
     """
 
-    __slots__ = ("at_stake", "credit", "slack", "value")
+    __slots__ = ("at_stake", "slack", "value")
 
-    def __init__(self, value, slack, credit, at_stake):
+    def __init__(self, value, slack, at_stake):
         self.value = value
         self.slack = slack
-        self.credit = credit
         self.at_stake = at_stake
 
 
@@ -60,24 +60,25 @@
         mean = self._mean_work.get(job.queue)
         self._mean_work[job.queue] = work if mean is None else mean + MEAN_WEIGHT * (work - mean)
 
-    def standing(self, job, queue, capacity, now_ms):
+    def standing(self, job, queue, capacity, now, now_ms):
         """Returns the ``Standing`` of a job; ``capacity`` is that of its whole pool."""
         objective = queue.stretch * job.spec.chain_ms() + queue.target_latency_ms
         begin = _begin_ms(job, now_ms)
-        remaining, cost = _remaining(job, capacity)
-        finish = now_ms - begin + remaining
+        remaining, cost = _remaining(job, capacity, now)
+        age = now_ms - begin
+        finish = age + remaining
         slack = objective - finish
         credit = self._credit(job, queue)
-        at_stake = 0.0
+        # estimates are rough: what is not late yet may still end in time
+        at_stake = credit * (1.0 - LATE_FACTOR) if age < objective else 0.0
         if slack >= 0:
             factor = 1.0
-            at_stake = credit * (1.0 - LATE_FACTOR)
         elif finish <= LATE_LIMIT * objective:
             factor = LATE_FACTOR
         else:
             factor = EXPIRED_FACTOR
         value = credit * factor / max(cost, SMALLEST_COST)
-        return Standing(value, slack, credit, at_stake)
+        return Standing(value, slack, at_stake)
 
     def _credit(self, job, queue):
         mean = self._mean_work.get(job.queue) or 1.0
@@ -123,20 +124,36 @@
     return min(due, default=now_ms)
 
 
-def _remaining(job, capacity):
+def _remaining(job, capacity, now):
     """Returns (remaining chain in ms, remaining cost in share-seconds)."""
+    left, longest = _open_work(job, now)
     ends = []
     cost = 0.0
-    left = {}
-    for unit in job.units():
-        if unit.state is not UnitState.DONE:
-            key = unit.step
-            left[key] = left.get(key, 0) + unit.size
-    opened = {unit.step for unit in job.units()}
     for number, step in enumerate(job.spec.steps):
-        tasks = left.get(number, 0 if number in opened else step.tasks)
-        length = step_estimate_ms(step) if tasks else 0
+        tasks = left.get(number, step.tasks)
+        length = longest.get(number, step_estimate_ms(step)) if tasks else 0
         begin = max((ends[earlier] for earlier in step.after), default=0)
         ends.append(begin + length)
         cost += tasks * share_of(step.demand, capacity) * length / 1000
     return max(ends, default=0), cost
+
+
+def _open_work(job, now):
+    """Returns (unfinished tasks, longest remaining time in ms) of the steps that are open."""
+    left, longest = {}, {}
+    for unit in job.units():
+        number = unit.step
+        left.setdefault(number, 0)
+        if unit.state is UnitState.DONE:
+            continue
+        left[number] += unit.size
+        estimate = step_estimate_ms(unit.spec)
+        remaining = max(estimate * LEAST_REMAINING, estimate - unit_age(unit, now) * 1000)
+        longest[number] = max(longest.get(number, 0), remaining)
+    return left, longest
+
+
+def unit_age(unit, now):
+    """Seconds for which the present run of a unit has been confirmed."""
+    begun = [p.confirmed_at for p in unit.places.values() if p.confirmed_at is not None]
+    return max(0.0, now - min(begun)) if begun else 0.0
--- a/packages/core/src/ibiscart_core/workflow/preemption.py
+++ b/packages/core/src/ibiscart_core/workflow/preemption.py
@@ -49,32 +49,45 @@
 
 def _preempt_in(unit, group, loss_of):
     losses = {}
-    candidates = {}
     for room in group:
         for victim in room.worker.places.values():
-            if victim.key in losses or victim is unit:
-                continue
-            losses[victim.key] = loss = loss_of(victim)
-            if loss is not None:
-                candidates[victim.key] = victim
-    ranked = sorted(candidates.values(), key=lambda victim: losses[victim.key])
+            if victim.key not in losses and victim is not unit:
+                losses[victim.key] = loss_of(victim)
     freed = {room.worker.id: _stopping(room) for room in group}
-    victims = []
+    victims = {}
     while _count(group, freed, unit) < unit.size:
-        if not ranked:
+        steps = (_cheapest_step(room, freed, unit, victims, losses) for room in group)
+        found = min(filter(None, steps), key=lambda step: step[0], default=None)
+        if found is None:
             return None
-        victim = ranked.pop(0)
-        victims.append(victim)
-        _free(victim, freed, 1)
-    # a later victim may have made an earlier one needless
-    for victim in sorted(victims, key=lambda victim: -losses[victim.key]):
-        _free(victim, freed, -1)
-        if _count(group, freed, unit) >= unit.size:
-            victims.remove(victim)
-        else:
-            _free(victim, freed, 1)
+        for victim in found[1]:
+            victims[victim.key] = victim
+            _free(victim, freed)
     worker_ids = _needed_workers(group, freed, unit)
-    return Preemption(victims, worker_ids, sum(losses[victim.key] for victim in victims))
+    return Preemption(list(victims.values()), worker_ids, sum(losses[key] for key in victims))
+
+
+def _cheapest_step(room, freed, unit, chosen, losses):
+    """Returns (loss for each task gained, victims) that let more tasks fit here, or None."""
+    amounts = list(freed[room.worker.id])
+    before = _times(room, amounts, unit)
+    candidates = {
+        victim.key: victim
+        for victim in room.worker.places.values()
+        if victim.key not in chosen and losses.get(victim.key) is not None
+    }
+    victims = []
+    loss = 0.0
+    for victim in sorted(candidates.values(), key=lambda victim: losses[victim.key]):
+        victims.append(victim)
+        loss += losses[victim.key]
+        for place in victim.places.values():
+            if place.worker_id == room.worker.id and place.state is not PlaceState.STOPPING:
+                _add(amounts, victim.spec.demand, 1)
+        gained = _times(room, amounts, unit) - before
+        if gained > 0:
+            return loss / min(gained, unit.size), victims
+    return None
 
 
 def _stopping(room):
@@ -87,11 +100,11 @@
     return amounts
 
 
-def _free(victim, freed, sign):
+def _free(victim, freed):
     for place in victim.places.values():
         amounts = freed.get(place.worker_id)
         if amounts is not None and place.state is not PlaceState.STOPPING:
-            _add(amounts, victim.spec.demand, sign)
+            _add(amounts, victim.spec.demand, 1)
 
 
 def _add(amounts, demand, sign):
--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -6,7 +6,7 @@
 """
 
 from ibiscart_core.workflow.job import Place, UnitState
-from ibiscart_core.workflow.ordering import Ordering, cores_of
+from ibiscart_core.workflow.ordering import Ordering, cores_of, unit_age
 from ibiscart_core.workflow.placement import RoomSet
 from ibiscart_core.workflow.preemption import choose_victims
 
@@ -81,7 +81,7 @@
         claims = _claims(entries, catalog)
         standings = {}
         for job, queue in entries:
-            standing = self.ordering.standing(job, queue, capacity, now_ms)
+            standing = self.ordering.standing(job, queue, capacity, now, now_ms)
             standings[job.id] = (queue.priority, standing)
             units = _waiting_units(job, now)
             if units:
@@ -131,8 +131,10 @@
                 return None
             if not claimed and victim_priority <= priority:
                 return None
-            # a restart from the beginning makes a job late that has no slack for it
-            late = 0.0 if victim_standing.slack > PREEMPT_SLACK_MS else victim_standing.at_stake
+            lost_ms = 0.0 if victim.spec.checkpointing else unit_age(victim, now) * 1000
+            # a job becomes late that has no slack for the time lost and another wait
+            in_time = victim_standing.slack - lost_ms > PREEMPT_SLACK_MS
+            late = 0.0 if in_time else victim_standing.at_stake
             return _waste(victim, now) + late
 
         preemption = choose_victims(unit, rooms, loss_of)
@@ -183,12 +185,8 @@
     """Credit lost with the work of a unit that its stop throws away."""
     if victim.spec.checkpointing:
         return 0.0
-    started = min(
-        (p.confirmed_at for p in victim.places.values() if p.confirmed_at is not None),
-        default=now,
-    )
     cores = cores_of(victim.spec.resources) * victim.size
-    return cores * max(0.0, now - started) * WASTE_PER_CORE_SECOND
+    return cores * unit_age(victim, now) * WASTE_PER_CORE_SECOND
 
 
 def _waiting_units(job, now):
