Keep room for urgent work, read a running job once more, take over sooner

Change: empty workers are kept for what urgent work used at its peak of the last 15 s, unless most of the pool is free; GET reads a running job again after 30 ms; silence before a takeover is 0.75 s and four read times.

--- a/packages/core/src/ibiscart_core/workflow/placement.py
+++ b/packages/core/src/ibiscart_core/workflow/placement.py
@@ -33,6 +33,11 @@
         self.rack = worker.info.rack
         self._placed = {}
 
+    @property
+    def empty(self):
+        """Whether no task holds a place here, this pass included."""
+        return not self.worker.places and not self._placed
+
     def present(self, unit):
         """Number of tasks here of the unit's step and occurrence, this pass included."""
         wanted = (unit.job.id, unit.occurrence, unit.step)
@@ -63,12 +68,14 @@
 class RoomSet:
     """Free resources of the usable workers of one pool.
 
-    ``held`` maps worker ids to the key of the unit that they are kept for.
+    ``held`` maps worker ids to the key of the unit that they are kept for. ``whole_kept`` is
+    the number of empty workers that only urgent units may use.
     """
 
-    def __init__(self, workers, held=None):
+    def __init__(self, workers, held=None, whole_kept=0):
         self.rooms = [Room(worker) for worker in workers]
         self._held = held or {}
+        self._whole_kept = whole_kept
 
     def hold(self, worker_ids, key):
         """Keeps workers for one unit for the rest of the pass."""
@@ -93,12 +100,22 @@
             if count > 0:
                 yield room, count
 
-    def find(self, unit, anywhere):
+    def find(self, unit, anywhere, urgent=True):
         """Returns [(room, tasks)] that hold the whole unit, or None.
 
-        Unless ``anywhere``, a unit that runs slower off its rack is placed only on it.
+        Unless ``anywhere``, a unit that runs slower off its rack is placed only on it. Units
+        that are not ``urgent`` leave some workers empty.
         """
-        candidates = list(self.eligible(unit))
+        chosen = self._find(unit, anywhere, list(self.eligible(unit)))
+        if chosen is None or urgent or not self._whole_kept:
+            return chosen
+        whole = sum(room.empty for room in self.rooms)
+        if whole - sum(room.empty for room, _ in chosen) >= self._whole_kept:
+            return chosen
+        in_use = [(room, count) for room, count in self.eligible(unit) if not room.empty]
+        return self._find(unit, anywhere, in_use)
+
+    def _find(self, unit, anywhere, candidates):
         step = unit.spec
         if unit.size == 1:
             return self._find_single(candidates, step, anywhere)
--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -5,6 +5,7 @@
 Decides which units start where, and which are stopped to make room.
 """
 
+from ibiscart_core.workflow.headroom import Headroom
 from ibiscart_core.workflow.job import Place, UnitState
 from ibiscart_core.workflow.ordering import Ordering, cores_of, unit_age
 from ibiscart_core.workflow.placement import RoomSet
@@ -25,7 +26,8 @@
 # is busy; with this share of the pool free, the slower run costs nobody a place
 SPREAD_AFTER_SECONDS = 1.0
 SPREAD_FREE_SHARE = 0.5
-GUARANTEED_PRIORITY = 0
+# jobs of this priority come first, and guarantees hold for them
+URGENT_PRIORITY = 0
 
 
 class Decision:
@@ -56,6 +58,7 @@
     def __init__(self, fleet):
         self._fleet = fleet
         self._holds = {}
+        self._headrooms = {}
         self.ordering = Ordering()
 
     def plan(self, jobs, catalog, now, now_ms):
@@ -91,7 +94,8 @@
         if not waiting:
             return
         held = {worker: key for key, (ids, _) in self._holds.items() for worker in ids}
-        rooms = RoomSet(self._fleet.usable(pool, now), held)
+        workers = self._fleet.usable(pool, now)
+        rooms = RoomSet(workers, held, self._whole_kept(pool, workers, entries, capacity, now))
         free_share = _free_share(rooms, capacity)
         blocked = set()
         for _, _, job_id, units in sorted(waiting, key=lambda entry: entry[:3]):
@@ -99,7 +103,11 @@
                 shape = _shape(unit)
                 if shape in blocked:
                     continue
-                chosen = rooms.find(unit, self._may_spread(unit, pool, free_share, now))
+                # with most of the pool free nothing is kept back
+                urgent = free_share >= SPREAD_FREE_SHARE
+                urgent = urgent or standings[job_id][0] == URGENT_PRIORITY
+                anywhere = self._may_spread(unit, pool, free_share, now)
+                chosen = rooms.find(unit, anywhere, urgent)
                 if chosen is not None:
                     rooms.take(unit, chosen)
                     self._holds.pop(unit.key, None)
@@ -108,6 +116,20 @@
                 elif not self._preempt(unit, rooms, claims, standings, now, stops):
                     blocked.add(shape)
 
+    def _whole_kept(self, pool, workers, entries, capacity, now):
+        """Number of empty workers that are kept for urgent work."""
+        used = sum(
+            unit.spec.resources.accelerators * unit.size
+            for job, queue in entries
+            if queue.priority == URGENT_PRIORITY
+            for unit in job.units()
+            if unit.state is UnitState.ACTIVE
+        )
+        headroom = self._headrooms.setdefault(pool, Headroom())
+        needed = headroom.needed(used, capacity.accelerators, now)
+        each = max((worker.info.capacity.accelerators for worker in workers), default=0)
+        return -(-needed // each) if each else 0
+
     def _preempt(self, unit, rooms, claims, standings, now, stops):
         """Stops cheaper work for a unit; returns whether it was done now."""
         claimed = unit.job.id in claims
@@ -115,7 +137,8 @@
         if unit.key in self._holds:
             return False
         if claimed:
-            if now - unit.ready_at < PREEMPT_AFTER_SECONDS:
+            waited = now - unit.ready_at
+            if waited < PREEMPT_AFTER_SECONDS and standing.slack > PREEMPT_SLACK_MS:
                 return False
         elif not 0 <= standing.slack <= PREEMPT_SLACK_MS:
             return False
@@ -201,7 +224,7 @@
     used = {}
     for job, queue in sorted(entries, key=lambda entry: entry[0].accepted_ms):
         account = catalog.accounts.get(job.account)
-        if queue.priority != GUARANTEED_PRIORITY or account is None:
+        if queue.priority != URGENT_PRIORITY or account is None:
             continue
         need = max(step.tasks * step.resources.accelerators for step in job.spec.steps)
         total = used.get(job.account, 0) + need
--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -14,6 +14,7 @@
 from ibiscart_entry.coordination.record import (
     JOBS,
     PENDING_KEY,
+    RUNNING,
     cancel_key,
     decode,
     encode,
@@ -29,6 +30,9 @@
 LOG = logging.getLogger("ibiscart.jobs")
 RETRY_SECONDS = 0.05
 ATTEMPTS = 3
+# callers often ask as the last task ends; its record takes one write, so a job that still runs
+# is read once more after that time
+SETTLE_SECONDS = 0.03
 ACCEPTED = "accepted"
 KNOWN = "known"
 
@@ -65,7 +69,12 @@
         if document is None:
             return None
         self._check_owner(document, account)
-        return shown_state(progress, cancelled)
+        state = shown_state(progress, cancelled)
+        if state == RUNNING:
+            await trio.sleep(SETTLE_SECONDS)
+            progress = await self._read_progress(job_id)
+            state = shown_state(progress, cancelled)
+        return state
 
     async def cancel(self, account, job_id):
         """Cancels a job; returns the state it has then, or None when there is no such job."""
@@ -92,7 +101,7 @@
         found = {}
 
         async def read_progress():
-            found["progress"] = await self._table.get(progress_key(job_id))
+            found["progress"] = await self._read_progress(job_id)
 
         try:
             async with trio.open_nursery() as nursery:
@@ -100,15 +109,23 @@
                 rows = await self._table.scan(f"{JOBS}/{job_id}", limit=2)
         except* StoreError as group:
             raise _unavailable(group.exceptions[0]) from None
+        except* IbiscartError as group:
+            raise group.exceptions[0] from None
         by_key = {row.key: row for row in rows}
         job = by_key.get(job_key(job_id))
-        progress = found["progress"]
         return (
             decode(job.value) if job is not None else None,
             cancel_key(job_id) in by_key,
-            decode(progress.value) if progress is not None else None,
+            found["progress"],
         )
 
+    async def _read_progress(self, job_id):
+        try:
+            row = await self._table.get(progress_key(job_id))
+        except StoreError as error:
+            raise _unavailable(error) from None
+        return decode(row.value) if row is not None else None
+
     async def _write(self, write, job_id):
         """Applies one write; a lost answer is found out by writing the same again."""
         unknown = False
--- a/packages/entry/src/ibiscart_entry/coordination/leadership.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leadership.py
@@ -17,12 +17,13 @@
 
 LOG = logging.getLogger("ibiscart.leadership")
 # an idle leader writes its row this often
-HEARTBEAT_SECONDS = 0.4
-# other entries read the row this often; three missed heartbeats and the answer of a slow
-# store lie within the silence after which they take over
-POLL_SECONDS = 0.4
-SILENCE_SECONDS = 1.4
-STAGGER_SECONDS = 0.3
+HEARTBEAT_SECONDS = 0.25
+# other entries read the row this often, and take over when it has not changed for the silence:
+# three heartbeats, and the time that the store takes for a heartbeat and for a read
+POLL_SECONDS = 0.25
+SILENCE_SECONDS = 0.75
+SILENCE_ANSWERS = 4.0
+STAGGER_SECONDS = 0.2
 RETRY_SECONDS = 0.1
 WRITES_PER_COMMIT = 90
 
@@ -58,8 +59,9 @@
     async def campaign(self):
         """Returns when this entry leads."""
         seen, seen_at = None, self._clock()
-        silence = SILENCE_SECONDS + self._rng.uniform(0, STAGGER_SECONDS)
+        stagger = self._rng.uniform(0, STAGGER_SECONDS)
         while True:
+            asked_at = self._clock()
             try:
                 row = await self._table.get(LEADER_KEY)
             except StoreError:
@@ -70,6 +72,7 @@
             version = row.version if row is not None else 0
             held = LeaderRow.from_value(row.value) if row is not None else LeaderRow()
             now = self._clock()
+            silence = SILENCE_SECONDS + SILENCE_ANSWERS * (now - asked_at) + stagger
             if version != seen:
                 seen, seen_at = version, now
             own = held.node == self._node and held.holder != self._holder
--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -16,6 +16,7 @@
     "NODES",
     "PENDING_KEY",
     "PROGRESS",
+    "RUNNING",
     "LeaderRow",
     "cancel_key",
     "decode",
@@ -32,6 +33,8 @@
 NODES = "nodes"
 LEADER_KEY = "leader/leader"
 PENDING_KEY = "summary/pending"
+RUNNING = "running"
+QUEUED = "queued"
 CANCEL_SUFFIX = "~cancel"
 
 
@@ -85,7 +88,7 @@
         return outcome
     if cancelled:
         return Outcome.CANCELLED.value
-    return "running" if (progress or {}).get("started") else "queued"
+    return RUNNING if (progress or {}).get("started") else QUEUED
 
 
 class LeaderRow:
