Reach the store through another entry when it does not serve this one

Ruled out: turning the entries not ready, since open connections stay and a zone may have no other entry. Change: RelayTable asks the store directly, and through another entry when the answer is late or refused; entries find each other by rows; with all ways failing calls are refused at once for 0.4 s.

--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -12,7 +12,6 @@
 from ibiscart_core.error import ErrorKind, IbiscartError
 from ibiscart_core.workflow.job import Job, Outcome
 from ibiscart_entry.coordination.record import (
-    JOBS,
     PENDING_KEY,
     RUNNING,
     cancel_key,
@@ -98,26 +97,30 @@
         return decode(row.value).get(queue.name, 0) if row is not None else 0
 
     async def _read(self, job_id):
+        """Returns (accepted document, whether it is cancelled, progress record)."""
         found = {}
 
-        async def read_progress():
-            found["progress"] = await self._read_progress(job_id)
+        async def keep(name, read):
+            try:
+                found[name] = await read()
+            except IbiscartError as error:
+                found["error"] = error
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep, "rows", lambda: self._read_rows(job_id))
+            nursery.start_soon(keep, "progress", lambda: self._read_progress(job_id))
+        if "error" in found:
+            raise found["error"]
+        by_key = {row.key: row for row in found["rows"]}
+        job = by_key.get(job_key(job_id))
+        document = decode(job.value) if job is not None else None
+        return document, cancel_key(job_id) in by_key, found["progress"]
 
+    async def _read_rows(self, job_id):
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(read_progress)
-                rows = await self._table.scan(f"{JOBS}/{job_id}", limit=2)
-        except* StoreError as group:
-            raise _unavailable(group.exceptions[0]) from None
-        except* IbiscartError as group:
-            raise group.exceptions[0] from None
-        by_key = {row.key: row for row in rows}
-        job = by_key.get(job_key(job_id))
-        return (
-            decode(job.value) if job is not None else None,
-            cancel_key(job_id) in by_key,
-            found["progress"],
-        )
+            return await self._table.scan(job_key(job_id), limit=2)
+        except StoreError as error:
+            raise _unavailable(error) from None
 
     async def _read_progress(self, job_id):
         try:
--- a/packages/entry/src/ibiscart_entry/coordination/node.py
+++ b/packages/entry/src/ibiscart_entry/coordination/node.py
@@ -45,6 +45,8 @@
         catalogs,
         connect_agent,
         handler,
+        peers,
+        relay,
         metrics,
         rng=None,
     ):
@@ -68,7 +70,9 @@
         self._coordinator = None
         self._server = HttpServer(handler, _server(settings.front_address))
         self._readiness = HttpServer(self._answer_ready, _server(settings.readiness_address))
-        self._metrics_server = HttpServer(self._answer_metrics, _server(address))
+        self._peers = peers
+        self._relay = relay
+        self._peer_server = HttpServer(self._answer_peer, _server(address))
         metrics.gauge("configuration_age_seconds", lambda: catalogs.age)
         metrics.gauge("leads", lambda: int(self._coordinator is not None))
 
@@ -78,8 +82,9 @@
             async with trio.open_nursery() as nursery:
                 await nursery.start(self._readiness.serve)
                 await nursery.start(self._server.serve)
-                await nursery.start(self._metrics_server.serve)
+                await nursery.start(self._peer_server.serve)
                 await nursery.start(self._catalogs.run)
+                await nursery.start(self._peers.run)
                 leading = await nursery.start(self._lead)
                 LOG.info("The process has started.", extra={"address": self._settings.ip})
                 async for number in signals:
@@ -125,7 +130,9 @@
         ready = not self._draining and self._catalogs.age < READY_AGE_SECONDS
         return Response.from_json(200 if ready else 503, {"ready": ready})
 
-    async def _answer_metrics(self, request):
+    async def _answer_peer(self, request):
+        if request.method == "POST":
+            return await self._relay.handle(request)
         return Response(200, self._metrics.render().encode(), "text/plain; version=0.0.4")
 
 
