Store jobs in parts of their own; one look for each end

Each end cost a look of its own for the acknowledgement. Change: jobs lie in 16 parts by the first digit of their id, entries in a part of their own; the hedge follows the last answer time; the acknowledgement goes with the next waiting look.

--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -46,7 +46,7 @@
 PENDING_SECONDS = 0.5
 # changes of workers are read at most this often; a worker that leaves says so 2 s ahead
 DIRECTORY_PAUSE_SECONDS = 0.2
-JOB_REMOVALS_PER_COMMIT = 20
+REMOVAL_PAUSE_SECONDS = 5.0
 
 
 class Coordinator:
@@ -87,6 +87,7 @@
         self._pending = None
         self._pending_at = 0.0
         self._ended_at = {}
+        self._removed = []
 
     async def run(self):
         """Leads until the leadership is lost; raises ``LeadershipLost``."""
@@ -110,6 +111,7 @@
                 nursery.start_soon(self._follow_workers, workers_version)
                 nursery.start_soon(self._follow_catalog)
                 nursery.start_soon(self._check_fenced)
+                nursery.start_soon(self._remove_expired)
                 await self._decide()
         except* LeadershipLost as group:
             LOG.warning("The leadership is lost.", extra={"holder": str(group.exceptions[0])})
@@ -333,27 +335,32 @@
             if job.ended:
                 self._ended_at.setdefault(job_id, now)
         self._engine.changed.clear()
-        writes.extend(self._removals(now))
+        # the record of runs goes last, so that no job looks as if it had never run
+        for job_id in self._removed:
+            writes.append(TableWrite(key=progress_key(job_id), delete=True))
+        self._removed.clear()
         pending = self._engine.pending()
         if pending != self._pending and now - self._pending_at >= PENDING_SECONDS:
             writes.append(TableWrite(key=PENDING_KEY, value=encode(pending)))
             self._pending, self._pending_at = pending, now
         return writes
 
-    def _removals(self, now):
+    async def _remove_expired(self):
         """Removes the rows of jobs that ended long ago."""
-        expired = [
-            job_id
-            for job_id, ended_at in self._ended_at.items()
-            if now - ended_at > self._retention_seconds
-        ]
-        writes = []
-        for job_id in expired[:JOB_REMOVALS_PER_COMMIT]:
-            del self._ended_at[job_id]
-            self._engine.forget(job_id)
-            for key in (job_key(job_id), cancel_key(job_id), progress_key(job_id)):
-                writes.append(TableWrite(key=key, delete=True))
-        return writes
+        while True:
+            await trio.sleep(REMOVAL_PAUSE_SECONDS)
+            oldest = trio.current_time() - self._retention_seconds
+            expired = [job_id for job_id, ended in self._ended_at.items() if ended < oldest]
+            for job_id in expired:
+                keys = (job_key(job_id), cancel_key(job_id))
+                try:
+                    await self._table.transact([TableWrite(key=k, delete=True) for k in keys])
+                except StoreError as error:
+                    LOG.warning("A job was not removed.", extra={"cause": error.reason})
+                    break
+                del self._ended_at[job_id]
+                self._engine.forget(job_id)
+                self._removed.append(job_id)
 
     def _send_stop(self, stop):
         session = self._sessions.get(stop.worker_id)
--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -30,7 +30,8 @@
 
 JOBS = "jobs"
 PROGRESS = "progress"
-NODES = "nodes"
+# entries write of themselves apart from the leader's part
+NODES = "nodes.entries"
 LEADER_KEY = "leader/leader"
 PENDING_KEY = "summary/pending"
 RUNNING = "running"
@@ -49,13 +50,16 @@
 
 
 def job_key(job_id):
-    """Key of what was accepted."""
-    return f"{JOBS}/{job_id}"
+    """Key of what was accepted.
+
+    The first digit of the id is the part, so that a slow store takes jobs side by side.
+    """
+    return f"{JOBS}.{job_id[0]}/{job_id}"
 
 
 def cancel_key(job_id):
     """Key of the row that marks a job as cancelled; it sorts right after the job's."""
-    return f"{JOBS}/{job_id}{CANCEL_SUFFIX}"
+    return job_key(job_id) + CANCEL_SUFFIX
 
 
 def progress_key(job_id):
--- a/packages/entry/src/ibiscart_entry/coordination/relay.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay.py
@@ -80,7 +80,7 @@
     async def _refresh(self):
         row = {"address": self._address, "at_ms": self._now_ms()}
         writes = [TableWrite(key=f"{NODES}/{self._node}", value=encode(row))]
-        found = await self._table.snapshot(NODES)
+        found = await self._table.snapshot(NODES.partition(".")[0])
         peers = {}
         for other in found.rows:
             name = other.key.partition("/")[2]
@@ -194,7 +194,9 @@
             return
         if not waits:
             took = self._clock() - began
-            self._answer_seconds += ANSWER_WEIGHT * (took - self._answer_seconds)
+            # a store that turns slow must not get each call twice
+            smoothed = self._answer_seconds + ANSWER_WEIGHT * (took - self._answer_seconds)
+            self._answer_seconds = max(took, smoothed)
         race.answer(value)
 
     async def _ask_peers(self, race, peers, operation, fields, wait_seconds):
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -21,7 +21,7 @@
 CLOCK_SLOWNESS = 1.02
 LEASE_SLACK_SECONDS = 0.4
 # the worker answers earlier when a run ends
-WAIT_SECONDS = 1.5
+WAIT_SECONDS = 2.0
 RETRY_SECONDS = 0.25
 # ends are listed again until they are acknowledged, which waits for their record
 RECORD_WAIT_SECONDS = 0.5
@@ -168,10 +168,14 @@
         if not self._needed():
             await self._wait_wake()
         elif self._seen > self._acknowledged:
-            with trio.move_on_after(RECORD_WAIT_SECONDS):
-                await self._wait_wake()
-            await self._exchange(0.0)
+            with trio.move_on_after(RECORD_WAIT_SECONDS) as waiting:
+                while self._seen > self._acknowledged:
+                    await self._wait_wake()
+            if waiting.cancelled_caught:
+                # the leases must go on while the store does not answer
+                await self._exchange(0.0)
         else:
+            # the answer also comes when a run ends, and forgets the acknowledged ends
             await self._exchange(WAIT_SECONDS if self._worker.places else 0.0)
 
     def _needed(self):
--- a/packages/entry/src/ibiscart_entry/table.py
+++ b/packages/entry/src/ibiscart_entry/table.py
@@ -88,7 +88,11 @@
 
 
 class FollowedTable(Table):
-    """Rows grouped in tables, ``table/key``, whose changes can be followed."""
+    """Rows grouped in tables, ``table/key`` or ``table.part/key``.
+
+    The rows of one part are written one transaction after another, and a transaction stays
+    within one part. Changes are followed by table.
+    """
 
     @abstractmethod
     async def snapshot(self, table):
