--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -146,7 +146,7 @@
             return None
         if checkpoint:
             self.checkpoint = checkpoint
-        if cause is EndCause.DONE:
+        if cause is EndCause.DONE and not self.spec.long_running:
             # the end of one member stands for the whole gang
             self.state = UnitState.DONE
         elif cause is EndCause.FAILED and not self.attributed:
--- a/packages/entry/src/ibiscart_entry/coordination/node.py
+++ b/packages/entry/src/ibiscart_entry/coordination/node.py
@@ -11,8 +11,8 @@
 
 import trio
 
-from ibiscart_entry.coordination.coordinator import Coordinator
-from ibiscart_entry.coordination.leadership import Leadership, LeadershipLost
+from ibiscart_entry.coordination.leader import Leader
+from ibiscart_entry.coordination.leadership import Leadership
 from ibiscart_entry.coordination.session import LEASE_SECONDS
 from ibiscart_entry.server import HttpServer, Response
 from ibiscart_schema.generated.settings_pb2 import ServerSettings
@@ -53,12 +53,10 @@
         self._settings = settings
         self._metrics = metrics
         self._catalogs = catalogs
-        self._rng = rng or random.SystemRandom()
         self._draining = False
         address = f"{settings.ip}:{settings.first_port}"
-        self._leadership = Leadership(table, settings.node, holder, address, rng=self._rng)
-        self._new_coordinator = lambda: Coordinator(
-            self._leadership,
+        self._leader = Leader(
+            Leadership(table, settings.node, holder, address, rng=rng or random.SystemRandom()),
             table,
             directory,
             catalogs,
@@ -67,14 +65,13 @@
             lease_seconds=min(LEASE_SECONDS, settings.lease_limit_seconds),
             retention_seconds=settings.retention_seconds,
         )
-        self._coordinator = None
         self._server = HttpServer(handler, _server(settings.front_address))
         self._readiness = HttpServer(self._answer_ready, _server(settings.readiness_address))
         self._peers = peers
         self._relay = relay
         self._peer_server = HttpServer(self._answer_peer, _server(address))
         metrics.gauge("configuration_age_seconds", lambda: catalogs.age)
-        metrics.gauge("leads", lambda: int(self._coordinator is not None))
+        metrics.gauge("leads", lambda: int(self._leader.leads))
 
     async def run(self):
         """Serves until SIGTERM, then ends gracefully."""
@@ -85,39 +82,22 @@
                 await nursery.start(self._peer_server.serve)
                 await nursery.start(self._catalogs.run)
                 await nursery.start(self._peers.run)
-                leading = await nursery.start(self._lead)
+                await nursery.start(self._leader.run)
                 LOG.info("The process has started.", extra={"address": self._settings.ip})
                 async for number in signals:
                     if number != signal.SIGHUP:
                         break
                     LOG.info("The settings were read again.")
-                await self._drain(leading)
+                await self._drain()
                 nursery.cancel_scope.cancel()
         LOG.info("The process has stopped.")
 
-    async def _lead(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Campaigns and leads in turn; hands the scope that ends it to the caller."""
-        with trio.CancelScope() as scope:
-            task_status.started(scope)
-            while True:
-                await self._leadership.campaign()
-                self._coordinator = self._new_coordinator()
-                try:
-                    await self._coordinator.run()
-                except LeadershipLost:
-                    continue
-                finally:
-                    self._coordinator = None
-
-    async def _drain(self, leading):
+    async def _drain(self):
         self._draining = True
-        fields = {"leads": self._coordinator is not None, "requests": self._server.requests}
+        fields = {"leads": self._leader.leads, "requests": self._server.requests}
         LOG.info("The shutdown begins.", extra=fields)
         self._server.close_connections()
-        led = self._coordinator is not None
-        leading.cancel()
-        if led:
-            await self._leadership.resign()
+        await self._leader.resign()
         await trio.sleep(BALANCER_SECONDS)
         self._server.stop_accepting()
         await trio.sleep(SETTLE_SECONDS)
--- /dev/null
+++ b/tests/platform/test_failures.py
@@ -0,0 +1,274 @@
+"""Tests of failures over the stand-ins: entries, store and workers, in virtual time."""
+
+import unittest
+
+import trio
+
+from tests.platform.deployment import Deployment, job, run_virtual, step
+
+ID = "00000000000000a1"
+OTHER = "10000000000000a2"
+
+
+class LeaderTest(unittest.TestCase):
+    def test_killed_leader_is_replaced_and_running_work_goes_on(self):
+        async def main():
+            async with Deployment() as deployment:
+                await deployment.submit(ID, job(step(4), ms=4000))
+                await deployment.wait_state(ID, "running")
+                deployment.kill_entry(deployment.leader().name)
+                await deployment.wait_state(ID, "completed", 8)
+                self.assertEqual([1] * 4, list(deployment.fleet.starts.values()))
+
+        run_virtual(main)
+
+    def test_takeover_takes_less_than_two_seconds(self):
+        # the leases of running work and the wait of urgent jobs depend on it
+        async def main():
+            async with Deployment() as deployment:
+                deployment.kill_entry(deployment.leader().name)
+                began = trio.current_time()
+                await deployment.settle(lambda: deployment.leader() is not None)
+                self.assertLess(trio.current_time() - began, 2.0)
+
+        run_virtual(main)
+
+    def test_paused_leader_is_fenced_off(self):
+        async def main():
+            async with Deployment() as deployment:
+                old = deployment.leader()
+                await deployment.submit(ID, job(step(2), ms=5000))
+                await deployment.wait_state(ID, "running")
+                deployment.network.pause(old.name)
+                others = [e for e in deployment.entries.values() if e is not old]
+                await deployment.settle(
+                    lambda: any(entry.leader.coordinator is not None for entry in others)
+                )
+                await trio.sleep(1)
+                deployment.network.resume(old.name)
+                await deployment.wait_state(ID, "completed")
+                await trio.sleep(1)
+                leading = [e for e in deployment.entries.values() if e.leader.leads]
+                self.assertEqual(1, len(leading))
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_all_entries_lost_at_once(self):
+        async def main():
+            async with Deployment() as deployment:
+                await deployment.submit(ID, job(step(4), step(1, after=[0]), ms=2000))
+                await deployment.wait_state(ID, "running")
+                for name in list(deployment.entries):
+                    deployment.kill_entry(name)
+                await trio.sleep(1)
+                for number in range(3):
+                    deployment.start_entry(f"e{number}")
+                await deployment.settle(lambda: deployment.leader() is not None)
+                await deployment.wait_state(ID, "completed")
+                self.assertEqual([1] * 5, list(deployment.fleet.starts.values()))
+
+        run_virtual(main)
+
+    def test_resigned_leader_is_followed_at_once(self):
+        async def main():
+            async with Deployment() as deployment:
+                old = deployment.leader()
+                await old.leader.resign()
+                began = trio.current_time()
+                await deployment.settle(lambda: deployment.leader() is not None)
+                self.assertLess(trio.current_time() - began, 0.5)
+
+        run_virtual(main)
+
+
+class StoreTest(unittest.TestCase):
+    def test_entry_that_the_store_refuses_serves_through_another(self):
+        # its callers got 503 for as long as the store refused it
+        for silent in (False, True):
+            with self.subTest(silent=silent):
+
+                async def main(silent=silent):
+                    async with Deployment() as deployment:
+                        await trio.sleep(6)
+                        entry = deployment.entry()
+                        chosen = "silenced" if silent else "refused"
+                        getattr(deployment.store, chosen).add(entry.name)
+                        self.assertEqual(200, await deployment.submit(ID, job(step()), entry=entry))
+                        await deployment.wait_state(ID, "completed")
+
+                run_virtual(main)
+
+    def test_store_away_keeps_running_work(self):
+        async def main():
+            async with Deployment() as deployment:
+                await deployment.submit(ID, job(step(2), ms=7000))
+                await deployment.wait_state(ID, "running")
+                deployment.store.down = True
+                await trio.sleep(4.5)
+                deployment.store.down = False
+                await deployment.wait_state(ID, "completed")
+                self.assertEqual([1, 1], list(deployment.fleet.starts.values()))
+
+        run_virtual(main)
+
+    def test_refusal_while_the_store_is_away_is_prompt_and_true(self):
+        async def main():
+            async with Deployment() as deployment:
+                deployment.store.down = True
+                began = trio.current_time()
+                self.assertEqual(503, await deployment.submit(ID, job(step())))
+                self.assertLess(trio.current_time() - began, 1.0)
+                deployment.store.down = False
+                await trio.sleep(5)
+                self.assertEqual({}, deployment.fleet.starts)
+
+        run_virtual(main)
+
+    def test_lost_answers_of_the_store(self):
+        async def main():
+            async with Deployment(seed=5) as deployment:
+                deployment.store.lose = 0.3
+                statuses = [
+                    await deployment.submit(f"{n}0000000000000a1", job(step(2))) for n in range(6)
+                ]
+                self.assertLessEqual(set(statuses), {200, 504})
+                deployment.store.lose = 0.0
+                for n, status in enumerate(statuses):
+                    if status == 200:
+                        await deployment.wait_state(f"{n}0000000000000a1", "completed")
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_late_writes_of_an_earlier_leader_have_no_effect(self):
+        async def main():
+            async with Deployment(seed=3) as deployment:
+                deployment.store.late = 0.3
+                await deployment.submit(ID, job(step(4), ms=1500))
+                await trio.sleep(1)
+                leader = deployment.leader()
+                if leader is not None:
+                    deployment.kill_entry(leader.name)
+                await trio.sleep(4)
+                deployment.store.late = 0.0
+                await deployment.submit(ID, job(step(4), ms=1500))
+                await deployment.wait_state(ID, "completed")
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_lost_history_is_read_anew(self):
+        async def main():
+            async with Deployment() as deployment:
+                deployment.store.compact()
+                self.assertEqual(200, await deployment.submit(ID, job(step())))
+                deployment.store.compact()
+                await deployment.wait_state(ID, "completed")
+
+        run_virtual(main)
+
+    def test_configuration_is_in_force_within_two_seconds(self):
+        async def main():
+            async with Deployment() as deployment:
+                from tests.platform.deployment import CONFIGURATION
+
+                newer = {**CONFIGURATION, "version": 9, "tenants": []}
+                deployment.store.silenced.add("e1")
+                deployment.store.put("op", "config", newer)
+                await trio.sleep(2)
+                for entry in deployment.entries.values():
+                    status, _ = await entry.call("GET", f"/q/{ID}")
+                    self.assertEqual((entry.name, 401), (entry.name, status))
+
+        run_virtual(main)
+
+    def test_older_configuration_is_passed_over(self):
+        async def main():
+            async with Deployment() as deployment:
+                from tests.platform.deployment import CONFIGURATION
+
+                deployment.store.put("op", "config", {**CONFIGURATION, "version": 2, "routes": []})
+                await trio.sleep(1)
+                self.assertEqual(3, deployment.entry().catalogs.catalog.version)
+
+        run_virtual(main)
+
+
+class WorkerTest(unittest.TestCase):
+    def test_start_that_is_carried_out_late_runs_once(self):
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                runner = deployment.fleet.runners["w0"]
+                runner.late = 1.0
+                await deployment.submit(ID, job(step(), ms=500))
+                await trio.sleep(0.7)
+                runner.late = 0.0
+                await deployment.wait_state(ID, "completed")
+                await trio.sleep(4)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_silent_worker_is_given_up_after_its_leases(self):
+        # unanswered calls moved the assumed end of the leases, so the run was never given up
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                await deployment.submit(ID, job(step(1, 8), ms=2000))
+                await deployment.wait_state(ID, "running")
+                runners = deployment.fleet.runners.values()
+                busy = next(runner for runner in runners if runner.running)
+                busy.silent = True
+                await deployment.wait_state(ID, "completed", 14)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_worker_restarted_under_its_id_loses_its_runs(self):
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                await deployment.submit(ID, job(step(2), ms=1500))
+                await deployment.wait_state(ID, "running")
+                deployment.fleet.runners["w0"].restart()
+                deployment.register("w0")
+                await deployment.wait_state(ID, "completed", 8)
+                self.assertEqual([2, 2], list(deployment.fleet.starts.values()))
+
+        run_virtual(main)
+
+    def test_draining_worker_gets_no_new_work(self):
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                deployment.register("w0", state="draining")
+                await trio.sleep(0.5)
+                await deployment.submit(ID, job(step(4)))
+                await deployment.wait_state(ID, "completed")
+                self.assertFalse(deployment.fleet.runners["w0"].highest)
+
+        run_virtual(main)
+
+    def test_entry_of_another_writer_names_no_worker(self):
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                for name, value in (("x1", b"\xff"), ("x2", {"state": "ready"}), ("x3", [])):
+                    deployment.store.put("servers", name, value)
+                await deployment.submit(ID, job(step()))
+                await deployment.wait_state(ID, "completed")
+
+        run_virtual(main)
+
+    def test_worker_that_fails_everything_gets_no_new_work(self):
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                deployment.fleet.runners["w0"].fails = True
+                for n in range(6):
+                    await deployment.submit(f"{n}0000000000000a1", job(step(1, 8), ms=200))
+                await trio.sleep(6)
+                states = [await deployment.state(f"{n}0000000000000a1") for n in range(6)]
+                self.assertGreaterEqual(states.count("completed"), 5)
+
+        run_virtual(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
