--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -64,7 +64,7 @@
 class Engine:
     """Applies what happened and plans what comes next; does no input or output.
 
-    ``changed`` holds the ids of jobs whose record is to be written. ``note`` is called with
+    ``changed`` has the ids of jobs whose record is to be written, in order. ``note`` is called with
     (event, fields) for each change that an operator may ask about.
     """
 
@@ -72,7 +72,7 @@
         self.fleet = Fleet()
         self.jobs = {}
         self.catalog = catalog
-        self.changed = set()
+        self.changed = {}
         self._scheduler = Scheduler(self.fleet)
         self._stops = []
         self._note = note
@@ -206,7 +206,7 @@
     def _begin(self, start, now):
         unit = start.unit
         unit.begin(start.places)
-        self.changed.add(unit.job.id)
+        self.changed[unit.job.id] = True
         orders = []
         for index, place in start.places.items():
             place.ordered_at = now
@@ -242,7 +242,7 @@
         place.confirmed_at = now
         if not unit.job.started:
             unit.job.started = True
-            self.changed.add(unit.job.id)
+            self.changed[unit.job.id] = True
 
     def _apply_end(self, worker, end, now):
         unit = worker.places.get((end.task_key, end.run))
@@ -283,7 +283,7 @@
             return
         was_done = unit.state is UnitState.DONE
         unit.end(task_key[3], cause, checkpoint if unit.spec.checkpointing else "")
-        self.changed.add(unit.job.id)
+        self.changed[unit.job.id] = True
         self._note(
             "run_ended",
             job=unit.job.id,
@@ -305,7 +305,7 @@
             self._job_ended(job)
 
     def _job_ended(self, job):
-        self.changed.add(job.id)
+        self.changed[job.id] = True
         self._note("job_ended", job=job.id, outcome=job.outcome.value, queue=job.queue)
         self._stop_job(job, f"job_{job.outcome.value}")
 
--- a/packages/entry/src/ibiscart_entry/coordination/leader.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leader.py
@@ -19,10 +19,11 @@
     ``options`` and the arguments after ``leadership`` are those of ``Coordinator``.
     """
 
-    def __init__(self, leadership, *arguments, **options):
+    def __init__(self, leadership, *arguments, retention_seconds, **options):
         self._leadership = leadership
         self._arguments = arguments
         self._options = options
+        self.retention_seconds = retention_seconds
         self._coordinator = None
         self._scope = trio.CancelScope()
 
@@ -42,7 +43,12 @@
         with self._scope:
             while True:
                 await self._leadership.campaign()
-                self._coordinator = Coordinator(self._leadership, *self._arguments, **self._options)
+                self._coordinator = Coordinator(
+                    self._leadership,
+                    *self._arguments,
+                    retention_seconds=self.retention_seconds,
+                    **self._options,
+                )
                 try:
                     await self._coordinator.run()
                 except LeadershipLost:
--- a/packages/entry/src/ibiscart_entry/coordination/node.py
+++ b/packages/entry/src/ibiscart_entry/coordination/node.py
@@ -26,6 +26,8 @@
 BALANCER_SECONDS = 2.5
 EXIT_MARGIN_SECONDS = 0.8
 SETTLE_SECONDS = 0.3
+# settings that a running process takes over; the others name addresses and need a restart
+RELOADED = frozenset({"drain_seconds", "retention_seconds"})
 MAX_CONNECTIONS = 2000
 MAX_BODY_BYTES = 262_144
 HEADER_SECONDS = 3.0
@@ -48,9 +50,11 @@
         peers,
         relay,
         metrics,
+        read_settings=lambda: None,
         rng=None,
     ):
         self._settings = settings
+        self._read_settings = read_settings
         self._metrics = metrics
         self._catalogs = catalogs
         self._draining = False
@@ -87,11 +91,22 @@
                 async for number in signals:
                     if number != signal.SIGHUP:
                         break
-                    LOG.info("The settings were read again.")
+                    self._reload()
                 await self._drain()
                 nursery.cancel_scope.cancel()
         LOG.info("The process has stopped.")
 
+    def _reload(self):
+        """Takes over the settings that can change while the process runs."""
+        settings = self._read_settings()
+        if settings is None:
+            return
+        changed = settings.differences(self._settings)
+        fields = {"changed": changed, "restart_needed": sorted(set(changed) - RELOADED)}
+        LOG.info("The settings were read again.", extra=fields)
+        self._settings = settings
+        self._leader.retention_seconds = settings.retention_seconds
+
     async def _drain(self):
         self._draining = True
         fields = {"leads": self._leader.leads, "requests": self._server.requests}
--- a/packages/entry/src/ibiscart_entry/log.py
+++ b/packages/entry/src/ibiscart_entry/log.py
@@ -6,13 +6,24 @@
 """
 
 import logging
+import os
+import select
 import sys
+import time
+from collections import deque
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["configure_log"]
+__all__ = ["BoundedHandler", "configure_log"]
 
 ROOT_NAME = "ibiscart"
+# lines that wait for a reader that has stalled; about 1,000 lines of 256 bytes
+MAX_WAITING_BYTES = 256 * 1024
+# lines a second over a longer time, and at once; a pass of the scheduler writes up to 100
+LINES_PER_SECOND = 500
+LINES_AT_ONCE = 2000
+# a pipe that is writable takes this much without blocking
+WRITE_BYTES = select.PIPE_BUF
 RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
 
 
@@ -28,13 +39,84 @@
         return super().process_log_record(log_data)
 
 
+class BoundedHandler(logging.Handler):
+    """Writes lines to a file descriptor without ever blocking.
+
+    Lines beyond the rate, and lines for which a stalled reader leaves no room, are dropped;
+    the next line that is written says how many.
+    """
+
+    def __init__(self, descriptor, clock=time.monotonic):
+        super().__init__()
+        self._descriptor = descriptor
+        self._clock = clock
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+        self._waiting = deque()
+        self._waiting_bytes = 0
+        self._tokens = float(LINES_AT_ONCE)
+        self._refilled_at = clock()
+        self._dropped_unsaid = 0
+        self.dropped = 0
+
+    def emit(self, record):
+        """Queues a line and writes what the reader takes."""
+        if self._take_token():
+            if self._dropped_unsaid:
+                record.dropped_lines = self._dropped_unsaid
+            try:
+                line = self.format(record).encode("utf-8", "replace") + b"\n"
+            except Exception:
+                self.handleError(record)
+                return
+            if self._waiting_bytes + len(line) <= MAX_WAITING_BYTES:
+                self._waiting.append(line)
+                self._waiting_bytes += len(line)
+                self._dropped_unsaid = 0
+                self.flush()
+                return
+        self.dropped += 1
+        self._dropped_unsaid += 1
+        self.flush()
+
+    def flush(self):
+        """Writes waiting lines as far as the reader takes them."""
+        try:
+            while self._waiting and self._poll.poll(0):
+                line = self._waiting[0]
+                written = os.write(self._descriptor, line[:WRITE_BYTES])
+                self._waiting_bytes -= written
+                if written < len(line):
+                    self._waiting[0] = line[written:]
+                else:
+                    self._waiting.popleft()
+        except OSError:
+            # a closed standard output must not stop the process
+            self.dropped += len(self._waiting)
+            self._waiting.clear()
+            self._waiting_bytes = 0
+
+    def _take_token(self):
+        now = self._clock()
+        refill = (now - self._refilled_at) * LINES_PER_SECOND
+        self._tokens = min(LINES_AT_ONCE, self._tokens + refill)
+        self._refilled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
 def configure_log(level="info", *, fields=None, stream=None):
     """Sends the logs of all components to ``stream``, by default standard output.
 
     ``fields`` are added to each line, such as the entry id and the region. Calling it
     again replaces the earlier set-up.
     """
-    handler = logging.StreamHandler(stream or sys.stdout)
+    if stream is None:
+        handler = BoundedHandler(sys.stdout.fileno())
+    else:
+        handler = logging.StreamHandler(stream)
     handler.setFormatter(
         _ComponentFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
--- /dev/null
+++ b/tests/entry/test_log.py
@@ -0,0 +1,75 @@
+"""Tests of the bounded log: it never blocks, and says what it dropped."""
+
+import json
+import logging
+import os
+import unittest
+
+from ibiscart_entry.log import LINES_AT_ONCE, MAX_WAITING_BYTES, BoundedHandler
+
+
+class BoundedHandlerTest(unittest.TestCase):
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.now = 0.0
+        self.handler = BoundedHandler(self.writer, clock=lambda: self.now)
+        self.handler.setFormatter(_JsonLines())
+
+    def tearDown(self):
+        os.close(self.reader)
+        os.close(self.writer)
+
+    def emit(self, text):
+        record = logging.LogRecord("ibiscart.x", logging.INFO, "", 0, text, (), None)
+        self.handler.emit(record)
+
+    def read(self):
+        lines = []
+        while True:
+            self.handler.flush()
+            os.set_blocking(self.reader, False)
+            try:
+                data = os.read(self.reader, 65536)
+            except BlockingIOError:
+                return b"".join(lines).decode().splitlines()
+            lines.append(data)
+
+    def test_stalled_reader_does_not_block(self):
+        # a full pipe would stop the whole process at the next line
+        for number in range(LINES_AT_ONCE):
+            self.emit(f"{number} " + "x" * 400)
+        self.assertGreater(self.handler.dropped, 0)
+        self.assertLessEqual(self.handler._waiting_bytes, MAX_WAITING_BYTES)
+
+    def test_lines_arrive_whole_and_in_order(self):
+        for number in range(500):
+            self.emit(f"{number} " + "x" * 300)
+        numbers = [int(json.loads(line)["text"].split()[0]) for line in self.read()]
+        self.assertEqual(list(range(500)), numbers)
+
+    def test_next_line_says_how_many_were_dropped(self):
+        for _ in range(LINES_AT_ONCE + 7):
+            self.emit("x")
+        self.read()
+        self.now += 1.0
+        self.emit("after")
+        self.assertEqual(7, json.loads(self.read()[-1])["dropped"])
+
+    def test_closed_output_does_not_raise(self):
+        reader, writer = os.pipe()
+        handler = BoundedHandler(writer)
+        os.close(reader)
+        record = logging.LogRecord("ibiscart.x", logging.INFO, "", 0, "x", (), None)
+        handler.emit(record)
+        handler.emit(record)
+        os.close(writer)
+
+
+class _JsonLines(logging.Formatter):
+    def format(self, record):
+        dropped = getattr(record, "dropped_lines", 0)
+        return json.dumps({"text": record.getMessage(), "dropped": dropped})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -2,9 +2,11 @@
 
 import json
 import random
+from unittest import mock
 
 import trio
 import trio.testing
+from trio._core import _run as trio_run
 
 from ibiscart_entry.coordination.catalog_watch import CatalogWatch
 from ibiscart_entry.coordination.job_service import JobService
@@ -60,9 +62,11 @@
     return {"spec": json.dumps({"ms": ms, **spec}), "steps": list(steps)}
 
 
-def run_virtual(function):
-    """Runs an async test function in virtual time."""
-    trio.run(function, clock=trio.testing.MockClock(autojump_threshold=0))
+def run_virtual(function, seed=0):
+    """Runs an async test function in virtual time, its tasks in an order that repeats."""
+    with mock.patch.object(trio_run, "_ALLOW_DETERMINISTIC_SCHEDULING", True):
+        trio_run._r.seed(seed)
+        trio.run(function, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
 class Entry:
--- a/tests/platform/random_day.py
+++ b/tests/platform/random_day.py
@@ -256,7 +256,7 @@
 def play(seed):
     """Plays one day in virtual time; returns the broken promises."""
     day = RandomDay(seed)
-    run_virtual(day.run)
+    run_virtual(day.run, seed)
     return day.violations
 
 
