Announce jobs to the leader; renew the claim while loading; evacuate leaving workers

Change: entries tell the leader of accepted and cancelled jobs; a loading leader commits; both ways to the store are tried while one is in doubt; the hedge is bounded; larger machines take over first; runs that would not end before their worker leaves are stopped while their end can still be read.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -7,6 +7,7 @@
 
 from ibiscart_core.workflow.fleet import Fleet
 from ibiscart_core.workflow.job import EndCause, Outcome, PlaceState, UnitState
+from ibiscart_core.workflow.ordering import step_estimate_ms, unit_age
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_core.workflow.scheduler import Scheduler
 
@@ -17,6 +18,8 @@
 # a worker that refused a start as unhealthy or could not be reached gets no work so long
 UNHEALTHY_SECONDS = 2.0
 NO_ROOM_SECONDS = 0.5
+# a stop takes up to 0.9 s, and its end has to be read before the worker is gone
+LEAVE_SECONDS = 1.2
 
 
 class Order:
@@ -180,6 +183,25 @@
                     due = following if due is None else min(due, following)
         return due
 
+    def evacuate(self, now):
+        """Stops runs that would not end before their worker leaves.
+
+        A stop saves the state of units with checkpoints, and the end of the others is known
+        at once instead of after their leases.
+        """
+        for worker in self.fleet.workers.values():
+            if worker.leaves_at is None or not worker.info.draining:
+                continue
+            left = worker.leaves_at - now
+            for (task_key, _), unit in list(worker.places.items()):
+                index = task_key[3]
+                if index not in unit.places or unit.state is not UnitState.ACTIVE:
+                    continue
+                needed = step_estimate_ms(unit.spec) / 1000 - unit_age(unit, now)
+                hopeless = not unit.spec.checkpointing and needed > left
+                if hopeless or left < LEAVE_SECONDS:
+                    self._request_stop(unit, index, "worker_leaves")
+
     def plan(self, now, now_ms):
         """Decides on starts and stops; returns (orders, stop orders) to be sent.
 
--- a/packages/core/src/ibiscart_core/workflow/fleet.py
+++ b/packages/core/src/ibiscart_core/workflow/fleet.py
@@ -72,6 +72,7 @@
     __slots__ = (
         "failed_in_row",
         "info",
+        "leaves_at",
         "places",
         "present",
         "reachable",
@@ -87,6 +88,7 @@
         self.present = True
         self.suspended_until = 0.0
         self.failed_in_row = 0
+        self.leaves_at = None
 
     @property
     def id(self):
@@ -107,6 +109,11 @@
             and self.suspended_until <= now
         )
 
+    def see_remaining(self, now):
+        """Notes until when the worker stays at least, if it says so."""
+        if self.info.draining and self.info.remaining_ms is not None:
+            self.leaves_at = now + self.info.remaining_ms / 1000
+
     def hold(self, task_key, run, unit):
         """Takes the resources of one task's run."""
         if (task_key, run) not in self.places:
--- a/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
@@ -16,7 +16,7 @@
 LOG = logging.getLogger("ibiscart.catalog")
 # changes have to be in force within 2 s: a connection that has gone silent is found out and
 # the configuration read anew within that time
-FOLLOW_SECONDS = 1.0
+FOLLOW_SECONDS = 0.8
 RETRY_SECONDS = 0.1
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -93,7 +93,7 @@
         """Leads until the leadership is lost; raises ``LeadershipLost``."""
         started = trio.current_time()
         self._engine = Engine(self._catalogs.catalog, self._note)
-        jobs_version, workers_version = await self._load()
+        jobs_version, workers_version = await self._load_state()
         fields = {
             "epoch": self._leadership.epoch,
             "jobs": len(self._engine.jobs),
@@ -128,8 +128,41 @@
             "workers": sum(worker.reachable for worker in engine.fleet.workers.values()),
         }
 
+    def announce(self, job_ids):
+        """Takes the ids of jobs that were just accepted or cancelled."""
+        for job_id in job_ids:
+            if self._nursery is not None:
+                self._nursery.start_soon(self._read_job, job_id)
+
     # loading
 
+    async def _load_state(self):
+        """Loads the state and meanwhile renews the claim; returns the versions read."""
+        versions = None
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._renew)
+                versions = await self._load()
+                nursery.cancel_scope.cancel()
+        except* LeadershipLost as group:
+            raise LeadershipLost(str(group.exceptions[0])) from None
+        return versions
+
+    async def _renew(self):
+        while True:
+            await self._leadership.commit([])
+            await trio.sleep(HEARTBEAT_SECONDS)
+
+    async def _read_job(self, job_id):
+        try:
+            rows = await self._table.scan(job_key(job_id), limit=2)
+        except StoreError as error:
+            # the feed brings it later
+            LOG.warning("A job cannot be read.", extra={"job": job_id, "cause": error.reason})
+            return
+        self._take_jobs(rows)
+        self._changed()
+
     async def _load(self):
         infos, workers_version = await self._retry(self._directory.snapshot)
         for info in infos.values():
@@ -247,6 +280,7 @@
         elif info.draining and not worker.info.draining:
             LOG.info("A worker is leaving.", extra={"worker": worker_id})
         worker = self._engine.fleet.add(info)
+        worker.see_remaining(trio.current_time())
         session = self._sessions.get(worker_id)
         if session is not None and session.address != info.address:
             session.close()
@@ -323,6 +357,7 @@
         began = time.perf_counter()
         now_ms = int(self._wall_clock() * 1000)
         self._engine.open_due(now, now_ms)
+        self._engine.evacuate(now)
         orders, stops = self._engine.plan(now, now_ms)
         self._metrics.observe("decision_seconds", "pass", time.perf_counter() - began)
         return orders, stops
--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -39,12 +39,14 @@
 class JobService:
     """Operations on jobs by their rows; holds no state of its own.
 
-    ``now_ms`` returns Unix milliseconds.
+    ``now_ms`` returns Unix milliseconds. ``announce`` is called with the id of each job that
+    was accepted or cancelled.
     """
 
-    def __init__(self, table, now_ms):
+    def __init__(self, table, now_ms, announce=lambda job_id: None):
         self._table = table
         self._now_ms = now_ms
+        self.announce = announce
 
     async def submit(self, queue, account, job_id, spec):
         """Stores a job; returns ``accepted``, or ``known`` when it was stored before.
@@ -60,6 +62,7 @@
         except TableConflict as conflict:
             self._check_owner(decode(conflict.rows[0].value), account)
             return KNOWN
+        self.announce(job_id)
         return ACCEPTED
 
     async def state(self, account, job_id):
@@ -86,6 +89,7 @@
             return state
         write = TableWrite(key=cancel_key(job_id), value=encode({"at_ms": self._now_ms()}))
         await self._write(write, job_id)
+        self.announce(job_id)
         return Outcome.CANCELLED.value
 
     async def pending(self, queue):
--- a/packages/entry/src/ibiscart_entry/coordination/leadership.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leadership.py
@@ -36,20 +36,25 @@
     """Campaigns for the leader's row and writes under its condition.
 
     Each commit also moves the leader's row, so it renews the claim and fences every earlier
-    write that is still under way.
+    write that is still under way. ``delay_seconds`` lets other entries go first;
+    ``leader_address`` is where the present leader takes announcements, as last read.
     """
 
-    def __init__(self, table, node, holder, address, *, rng, clock=trio.current_time):
+    def __init__(
+        self, table, node, holder, address, *, rng, delay_seconds=0.0, clock=trio.current_time
+    ):
         self._table = table
         self._node = node
         self._holder = holder
         self._address = address
         self._rng = rng
+        self._delay_seconds = delay_seconds
         self._clock = clock
         self._row = None
         self._version = 0
         self._lock = trio.Lock()
         self.confirmed_at = None
+        self.leader_address = ""
 
     @property
     def epoch(self):
@@ -59,7 +64,7 @@
     async def campaign(self):
         """Returns when this entry leads."""
         seen, seen_at = None, self._clock()
-        stagger = self._rng.uniform(0, STAGGER_SECONDS)
+        stagger = self._delay_seconds + self._rng.uniform(0, STAGGER_SECONDS)
         while True:
             asked_at = self._clock()
             try:
@@ -71,6 +76,7 @@
                 continue
             version = row.version if row is not None else 0
             held = LeaderRow.from_value(row.value) if row is not None else LeaderRow()
+            self.leader_address = held.address
             now = self._clock()
             silence = SILENCE_SECONDS + SILENCE_ANSWERS * (now - asked_at) + stagger
             if version != seen:
@@ -127,6 +133,7 @@
             if not error.sent or not await self._claimed(wanted):
                 return False
         self.confirmed_at = self._clock()
+        self.leader_address = self._address
         fields = {"epoch": wanted.epoch, "previous": held.node, "previous_version": version}
         LOG.info("This entry leads.", extra=fields)
         return True
--- a/packages/entry/src/ibiscart_entry/coordination/node.py
+++ b/packages/entry/src/ibiscart_entry/coordination/node.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from ibiscart_entry.coordination.announcer import ANNOUNCE_PATH, Announcer
 from ibiscart_entry.coordination.leader import Leader
 from ibiscart_entry.coordination.leadership import Leadership
 from ibiscart_entry.coordination.session import LEASE_SECONDS
@@ -26,6 +27,9 @@
 BALANCER_SECONDS = 2.5
 EXIT_MARGIN_SECONDS = 0.8
 SETTLE_SECONDS = 0.3
+# a machine without processors would wait this much longer before it takes over
+SMALL_DELAY_SECONDS = 0.4
+LARGE_PROCESSORS = 2.0
 # settings that a running process takes over; the others name addresses and need a restart
 RELOADED = frozenset({"drain_seconds", "retention_seconds"})
 MAX_CONNECTIONS = 2000
@@ -47,6 +51,8 @@
         catalogs,
         connect_agent,
         handler,
+        service,
+        connect_peer,
         peers,
         relay,
         metrics,
@@ -59,8 +65,16 @@
         self._catalogs = catalogs
         self._draining = False
         address = f"{settings.ip}:{settings.first_port}"
+        leadership = Leadership(
+            table,
+            settings.node,
+            holder,
+            address,
+            rng=rng or random.SystemRandom(),
+            delay_seconds=_delay_seconds(settings.processors),
+        )
         self._leader = Leader(
-            Leadership(table, settings.node, holder, address, rng=rng or random.SystemRandom()),
+            leadership,
             table,
             directory,
             catalogs,
@@ -69,6 +83,8 @@
             lease_seconds=min(LEASE_SECONDS, settings.lease_limit_seconds),
             retention_seconds=settings.retention_seconds,
         )
+        self._announcer = Announcer(leadership, self._leader, connect_peer, metrics)
+        service.announce = self._announcer.announce
         self._server = HttpServer(handler, _server(settings.front_address))
         self._readiness = HttpServer(self._answer_ready, _server(settings.readiness_address))
         self._peers = peers
@@ -86,6 +102,7 @@
                 await nursery.start(self._peer_server.serve)
                 await nursery.start(self._catalogs.run)
                 await nursery.start(self._peers.run)
+                await nursery.start(self._announcer.run)
                 await nursery.start(self._leader.run)
                 LOG.info("The process has started.", extra={"address": self._settings.ip})
                 async for number in signals:
@@ -126,11 +143,18 @@
         return Response.from_json(200 if ready else 503, {"ready": ready})
 
     async def _answer_peer(self, request):
+        if request.path == ANNOUNCE_PATH:
+            return await self._announcer.handle(request)
         if request.method == "POST":
             return await self._relay.handle(request)
         return Response(200, self._metrics.render().encode(), "text/plain; version=0.0.4")
 
 
+def _delay_seconds(processors):
+    """Lets larger machines lead: the leader needs up to a quarter of a core at 176 workers."""
+    return SMALL_DELAY_SECONDS * max(0.0, 1.0 - processors / LARGE_PROCESSORS)
+
+
 def _server(address):
     return ServerSettings(
         address=address,
--- a/packages/entry/src/ibiscart_entry/coordination/relay.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay.py
@@ -31,9 +31,13 @@
 # an answer of the store takes 10 ms; later ones are asked for through another entry as well
 HEDGE_SECONDS = 0.15
 HEDGE_ANSWERS = 3.0
+# a silent connection must be noticed although the store was slow before; writes of one part
+# wait for one another, so a second copy of a write costs more than one of a read
+LONGEST_READ_HEDGE_SECONDS = 0.4
+LONGEST_WRITE_HEDGE_SECONDS = 1.0
 ANSWER_WEIGHT = 0.2
-# after a failure the store is tried directly again after this time
-DIRECT_PAUSE_SECONDS = 0.5
+# after a failure, or when another entry was faster, both ways are tried at once for this time
+DOUBT_SECONDS = 0.5
 # after failures of all ways within this time, calls are refused at once
 DOWN_SECONDS = 0.4
 RELAY_SECONDS = 1.4
@@ -111,7 +115,7 @@
         self._clock = clock
         self._clients = {}
         self._answer_seconds = 0.01
-        self._direct_after = 0.0
+        self._doubted_until = 0.0
         self._down_until = 0.0
         self._reachable = True
 
@@ -150,11 +154,10 @@
         race = _Race()
         peers = self._directory.candidates(self._rng)[:PEERS_TRIED]
         async with trio.open_nursery() as nursery:
-            if now >= self._direct_after or not peers:
-                race.enter()
-                nursery.start_soon(self._ask_directly, race, ask, bool(wait_seconds))
-                hedge = HEDGE_SECONDS + HEDGE_ANSWERS * self._answer_seconds + wait_seconds
-                with trio.move_on_after(hedge):
+            race.enter()
+            nursery.start_soon(self._ask_directly, race, ask, bool(wait_seconds))
+            if now >= self._doubted_until:
+                with trio.move_on_after(wait_seconds + self._hedge(operation)):
                     await race.wait()
             if not race.answered and peers:
                 race.enter()
@@ -163,6 +166,12 @@
             nursery.cancel_scope.cancel()
         return self._result(race)
 
+    def _hedge(self, operation):
+        """Seconds after which another entry is asked as well."""
+        write = operation == "transact"
+        longest = LONGEST_WRITE_HEDGE_SECONDS if write else LONGEST_READ_HEDGE_SECONDS
+        return min(longest, HEDGE_SECONDS + HEDGE_ANSWERS * self._answer_seconds)
+
     def _result(self, race):
         if not race.answered:
             self._down_until = self._clock() + DOWN_SECONDS
@@ -189,7 +198,7 @@
         except (TableConflict, HistoryLost) as result:
             value = result
         except StoreError as error:
-            self._direct_after = self._clock() + DIRECT_PAUSE_SECONDS
+            self._doubted_until = self._clock() + DOUBT_SECONDS
             race.fail(error, error.sent)
             return
         if not waits:
@@ -216,7 +225,7 @@
                 failure, sent = error, sent or error.sent
                 continue
             # the other entry was faster than the store, or the store has failed
-            self._direct_after = max(self._direct_after, self._clock() + DIRECT_PAUSE_SECONDS)
+            self._doubted_until = self._clock() + DOUBT_SECONDS
             return
         race.fail(failure, sent)
 
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -8,6 +8,7 @@
 import trio.testing
 from trio._core import _run as trio_run
 
+from ibiscart_entry.coordination.announcer import ANNOUNCE_PATH, Announcer
 from ibiscart_entry.coordination.catalog_watch import CatalogWatch
 from ibiscart_entry.coordination.job_service import JobService
 from ibiscart_entry.coordination.leader import Leader
@@ -94,16 +95,25 @@
             retention_seconds=120.0,
             wall_clock=lambda: deployment.now_ms() / 1000,
         )
+        self.announcer = Announcer(self.leadership, self.leader, connect, self.metrics)
+        self.service.announce = self.announcer.announce
+        self.relay = RelayServer(self.direct)
         self.scope = trio.CancelScope()
-        deployment.network.handlers[name] = RelayServer(self.direct).handle
+        deployment.network.handlers[name] = self.handle_peer
 
     async def run(self):
         with self.scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.catalogs.run)
                 nursery.start_soon(self.peers.run)
+                nursery.start_soon(self.announcer.run)
                 nursery.start_soon(self.leader.run)
 
+    async def handle_peer(self, request):
+        if request.path == ANNOUNCE_PATH:
+            return await self.announcer.handle(request)
+        return await self.relay.handle(request)
+
     async def call(self, method, path, document=None, key=KEY):
         headers = {"host": HOST, "authorization": f"Bearer {key}", "x-deadline-ms": "3000"}
         body = json.dumps(document).encode() if document is not None else b""
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from tests.platform.deployment import Deployment, job, run_virtual, step
+from tests.platform.deployment import CONFIGURATION, Deployment, job, run_virtual, step
 
 ID = "00000000000000a1"
 OTHER = "10000000000000a2"
@@ -171,8 +171,6 @@
     def test_configuration_is_in_force_within_two_seconds(self):
         async def main():
             async with Deployment() as deployment:
-                from tests.platform.deployment import CONFIGURATION
-
                 newer = {**CONFIGURATION, "version": 9, "tenants": []}
                 deployment.store.silenced.add("e1")
                 deployment.store.put("op", "config", newer)
@@ -183,11 +181,26 @@
 
         run_virtual(main)
 
-    def test_older_configuration_is_passed_over(self):
+    def test_silent_connection_after_a_slow_store_delays_no_configuration(self):
+        # the hedge followed the slow answers, and an entry kept an old version for 3 s
         async def main():
             async with Deployment() as deployment:
-                from tests.platform.deployment import CONFIGURATION
+                await trio.sleep(6)
+                deployment.store.delay = 0.6
+                await trio.sleep(3)
+                deployment.store.delay = 0.0
+                deployment.store.silenced.add("e1")
+                await trio.sleep(1.2)
+                newer = {**CONFIGURATION, "version": 9, "tenants": []}
+                deployment.store.put("op", "config", newer)
+                await trio.sleep(1.6)
+                self.assertEqual(9, deployment.entries["e1"].catalogs.catalog.version)
 
+        run_virtual(main)
+
+    def test_older_configuration_is_passed_over(self):
+        async def main():
+            async with Deployment() as deployment:
                 deployment.store.put("op", "config", {**CONFIGURATION, "version": 2, "routes": []})
                 await trio.sleep(1)
                 self.assertEqual(3, deployment.entry().catalogs.catalog.version)
