Start the runs of workers that have left again at once

Cause: runs on a worker that had announced its end and left waited for their leases, 6.5 s. Change: an entry dropped within two heartbeats of its last change, of a worker that was leaving, means that it has left; only runs with checkpoints are stopped before.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -7,7 +7,6 @@
 
 from ibiscart_core.workflow.fleet import Fleet
 from ibiscart_core.workflow.job import EndCause, Outcome, PlaceState, UnitState
-from ibiscart_core.workflow.ordering import step_estimate_ms, unit_age
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_core.workflow.scheduler import Scheduler
 
@@ -184,22 +183,20 @@
         return due
 
     def evacuate(self, now):
-        """Stops runs that would not end before their worker leaves.
+        """Stops runs with checkpoints shortly before their worker may leave.
 
-        A stop saves the state of units with checkpoints, and the end of the others is known
-        at once instead of after their leases.
+        The stop saves their state. Other runs go on, since the worker may stay longer than it
+        said.
         """
         for worker in self.fleet.workers.values():
             if worker.leaves_at is None or not worker.info.draining:
                 continue
-            left = worker.leaves_at - now
+            if worker.leaves_at - now >= LEAVE_SECONDS:
+                continue
             for (task_key, _), unit in list(worker.places.items()):
                 index = task_key[3]
-                if index not in unit.places or unit.state is not UnitState.ACTIVE:
-                    continue
-                needed = step_estimate_ms(unit.spec) / 1000 - unit_age(unit, now)
-                hopeless = not unit.spec.checkpointing and needed > left
-                if hopeless or left < LEAVE_SECONDS:
+                active = index in unit.places and unit.state is UnitState.ACTIVE
+                if active and unit.spec.checkpointing:
                     self._request_stop(unit, index, "worker_leaves")
 
     def plan(self, now, now_ms):
--- a/packages/core/src/ibiscart_core/workflow/fleet.py
+++ b/packages/core/src/ibiscart_core/workflow/fleet.py
@@ -76,6 +76,7 @@
         "places",
         "present",
         "reachable",
+        "seen_at",
         "suspended_until",
         "used",
     )
@@ -89,6 +90,7 @@
         self.suspended_until = 0.0
         self.failed_in_row = 0
         self.leaves_at = None
+        self.seen_at = None
 
     @property
     def id(self):
@@ -109,11 +111,22 @@
             and self.suspended_until <= now
         )
 
-    def see_remaining(self, now):
-        """Notes until when the worker stays at least, if it says so."""
+    def see(self, now):
+        """Notes a report of the worker, and until when it stays at least, if it says so."""
+        self.seen_at = now
         if self.info.draining and self.info.remaining_ms is not None:
             self.leaves_at = now + self.info.remaining_ms / 1000
 
+    def has_left(self, now, silence_seconds):
+        """Whether a worker without an entry has left, rather than fallen silent.
+
+        The entry of a worker that says nothing is dropped after ``silence_seconds``; one that
+        was leaving and is dropped sooner has ended, and all its runs with it.
+        """
+        if not self.info.draining or self.seen_at is None:
+            return False
+        return now - self.seen_at < silence_seconds
+
     def hold(self, task_key, run, unit):
         """Takes the resources of one task's run."""
         if (task_key, run) not in self.places:
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -53,7 +53,8 @@
     """Runs all jobs while this entry leads.
 
     ``connect_agent`` builds the ``WorkerAgent`` of an address and id. ``retention_seconds``
-    is how long ended jobs can be asked for.
+    is how long ended jobs can be asked for. A worker's entry in the directory that is dropped
+    sooner than ``entry_seconds`` after its last change was not dropped for silence.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         *,
         lease_seconds,
         retention_seconds,
+        entry_seconds,
         wall_clock=time.time,
     ):
         self._leadership = leadership
@@ -77,6 +79,7 @@
         self._metrics = metrics
         self._lease_seconds = lease_seconds
         self._retention_seconds = retention_seconds
+        self._entry_seconds = entry_seconds
         self._wall_clock = wall_clock
         self._engine = None
         self._sessions = {}
@@ -271,8 +274,12 @@
         worker = self._engine.fleet.get(worker_id)
         if info is None:
             if worker is not None and worker.present:
+                now = trio.current_time()
                 worker.present = False
-                LOG.info("A worker has left.", extra={"worker": worker_id})
+                ended = worker.has_left(now, self._entry_seconds)
+                LOG.info("A worker has left.", extra={"worker": worker_id, "ended": ended})
+                if ended:
+                    self._engine.lose_worker(worker_id, "worker_left")
             return
         if worker is None or not worker.present:
             fields = {"worker": worker_id, "rack": info.rack, "draining": info.draining}
@@ -280,7 +287,7 @@
         elif info.draining and not worker.info.draining:
             LOG.info("A worker is leaving.", extra={"worker": worker_id})
         worker = self._engine.fleet.add(info)
-        worker.see_remaining(trio.current_time())
+        worker.see(trio.current_time())
         session = self._sessions.get(worker_id)
         if session is not None and session.address != info.address:
             session.close()
--- a/packages/entry/src/ibiscart_entry/coordination/node.py
+++ b/packages/entry/src/ibiscart_entry/coordination/node.py
@@ -30,6 +30,8 @@
 # a machine without processors would wait this much longer before it takes over
 SMALL_DELAY_SECONDS = 0.4
 LARGE_PROCESSORS = 2.0
+# entries of silent workers are dropped after three heartbeats; one heartbeat is for delays
+ENTRY_HEARTBEATS = 2.0
 # settings that a running process takes over; the others name addresses and need a restart
 RELOADED = frozenset({"drain_seconds", "retention_seconds"})
 MAX_CONNECTIONS = 2000
@@ -82,6 +84,7 @@
             metrics,
             lease_seconds=min(LEASE_SECONDS, settings.lease_limit_seconds),
             retention_seconds=settings.retention_seconds,
+            entry_seconds=ENTRY_HEARTBEATS * settings.worker_heartbeat_seconds,
         )
         self._announcer = Announcer(leadership, self._leader, connect_peer, metrics)
         service.announce = self._announcer.announce
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -249,6 +249,40 @@
 
         run_virtual(main)
 
+    def test_runs_of_a_worker_that_has_left_start_again_at_once(self):
+        # they waited for their leases, 6 s, although the worker had announced its end
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                await deployment.submit(ID, job(step(1, 8), ms=2000))
+                await deployment.wait_state(ID, "running")
+                runners = deployment.fleet.runners.values()
+                busy = next(runner for runner in runners if runner.running)
+                deployment.register(busy.id, state="draining")
+                await trio.sleep(1)
+                busy.restart()
+                busy.silent = True
+                deployment.store.drop("servers", busy.id)
+                await deployment.wait_state(ID, "completed", 4)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_leaving_worker_that_fell_silent_keeps_its_runs(self):
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                await deployment.submit(ID, job(step(1, 8), ms=4000))
+                await deployment.wait_state(ID, "running")
+                runners = deployment.fleet.runners.values()
+                busy = next(runner for runner in runners if runner.running)
+                deployment.register(busy.id, state="draining")
+                busy.silent = True
+                await trio.sleep(3.3)
+                deployment.store.drop("servers", busy.id)
+                await deployment.wait_state(ID, "completed", 20)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
     def test_draining_worker_gets_no_new_work(self):
         async def main():
             async with Deployment(workers=2) as deployment:
