Ask entries last that the store refuses as well

Change: an entry that failed for the store is put last for 2 s, and three are tried. A test of six entries, four of them refused, failed before.

--- a/packages/entry/src/ibiscart_entry/coordination/relay.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay.py
@@ -41,7 +41,7 @@
 # after failures of all ways within this time, calls are refused at once
 DOWN_SECONDS = 0.4
 RELAY_SECONDS = 1.4
-PEERS_TRIED = 2
+PEERS_TRIED = 3
 PEER_PAUSE_SECONDS = 2.0
 REGISTER_SECONDS = 5.0
 # rows of entries that were not written again for so long are passed over and removed
@@ -217,6 +217,8 @@
             try:
                 race.answer(await self._ask_peer(address, operation, fields, wait_seconds))
             except StoreError as error:
+                # the store may refuse that entry as well
+                self._directory.pause(address)
                 failure, sent = error, sent or error.sent
                 continue
             except TransportError as error:
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -99,6 +99,21 @@
 
                 run_virtual(main)
 
+    def test_entries_that_are_refused_too_are_asked_last(self):
+        # with a third of the entries refused, both that were asked could be refused as well
+        async def main():
+            async with Deployment(entries=6) as deployment:
+                await trio.sleep(6)
+                refused = list(deployment.entries.values())[:4]
+                deployment.store.refused.update(entry.name for entry in refused)
+                await trio.sleep(1)
+                for number in range(8):
+                    job_id = f"{number}0000000000000a1"
+                    status = await deployment.submit(job_id, job(step()), entry=refused[0])
+                    self.assertEqual(200, status)
+
+        run_virtual(main)
+
     def test_store_away_keeps_running_work(self):
         async def main():
             async with Deployment() as deployment:
