--- a/packages/entry/src/ibiscart_entry/coordination/leadership.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leadership.py
@@ -153,7 +153,9 @@
         row = self._row
         wanted = LeaderRow(row.node, row.holder, row.address, row.epoch, row.batch + 1)
         writes = [self._leader_write(wanted), *writes]
+        tries = 0
         while True:
+            tries += 1
             sent_at = self._clock()
             try:
                 rows = await self._table.transact(writes)
@@ -167,8 +169,12 @@
                 version = found.version
                 break
             except StoreError as error:
-                LOG.warning("A commit has no answer.", extra={"cause": error.reason})
+                if tries == 1:
+                    fields = {"cause": error.reason, "batch": wanted.batch}
+                    LOG.warning("A commit has no answer.", extra=fields)
                 await trio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1.5))
+        if tries > 1:
+            LOG.info("The commit is answered.", extra={"tries": tries, "batch": wanted.batch})
         self._row, self._version = wanted, version
         self.confirmed_at = sent_at
 
