Test of a silent connection fails without the bound on the hedge

Cause: the earlier test passed on the code before the fix: its store was slow by 0.6 s only, and the call for changes began at any moment of the silence. Ruled out: a longer wait before the check, which would also pass on the earlier code. Change: a store slow by 1.5 s, the silence begins with a new call, the bound is the platform's 2 s; a second test takes the bound off the hedge and the check must fail.

--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -1,13 +1,17 @@
 """Tests of failures over the stand-ins: entries, store and workers, in virtual time."""
 
 import unittest
+from unittest import mock
 
 import trio
 
+from ibiscart_entry.coordination import relay
 from tests.platform.deployment import CONFIGURATION, Deployment, job, run_virtual, step
 
 ID = "00000000000000a1"
 OTHER = "10000000000000a2"
+# the platform's bound for a new configuration on its small sites
+CONFIG_SECONDS = 2.0
 
 
 class LeaderTest(unittest.TestCase):
@@ -198,20 +202,27 @@
 
     def test_silent_connection_after_a_slow_store_delays_no_configuration(self):
         # the hedge followed the slow answers, and an entry kept an old version for 3 s
-        async def main():
-            async with Deployment() as deployment:
-                await trio.sleep(6)
-                deployment.store.delay = 0.6
-                await trio.sleep(3)
-                deployment.store.delay = 0.0
-                deployment.store.silenced.add("e1")
-                await trio.sleep(1.2)
-                newer = {**CONFIGURATION, "version": 9, "tenants": []}
-                deployment.store.put("op", "config", newer)
-                await trio.sleep(1.6)
-                self.assertEqual(9, deployment.entries["e1"].catalogs.catalog.version)
-
-        run_virtual(main)
+        run_virtual(self.follow_through_silence)
+
+    def test_check_of_the_silent_connection_finds_an_unbounded_hedge(self):
+        with mock.patch.object(relay, "LONGEST_READ_HEDGE_SECONDS", float("inf")):
+            with self.assertRaisesRegex(AssertionError, "the condition does not hold"):
+                run_virtual(self.follow_through_silence)
+
+    async def follow_through_silence(self):
+        async with Deployment() as deployment:
+            await trio.sleep(6)
+            deployment.store.delay = 1.5
+            await trio.sleep(8)
+            catalogs = deployment.entries["e1"].catalogs
+            deployment.store.delay = 0.0
+            deployment.store.silenced.add("e1")
+            confirmed = catalogs.confirmed_at
+            # the store still answers the call that it holds; the next one meets the silence
+            await deployment.settle(lambda: catalogs.confirmed_at != confirmed)
+            newer = {**CONFIGURATION, "version": 9, "tenants": []}
+            deployment.store.put("op", "config", newer)
+            await deployment.settle(lambda: catalogs.catalog.version == 9, CONFIG_SECONDS)
 
     def test_older_configuration_is_passed_over(self):
         async def main():
