Test of gangs on full workers fails on the earlier order of workers

Cause: the earlier test had one partly used worker, on which both orders put the gang. Ruled out: other parts of the placement; only the order of workers was changed back. Change: two workers with two free accelerators each and a gang of four. Before: passed with the earlier order; after: fails with it (1 != 0), passes now.

--- a/tests/core/workflow/test_placement.py
+++ b/tests/core/workflow/test_placement.py
@@ -52,11 +52,11 @@
 
     def test_gang_of_small_tasks_leaves_whole_workers_free(self):
         # gangs took the emptiest workers, so that tasks with 8 accelerators found none
-        world = World(workers=2)
-        world.submit("small", step(1, 4))
-        world.play()
+        world = World(workers=3)
+        world.submit("small", step(2, 6))
+        self.assertEqual(2, len(world.play()))
         world.submit("gang", step(4, 1, gang=True))
-        world.play()
+        self.assertEqual(4, len(world.play()))
         world.submit("large", step(1, 8))
         self.assertEqual(1, len(world.play()))
 
