Tests listen on addresses of their own; a soak that cannot start ends its processes

Calls go to ports whose process has ended or not begun, and the system hands these ports out again. Found on the way: when an entry's port was taken, the soak's start failed and left two entry processes running. Change: each test process listens on a loopback address made from its process id; ports that are chosen ahead lie below those that the system hands out; the soak's cluster ends its processes however its start ends. Check and bound of the server tests are unchanged.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -9,10 +9,8 @@
 import json
 import os
 import pathlib
-import random
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -24,13 +22,12 @@
 from ibiscart_core.trace import TraceError, format_event, read_trace
 from ibiscart_entry.client import HttpClient, TransportError
 from ibiscart_schema.generated.trace_pb2 import TraceEvent
+from tests.standins.loopback import LOOPBACK, free_ports
 
 __all__ = ["Fleet", "FleetError"]
 
 START_SECONDS = 30
 POLL_SECONDS = 0.02
-# below the range that the system takes for outgoing connections
-PORTS = (20_000, 32_000)
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 WORKER_CAPACITY = {"accelerators": 8, "cpu_millis": 128_000, "memory_mb": 262_144}
 
@@ -78,30 +75,14 @@
         raise FleetError(f"{self.name} did not start:\n{self.output.read_text()[-2000:]}")
 
 
-def free_ports(count):
-    """Returns port numbers that nothing listens on at this moment."""
-    ports = []
-    rng = random.SystemRandom()
-    while len(ports) < count:
-        port = rng.randrange(*PORTS)
-        with socket.socket() as item:
-            try:
-                item.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in ports:
-            ports.append(port)
-    return ports
-
-
 class Entry:
     """An entry process with its addresses."""
 
     def __init__(self, entry_id, data_centre, port, peer_port):
         self.id = entry_id
         self.data_centre = data_centre
-        self.address = f"127.0.0.1:{port}"
-        self.peer_address = f"127.0.0.1:{peer_port}"
+        self.address = f"{LOOPBACK}:{port}"
+        self.peer_address = f"{LOOPBACK}:{peer_port}"
         self.child = None
 
 
@@ -142,7 +123,7 @@
             trace = str(self.folder / f"{name}.trace")
             self._spawn(name, [f"tests.standins.{role}", "--id", name, "--trace", trace])
         for index, name in enumerate(names):
-            self.addresses[name] = f"127.0.0.1:{await self.children[name].port()}"
+            self.addresses[name] = f"{LOOPBACK}:{await self.children[name].port()}"
             machines.append(self._target(name, index, rack_size))
         machines += [self._entry_machine(entry) for entry in self.entries]
         await self.call("members", "POST", "/machines", {"machines": machines})
@@ -230,10 +211,10 @@
 
     async def _start_service(self, name, arguments):
         self._spawn(name, arguments)
-        self.addresses[name] = f"127.0.0.1:{await self.children[name].port()}"
+        self.addresses[name] = f"{LOOPBACK}:{await self.children[name].port()}"
 
     def _spawn(self, name, arguments):
-        self.children[name] = Child(name, ["-m", *arguments], self.folder)
+        self.children[name] = Child(name, ["-m", *arguments, "--host", LOOPBACK], self.folder)
 
     def _target(self, name, index, rack_size):
         role = name.split("-")[0]
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -33,10 +33,11 @@
     FakeWriter,
     make_settings,
 )
+from tests.standins.loopback import LOOPBACK
 
 KEY = {"account": "reports", "request_id": "j1"}
 SERVER = ServerSettings(
-    address="127.0.0.1:0",
+    address=f"{LOOPBACK}:0",
     max_connections=50,
     max_body_bytes=100_000,
     header_timeout_seconds=2,
@@ -96,7 +97,7 @@
         async with trio.open_nursery() as nursery:
             self._scope = nursery.cancel_scope
             port = await nursery.start(server.serve)
-            self.address = f"127.0.0.1:{port}"
+            self.address = f"{LOOPBACK}:{port}"
             self._started.set()
 
 
@@ -118,10 +119,10 @@
             async with trio.open_nursery() as nursery:
                 listeners = await nursery.start(
                     lambda task_status: trio.serve_tcp(
-                        serve, 0, host="127.0.0.1", task_status=task_status
+                        serve, 0, host=LOOPBACK, task_status=task_status
                     )
                 )
-                address.append(f"127.0.0.1:{listeners[0].socket.getsockname()[1]}")
+                address.append(f"{LOOPBACK}:{listeners[0].socket.getsockname()[1]}")
                 address.append(trio.lowlevel.current_trio_token())
                 started.set()
 
--- a/tests/entry/test_client.py
+++ b/tests/entry/test_client.py
@@ -9,6 +9,7 @@
 from ibiscart_entry.metric import Metrics
 from ibiscart_entry.server import HttpServer, Response
 from ibiscart_schema.generated.settings_pb2 import ServerSettings
+from tests.standins.loopback import LOOPBACK
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
@@ -30,12 +31,10 @@
     with trio.fail_after(20):
         async with trio.open_nursery() as nursery:
             listeners = await nursery.start(
-                lambda task_status: trio.serve_tcp(
-                    serve, 0, host="127.0.0.1", task_status=task_status
-                )
+                lambda task_status: trio.serve_tcp(serve, 0, host=LOOPBACK, task_status=task_status)
             )
             port = listeners[0].socket.getsockname()[1]
-            yield HttpClient(f"127.0.0.1:{port}"), seen
+            yield HttpClient(f"{LOOPBACK}:{port}"), seen
             nursery.cancel_scope.cancel()
 
 
@@ -163,11 +162,11 @@
         """Only then may the caller say that the work did not run (P4)."""
 
         async def main():
-            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
             port = listeners[0].socket.getsockname()[1]
             await listeners[0].aclose()
             with self.assertRaises(TransportError) as caught:
-                await HttpClient(f"127.0.0.1:{port}").request("GET", "/", timeout=1)
+                await HttpClient(f"{LOOPBACK}:{port}").request("GET", "/", timeout=1)
             self.assertEqual((caught.exception.reason, caught.exception.sent), ("refused", False))
 
         trio.run(main)
@@ -199,7 +198,7 @@
 
         async def main():
             settings = ServerSettings(
-                address="127.0.0.1:0",
+                address=f"{LOOPBACK}:0",
                 max_connections=4,
                 max_body_bytes=1024,
                 header_timeout_seconds=1,
@@ -213,7 +212,7 @@
             with trio.fail_after(20):
                 async with trio.open_nursery() as nursery:
                     port = await nursery.start(server.serve)
-                    client = HttpClient(f"127.0.0.1:{port}")
+                    client = HttpClient(f"{LOOPBACK}:{port}")
                     response = await client.request("POST", "/", body=b"x" * 5_000_000, timeout=5)
                     self.assertEqual(response.status, 413)
                     nursery.cancel_scope.cancel()
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -35,6 +35,7 @@
     put_contract,
 )
 from tests.standins.fault import serve_target
+from tests.standins.loopback import LOOPBACK
 from tests.standins.runner import RunnerDouble
 
 
@@ -126,14 +127,14 @@
         address = f"{name}:1"
         if self.sockets:
             settings = ServerSettings(
-                address="127.0.0.1:0",
+                address=f"{LOOPBACK}:0",
                 max_connections=64,
                 max_body_bytes=1 << 20,
                 header_timeout_seconds=10,
                 body_timeout_seconds=10,
             )
             port = await self.nursery.start(serve_target, runner.handle, settings, runner.faults)
-            address = f"127.0.0.1:{port}"
+            address = f"{LOOPBACK}:{port}"
         self.membership.machines[name] = VirtualMachine(
             id=name, role="runner", address=address, data_centre="perth", slots=8, connections=64
         )
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -13,6 +13,7 @@
 from ibiscart_entry.drain import Drain
 from ibiscart_entry.server import HttpServer, Response
 from ibiscart_schema.generated.settings_pb2 import DrainSettings, ServerSettings
+from tests.standins.loopback import LOOPBACK
 
 LAG_SECONDS = 5.0
 # real time without activity before the virtual clock jumps; loopback delivers sooner
@@ -21,7 +22,7 @@
 
 def server_settings():
     return ServerSettings(
-        address="127.0.0.1:0",
+        address=f"{LOOPBACK}:0",
         max_connections=200,
         max_body_bytes=4096,
         header_timeout_seconds=10,
@@ -42,7 +43,7 @@
     """
 
     def __init__(self, port):
-        self.address = f"127.0.0.1:{port}"
+        self.address = f"{LOOPBACK}:{port}"
         self.pooled = HttpClient(self.address)
         self.noticed_at = float("inf")
         self.answered = 0
@@ -115,12 +116,12 @@
                 server = HttpServer(slow, server_settings())
                 port = await nursery.start(server.serve)
                 drain = Drain(DrainSettings(balancer_lag_seconds=2, deadline_seconds=30), server)
-                pooled = await trio.open_tcp_stream("127.0.0.1", port)
+                pooled = await trio.open_tcp_stream(LOOPBACK, port)
                 await pooled.send_all(b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\n")
                 self.assertIn(b"200", await pooled.receive_some(1000))
                 nursery.start_soon(drain.drain)
                 await trio.sleep(1.999)
-                fresh = await trio.open_tcp_stream("127.0.0.1", port)
+                fresh = await trio.open_tcp_stream(LOOPBACK, port)
                 await trio.sleep(0.1)
                 for stream in (pooled, fresh):
                     await stream.send_all(b"GET /700 HTTP/1.1\r\nhost: a\r\n\r\n")
@@ -179,9 +180,9 @@
                 server = HttpServer(slow, server_settings())
                 port = await nursery.start(server.serve)
                 drain = Drain(DrainSettings(balancer_lag_seconds=2, deadline_seconds=10), server)
-                stream = await trio.open_tcp_stream("127.0.0.1", port)
+                stream = await trio.open_tcp_stream(LOOPBACK, port)
                 await stream.send_all(b"GET /999000 HTTP/1.1\r\nhost: a\r\n\r\n")
-                idle = await trio.open_tcp_stream("127.0.0.1", port)
+                idle = await trio.open_tcp_stream(LOOPBACK, port)
                 start = trio.current_time()
                 with self.assertLogs("ibiscart.drain", "ERROR"):
                     cut = await drain.drain()
@@ -199,7 +200,7 @@
             async with trio.open_nursery() as nursery:
                 server = HttpServer(slow, server_settings())
                 port = await nursery.start(server.serve)
-                streams = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(5)]
+                streams = [await trio.open_tcp_stream(LOOPBACK, port) for _ in range(5)]
                 drain = Drain(DrainSettings(balancer_lag_seconds=2, deadline_seconds=60), server)
                 start = trio.current_time()
                 await drain.drain()
--- a/tests/entry/test_peer.py
+++ b/tests/entry/test_peer.py
@@ -17,10 +17,11 @@
 from ibiscart_schema.generated.types_pb2 import TARGET_LEAVING
 from tests.entry.test_journal import change, now_us
 from tests.entry.test_writer import Cluster, virtual
+from tests.standins.loopback import LOOPBACK
 
 SETTINGS = PeerSettings(key="secret", heartbeat_seconds=0.1, silence_seconds=5)
 SERVER = ServerSettings(
-    address="127.0.0.1:0",
+    address=f"{LOOPBACK}:0",
     max_connections=16,
     max_body_bytes=1 << 20,
     header_timeout_seconds=10,
@@ -270,7 +271,7 @@
                 ]
                 for one in peers:
                     server = HttpServer(one.handle, SERVER)
-                    address = f"127.0.0.1:{await nursery.start(server.serve)}"
+                    address = f"{LOOPBACK}:{await nursery.start(server.serve)}"
                     entries.append(VirtualMachine(id=one.entry_id, peer_address=address))
                 peers[0].signs.report("w1", TARGET_LEAVING, "answer")
                 with trio.fail_after(20):
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -14,6 +14,7 @@
 from ibiscart_entry.metric import Metrics
 from ibiscart_entry.server import HttpServer, Response
 from ibiscart_schema.generated.settings_pb2 import ServerSettings
+from tests.standins.loopback import LOOPBACK
 
 TEST_SECONDS = 20
 GET = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -21,7 +22,7 @@
 
 def settings(**changes):
     values = {
-        "address": "127.0.0.1:0",
+        "address": f"{LOOPBACK}:0",
         "max_connections": 8,
         "max_body_bytes": 4096,
         "header_timeout_seconds": 0.3,
@@ -39,7 +40,7 @@
         self.kinds = kinds
 
     async def connect(self):
-        return await trio.open_tcp_stream("127.0.0.1", self.port)
+        return await trio.open_tcp_stream(LOOPBACK, self.port)
 
     async def exchange(self, data):
         """Sends bytes on a new connection and returns everything up to its end."""
@@ -99,6 +100,15 @@
 
         trio.run(main)
 
+    def test_callers_of_other_processes_do_not_reach_the_server(self):
+        """One call of another test, sent to a port that was free before, held a case open."""
+
+        async def case(rig):
+            with self.assertRaises(OSError):
+                await trio.open_tcp_stream("127.0.0.1", rig.port)
+
+        self.run_case(case)
+
     def test_oversized_body_is_refused_with_a_readable_answer(self):
         """A reset by unread input must not hide the refusal."""
 
--- a/tests/entry/test_table.py
+++ b/tests/entry/test_table.py
@@ -13,6 +13,7 @@
 from ibiscart_schema.generated import settings_pb2
 from ibiscart_schema.generated.store_pb2 import TableWrite
 from tests.entry.test_writer import virtual
+from tests.standins.loopback import LOOPBACK
 from tests.standins.table import HttpServer, Network, TableService
 
 
@@ -101,7 +102,7 @@
         async def main():
             service = TableService()
             settings = settings_pb2.ServerSettings(
-                address="127.0.0.1:0",
+                address=f"{LOOPBACK}:0",
                 max_connections=8,
                 max_body_bytes=1 << 20,
                 header_timeout_seconds=5,
@@ -110,7 +111,7 @@
             server = HttpServer(service.handle, settings)
             async with trio.open_nursery() as nursery:
                 port = await nursery.start(server.serve)
-                client = HttpClient(f"127.0.0.1:{port}")
+                client = HttpClient(f"{LOOPBACK}:{port}")
                 table = make_table(client, timeout=10.0)
                 key = "claim/labels/a%2Fb c"
                 await table.transact([TableWrite(key=key, value=b"\x00\xff")])
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -4,10 +4,10 @@
 import os
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import trio
@@ -18,13 +18,13 @@
 from ibiscart_schema.generated.settings_pb2 import ServerSettings
 from tests.platform.deployment import CONFIGURATION, KEY
 from tests.soak.proxy import FaultProxy
+from tests.standins.loopback import LOOPBACK, free_ports
 from tests.standins.platform.runner import PlatformRunner, RunnerFleet
 from tests.standins.platform.store import PlatformStore
 
 __all__ = ["Cluster"]
 
 ROOT = Path(__file__).resolve().parents[2]
-HOST = "127.0.0.1"
 START_SECONDS = 20.0
 
 
@@ -33,11 +33,11 @@
 
     def __init__(self, name, folder, store_port):
         self.name = name
-        self.front, self.readiness, self.internal = (_free_port() for _ in range(3))
+        self.front, self.readiness, self.internal = free_ports(3)
         self._settings = Path(folder) / f"{name}.yaml"
         self._log = Path(folder) / f"{name}.log"
         self._settings.write_text(yaml.safe_dump(self._document(store_port)), encoding="utf-8")
-        self._client = HttpClient(f"{HOST}:{self.front}")
+        self._client = HttpClient(f"{LOOPBACK}:{self.front}")
         self.process = None
 
     @property
@@ -75,11 +75,14 @@
     def _document(self, store_port):
         return {
             "node": self.name,
-            "ip": HOST,
+            "ip": LOOPBACK,
             "zone": "z",
-            "listen": {"front": f"{HOST}:{self.front}", "readiness": f"{HOST}:{self.readiness}"},
+            "listen": {
+                "front": f"{LOOPBACK}:{self.front}",
+                "readiness": f"{LOOPBACK}:{self.readiness}",
+            },
             "internalPorts": [self.internal, self.internal],
-            "platform": {"address": f"{HOST}:{store_port}"},
+            "platform": {"address": f"{LOOPBACK}:{store_port}"},
             "bounds": {"graceS": 6, "maxHoldMs": 6000, "status_s": 120},
             "limits": {"cpuShare": 1.0, "cores": 1},
             "heartbeatMs": 1500,
@@ -87,7 +90,7 @@
 
 
 class Cluster:
-    """Store, workers, proxies and entry processes; ``async with Cluster() as cluster``."""
+    """Store, workers, proxies and entry processes, within ``async with cluster.running()``."""
 
     def __init__(self, entries=3, workers=4, seed=0):
         self._counts = entries, workers
@@ -98,14 +101,28 @@
         self.fleet = RunnerFleet()
         self.keep_logs = False
 
-    async def __aenter__(self):
+    @asynccontextmanager
+    async def running(self):
+        """Starts all parts, and ends them however the body or the start ends."""
         self.log_folder = tempfile.mkdtemp(prefix="ibiscart-soak-")
-        self._manager = trio.open_nursery()
-        self.nursery = await self._manager.__aenter__()
+        async with trio.open_nursery() as self.nursery:
+            try:
+                await self._start()
+                yield self
+            except BaseException:
+                self.keep_logs = True
+                raise
+            finally:
+                await self._end_processes()
+                self.nursery.cancel_scope.cancel()
+        if not self.keep_logs:
+            shutil.rmtree(self.log_folder)
+
+    async def _start(self):
         self.store = PlatformStore(self.seed)
         await self.nursery.start(self.store.run)
         store_port = await self._serve(self.store.handle)
-        routes = [{**route, "host": HOST} for route in CONFIGURATION["routes"]]
+        routes = [{**route, "host": LOOPBACK} for route in CONFIGURATION["routes"]]
         self.store.put("op", "config", {**CONFIGURATION, "routes": routes})
         for number in range(self._counts[1]):
             await self._add_runner(f"w{number}")
@@ -117,22 +134,17 @@
         with trio.fail_after(START_SECONDS):
             while not all([await self._answers(entry) for entry in self.entries.values()]):
                 await trio.sleep(0.1)
-        return self
 
-    async def __aexit__(self, *error):
+    async def _end_processes(self):
         with trio.CancelScope(shield=True):
             for entry in self.entries.values():
                 entry.send(signal.SIGCONT)
                 entry.send(signal.SIGKILL)
                 await entry.wait_gone()
-        self.nursery.cancel_scope.cancel()
-        await self._manager.__aexit__(None, None, None)
-        if not self.keep_logs and error[0] is None:
-            shutil.rmtree(self.log_folder)
 
     def register(self, name, **fields):
         runner = self.fleet.runners[name]
-        address = f"{HOST}:{self.runner_proxies[name].port}"
+        address = f"{LOOPBACK}:{self.runner_proxies[name].port}"
         rack = f"r{int(name[1:]) // 2}"
         self.store.put("servers", name, runner.registration(address, rack=rack, **fields))
 
@@ -145,7 +157,7 @@
 
     async def _serve(self, handler):
         settings = ServerSettings(
-            address=f"{HOST}:0",
+            address=f"{LOOPBACK}:0",
             max_connections=500,
             max_body_bytes=4_000_000,
             header_timeout_seconds=60,
@@ -160,9 +172,3 @@
 
     async def _answers(self, entry):
         return (await entry.call("GET", "/q/"))[0] == 200
-
-
-def _free_port():
-    with socket.socket() as free:
-        free.bind((HOST, 0))
-        return free.getsockname()[1]
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from tests.standins.loopback import LOOPBACK
+
 __all__ = ["MODES", "FaultProxy"]
 
 MODES = ("pass", "delay", "reset", "silent", "one_way")
@@ -23,7 +25,7 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serves until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
         self.port = listeners[0].socket.getsockname()[1]
         async with trio.open_nursery() as nursery:
             task_status.started()
@@ -35,7 +37,7 @@
                 self._reset(client)
                 return
             try:
-                server = await trio.open_tcp_stream("127.0.0.1", self._target)
+                server = await trio.open_tcp_stream(LOOPBACK, self._target)
             except OSError:
                 self._reset(client)
                 return
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,7 +34,7 @@
         self._seconds = seconds
 
     async def run(self):
-        async with Cluster(seed=self.seed) as cluster:
+        async with Cluster(seed=self.seed).running() as cluster:
             self._deployment = cluster
             with trio.move_on_after(self._seconds):
                 async with trio.open_nursery() as nursery:
--- a/tests/standins/table.py
+++ b/tests/standins/table.py
@@ -220,10 +220,10 @@
     return Response(status, text.encode())
 
 
-async def serve(service, port):
+async def serve(service, host, port):
     """Serves a stand-in on loopback and prints ``ready PORT`` when it listens."""
     settings = settings_pb2.ServerSettings(
-        address=f"127.0.0.1:{port}",
+        address=f"{host}:{port}",
         max_connections=512,
         max_body_bytes=64 * 1024 * 1024,
         header_timeout_seconds=10,
@@ -237,10 +237,11 @@
 def main(build):
     """Runs a stand-in that ``build`` makes from a seed."""
     parser = argparse.ArgumentParser()
+    parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--seed", type=int, default=0)
     options = parser.parse_args()
-    trio.run(serve, build(options.seed), options.port)
+    trio.run(serve, build(options.seed), options.host, options.port)
 
 
 if __name__ == "__main__":
