Avoid workers that fail a part of their runs, by the evidence of recent ends

A success between failures cleared a worker, and a single failure changed nothing. Ruled out: jobs that can never be done (the same jobs' members ended well elsewhere); lost workers (a lost run does not count as an attempt). Change: ends of runs are weighed as evidence that halves in 5 s; one failure makes a worker the last choice, two bar it for some seconds; tasks of one job that fail together on a worker count once, and nothing is avoided when over 30 % of a pool is doubtful.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -134,8 +134,9 @@
         for run in answer.running:
             listed[(run.task_key, run.run)] = run
             self._apply_running(worker, run, now)
+        failed = set()
         for end in answer.ended:
-            self._apply_end(worker, end, now)
+            self._apply_end(worker, end, now, failed)
         for key, unit in list(worker.places.items()):
             if key not in listed:
                 self._apply_absent(worker, key, unit, answer.incarnation, asked_at)
@@ -263,14 +264,17 @@
             unit.job.started = True
             self.changed[unit.job.id] = True
 
-    def _apply_end(self, worker, end, now):
+    def _apply_end(self, worker, end, now, failed):
+        """Applies an end; ``failed`` has the jobs whose failure here has been counted."""
         unit = worker.places.get((end.task_key, end.run))
         if unit is None:
             return
-        if end.cause is EndCause.FAILED:
-            worker.record_failure(now)
-        elif end.cause is EndCause.DONE:
-            worker.record_success()
+        if end.cause is EndCause.DONE:
+            worker.reliability.record_success(now)
+        elif end.cause is EndCause.FAILED and unit.job.id not in failed:
+            # tasks of one job that fail together may all fail for the job's own reason
+            failed.add(unit.job.id)
+            worker.reliability.record_failure(now)
         self._end(worker, unit, end.task_key, end.run, end.cause, end.checkpoint, "reported")
 
     def _apply_absent(self, worker, key, unit, incarnation, asked_at):
--- a/packages/core/src/ibiscart_core/workflow/fleet.py
+++ b/packages/core/src/ibiscart_core/workflow/fleet.py
@@ -6,15 +6,10 @@
 """
 
 from ibiscart_core.resource import Resources
+from ibiscart_core.workflow.reliability import Reliability
 
 __all__ = ["Fleet", "FleetWorker", "WorkerInfo"]
 
-# a worker that failed so many runs in a row without a success takes no new work for a time
-FAILURES_TO_SUSPEND = 2
-# first suspension; doubles with each further failure, as quarantine_seconds does for workers
-SUSPEND_SECONDS = 2.0
-LONGEST_SUSPEND_SECONDS = 16.0
-
 
 class WorkerInfo:
     """What a worker reports of itself.
@@ -70,12 +65,12 @@
     """
 
     __slots__ = (
-        "failed_in_row",
         "info",
         "leaves_at",
         "places",
         "present",
         "reachable",
+        "reliability",
         "seen_at",
         "suspended_until",
         "used",
@@ -88,7 +83,7 @@
         self.reachable = False
         self.present = True
         self.suspended_until = 0.0
-        self.failed_in_row = 0
+        self.reliability = Reliability()
         self.leaves_at = None
         self.seen_at = None
 
@@ -109,6 +104,7 @@
             and self.reachable
             and not self.info.draining
             and self.suspended_until <= now
+            and not self.reliability.unusable(now)
         )
 
     def see(self, now):
@@ -139,22 +135,10 @@
         if unit is not None:
             self.used = self.used - unit.spec.demand
 
-    def suspend(self, now, seconds=SUSPEND_SECONDS):
+    def suspend(self, now, seconds):
         """Keeps new work away for ``seconds``."""
         self.suspended_until = max(self.suspended_until, now + seconds)
 
-    def record_failure(self, now):
-        """Counts a failed run; suspends the worker after several in a row."""
-        self.failed_in_row += 1
-        if self.failed_in_row >= FAILURES_TO_SUSPEND:
-            factor = 2 ** min(10, self.failed_in_row - FAILURES_TO_SUSPEND)
-            self.suspend(now, min(LONGEST_SUSPEND_SECONDS, SUSPEND_SECONDS * factor))
-
-    def record_success(self):
-        """Ends the count of failed runs."""
-        self.failed_in_row = 0
-        self.suspended_until = 0.0
-
 
 class Fleet:
     """All workers by id."""
--- a/packages/core/src/ibiscart_core/workflow/placement.py
+++ b/packages/core/src/ibiscart_core/workflow/placement.py
@@ -17,15 +17,17 @@
         "_placed",
         "accelerators",
         "cpu_millis",
+        "doubtful",
         "labels",
         "memory_mb",
         "rack",
         "worker",
     )
 
-    def __init__(self, worker):
+    def __init__(self, worker, doubtful=False):
         free = worker.free
         self.worker = worker
+        self.doubtful = doubtful
         self.accelerators = free.accelerators
         self.cpu_millis = free.cpu_millis
         self.memory_mb = free.memory_mb
@@ -69,11 +71,12 @@
     """Free resources of the usable workers of one pool.
 
     ``held`` maps worker ids to the key of the unit that they are kept for. ``whole_kept`` is
-    the number of empty workers that only urgent units may use.
+    the number of empty workers that only urgent units may use. ``doubtful`` has the ids of
+    workers that are used when no others have room.
     """
 
-    def __init__(self, workers, held=None, whole_kept=0):
-        self.rooms = [Room(worker) for worker in workers]
+    def __init__(self, workers, held=None, whole_kept=0, doubtful=frozenset()):
+        self.rooms = [Room(worker, worker.id in doubtful) for worker in workers]
         self._held = held or {}
         self._whole_kept = whole_kept
 
@@ -119,10 +122,14 @@
         step = unit.spec
         if unit.size == 1:
             return self._find_single(candidates, step, anywhere)
-        for rooms in self._groups(candidates, step, anywhere):
-            chosen = _fill(rooms, unit.size)
-            if chosen is not None:
-                return chosen
+        trusted = [pair for pair in candidates if not pair[0].doubtful]
+        may_spread = anywhere and bool(step.same_rack or step.preferred_rack)
+        for spread in (False, True) if may_spread else (False,):
+            for some in (trusted, candidates):
+                for rooms in self._groups(some, step, spread):
+                    chosen = _fill(rooms, unit.size)
+                    if chosen is not None:
+                        return chosen
         return None
 
     def take(self, unit, chosen):
@@ -138,25 +145,30 @@
                 candidates = near
         if not candidates:
             return None
-        room, _ = min(candidates, key=lambda pair: _leftover(pair[0], step.demand))
+        room, _ = min(
+            candidates, key=lambda pair: (pair[0].doubtful, _leftover(pair[0], step.demand))
+        )
         return [(room, 1)]
 
-    def _groups(self, candidates, step, anywhere):
-        """Yields groups of rooms to try for a gang, the best first."""
+    def _groups(self, candidates, step, spread):
+        """Yields groups of rooms to try for a gang, the best first.
+
+        With ``spread``, also those that make a unit slower that is bound to a rack.
+        """
         racks = {}
         for room, count in candidates:
             racks.setdefault(room.rack, []).append((room, count))
-        if step.preferred_rack:
+        # the rack with the least room to spare keeps the larger ones whole
+        by_room = sorted(racks.values(), key=lambda rooms: sum(count for _, count in rooms))
+        if spread:
+            yield from by_room
+            yield candidates
+        elif step.preferred_rack:
             yield racks.get(step.preferred_rack, [])
         elif step.same_rack:
-            # the rack with the least room to spare keeps the larger ones whole
-            yield from sorted(racks.values(), key=lambda rooms: sum(count for _, count in rooms))
+            yield from by_room
         else:
             yield candidates
-            return
-        if anywhere:
-            yield from sorted(racks.values(), key=lambda rooms: sum(count for _, count in rooms))
-            yield candidates
 
 
 def _leftover(room, demand):
--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -26,6 +26,9 @@
 # is busy; with this share of the pool free, the slower run costs nobody a place
 SPREAD_AFTER_SECONDS = 1.0
 SPREAD_FREE_SHARE = 0.5
+# failures on more of the workers than this are rather the fault of the jobs; a fault of
+# workers strikes some 15 % of them
+DOUBTFUL_SHARE = 0.3
 # jobs of this priority come first, and guarantees hold for them
 URGENT_PRIORITY = 0
 
@@ -95,7 +98,8 @@
             return
         held = {worker: key for key, (ids, _) in self._holds.items() for worker in ids}
         workers = self._fleet.usable(pool, now)
-        rooms = RoomSet(workers, held, self._whole_kept(pool, workers, entries, capacity, now))
+        kept = self._whole_kept(pool, workers, entries, capacity, now)
+        rooms = RoomSet(workers, held, kept, _doubtful(workers, now))
         free_share = _free_share(rooms, capacity)
         blocked = set()
         for _, _, job_id, units in sorted(waiting, key=lambda entry: entry[:3]):
@@ -234,6 +238,12 @@
     return claimed
 
 
+def _doubtful(workers, now):
+    """Ids of the workers to be avoided for their failures."""
+    found = frozenset(worker.id for worker in workers if worker.reliability.doubtful(now))
+    return found if len(found) <= DOUBTFUL_SHARE * len(workers) else frozenset()
+
+
 def _free_share(rooms, capacity):
     """Share of the pool that is free, by the kind of resource with the least left."""
     if not rooms.rooms:
