--- a/packages/core/src/ibiscart_core/workflow/catalog.py
+++ b/packages/core/src/ibiscart_core/workflow/catalog.py
@@ -50,6 +50,31 @@
         self.target_latency_ms = target_latency_ms
         self.public = public
 
+    @classmethod
+    def from_document(cls, name, document):
+        """Builds what ``to_document`` returned; such a queue takes no jobs."""
+        pool, priority, max_attempts, stretch, target_latency_ms = document
+        return cls(
+            name,
+            "",
+            "",
+            pool,
+            priority=priority,
+            max_attempts=max_attempts,
+            stretch=stretch,
+            target_latency_ms=target_latency_ms,
+        )
+
+    def to_document(self):
+        """Returns what a job needs to be run, as a list that JSON can hold."""
+        return [
+            self.pool,
+            self.priority,
+            self.max_attempts,
+            self.stretch,
+            self.target_latency_ms,
+        ]
+
 
 class PoolEntry:
     """A pool of workers; ``checks_capacity`` tells that they refuse what does not fit."""
@@ -86,6 +111,10 @@
         for queue in sorted(queues, key=lambda queue: -len(queue.prefix)):
             self._by_host.setdefault(queue.host, []).append(queue)
 
+    def queue_of(self, job):
+        """Returns the queue of a job: as it is now, or as it was when the job was accepted."""
+        return self.queues.get(job.queue, job.accepted_queue)
+
     def account_of(self, key):
         """Returns the account of a key, or None."""
         return self._by_key.get(key)
--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -92,6 +92,14 @@
                     worker.hold(unit.task_key(index), unit.run, unit)
         if job.ended:
             self._stop_job(job, "job_ended")
+        else:
+            self._settle(job)
+
+    def take_catalog(self, catalog):
+        """Takes a new configuration; jobs that it ends are ended now."""
+        self.catalog = catalog
+        for job in list(self.jobs.values()):
+            self._settle(job)
 
     def cancel(self, job_id):
         """Cancels a job that has not ended; returns whether it was cancelled now."""
@@ -323,8 +331,9 @@
         self._settle(unit.job)
 
     def _settle(self, job):
-        queue = self.catalog.queues.get(job.queue) if self.catalog is not None else None
-        if queue is not None and job.settle(queue.max_attempts):
+        queue = job.accepted_queue if self.catalog is None else self.catalog.queue_of(job)
+        # without its queue a job can end well, while its number of attempts is not known
+        if job.settle(queue.max_attempts if queue is not None else None):
             self._job_ended(job)
 
     def _job_ended(self, job):
--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -7,6 +7,7 @@
 
 from enum import Enum
 
+from ibiscart_core.workflow.catalog import QueueEntry
 from ibiscart_core.workflow.spec import JobSpec
 
 __all__ = ["EndCause", "Job", "Outcome", "Place", "PlaceState", "Unit", "UnitState"]
@@ -177,11 +178,13 @@
     """One accepted job with the state of its units.
 
     ``accepted_ms`` is the Unix time in milliseconds at which an entry accepted it.
+    ``accepted_queue`` is its ``QueueEntry`` at that time, which counts once the queue is gone.
     """
 
     __slots__ = (
         "_units",
         "accepted_ms",
+        "accepted_queue",
         "account",
         "id",
         "outcome",
@@ -191,12 +194,13 @@
         "started",
     )
 
-    def __init__(self, job_id, account, queue, spec, accepted_ms):
+    def __init__(self, job_id, account, queue, spec, accepted_ms, accepted_queue=None):
         self.id = job_id
         self.account = account
         self.queue = queue
         self.spec = spec
         self.accepted_ms = accepted_ms
+        self.accepted_queue = accepted_queue
         self.outcome = None
         self.started = False
         self.record_version = 0
@@ -211,7 +215,12 @@
     def from_document(cls, job_id, document):
         """Builds the job from ``to_document``'s mapping."""
         spec = JobSpec.from_document(document["spec"])
-        return cls(job_id, document["account"], document["queue"], spec, document["accepted_ms"])
+        queue = document["queue"]
+        accepted_queue = None
+        if document.get("accepted_queue"):
+            accepted_queue = QueueEntry.from_document(queue, document["accepted_queue"])
+        account, accepted_ms = document["account"], document["accepted_ms"]
+        return cls(job_id, account, queue, spec, accepted_ms, accepted_queue)
 
     def to_document(self):
         """Returns what was accepted as a mapping that JSON can hold."""
@@ -220,6 +229,7 @@
             "queue": self.queue,
             "spec": self.spec.to_document(),
             "accepted_ms": self.accepted_ms,
+            "accepted_queue": self.accepted_queue.to_document() if self.accepted_queue else None,
         }
 
     def units(self):
@@ -260,15 +270,19 @@
     def settle(self, max_failures):
         """Sets the outcome if the job has ended; returns whether it was set now.
 
-        ``max_failures`` is the number of failed runs of one unit that fails the job.
+        ``max_failures`` is the number of failed runs of one unit that fails the job, None
+        when it is not known.
         """
         if self.ended:
             return False
-        for unit in self.units():
-            if unit.failures >= max_failures and not unit.spec.long_running:
-                if unit.state is not UnitState.DONE:
-                    self.outcome = Outcome.FAILED
-                    return True
+        if max_failures is not None and any(
+            unit.failures >= max_failures
+            and unit.state is not UnitState.DONE
+            and not unit.spec.long_running
+            for unit in self.units()
+        ):
+            self.outcome = Outcome.FAILED
+            return True
         if self._all_done():
             self.outcome = Outcome.COMPLETED
             return True
--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -74,7 +74,7 @@
         self._drop_holds(jobs, now)
         by_pool = {}
         for job in jobs.values():
-            queue = catalog.queues.get(job.queue)
+            queue = catalog.queue_of(job)
             if queue is not None and not job.ended:
                 by_pool.setdefault(queue.pool, []).append((job, queue))
         for pool, entries in by_pool.items():
--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -56,7 +56,7 @@
         ``commit_unknown`` when it may be.
         """
         spec.check()
-        job = Job(job_id, account, queue.name, spec, self._now_ms())
+        job = Job(job_id, account, queue.name, spec, self._now_ms(), queue)
         write = TableWrite(key=job_key(job_id), value=encode(job.to_document()), expected_version=0)
         try:
             await self._write(write, job_id)
