--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -81,11 +81,15 @@
 
     # jobs
 
-    def add_job(self, job):
-        """Takes an accepted job; its runs, if it has any, hold their places."""
+    def add_job(self, job, now=0.0):
+        """Takes an accepted job; its runs, if it has any, hold their places.
+
+        ``now`` is the time from which the units that were loaded with it count as waiting.
+        """
         self.jobs[job.id] = job
         self._scheduler.ordering.observe(job)
         for unit in job.units():
+            unit.ready_at = now
             for index, place in unit.places.items():
                 worker = self.fleet.get(place.worker_id)
                 if worker is not None:
--- a/packages/entry/src/ibiscart_entry/coordination/job_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_feed.py
@@ -128,7 +128,7 @@
                 self._on_loaded(job)
             if job.ended:
                 self._ended_at[job_id] = now
-            self._engine.add_job(job)
+            self._engine.add_job(job, now)
             if record is None:
                 self._note_taken(job)
         for job_id in cancelled:
