ibiscart explain: the lines of one id from all entries' logs, and the cause in a sentence

Cause: engineers on call put the lines of several machines in order by hand. Ruled out: asking the entries, which may have ended since.

--- a/packages/cli/src/ibiscart_cli/main.py
+++ b/packages/cli/src/ibiscart_cli/main.py
@@ -10,6 +10,7 @@
 import click
 
 from ibiscart_cli.commands.contract import contract
+from ibiscart_cli.commands.explain import explain
 from ibiscart_cli.commands.job import job
 from ibiscart_cli.commands.measure import measure
 from ibiscart_cli.commands.replay import replay
@@ -80,7 +81,7 @@
     context.obj = Session(addresses, key_file, as_json=as_json, timeout=timeout)
 
 
-for command in (contract, job, measure, replay, request, settings, status, trace):
+for command in (contract, explain, job, measure, replay, request, settings, status, trace):
     main.add_command(command)
 
 
