--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 .PHONY: help setup demo test lint format generate generated-check measure prove soak clean
 
 help:
-	@echo "make demo     start stand-ins, entries and a load on loopback, and check every answer"
+	@echo "make demo     play jobs on the platform path, then a mixed load on the own interface; check all"
 	@echo "make test     run all tests"
 	@echo "make lint     check format and lint"
 	@echo "make measure  replay all recorded traces and write the table of measures"
@@ -26,6 +26,7 @@
 setup: $(VENV)/.installed
 
 demo: setup
+	$(BIN)/python -m demo.jobs
 	$(BIN)/python -m demo.demo
 
 test: setup
