--- a/packages/entry/src/ibiscart_entry/coordination/node.py
+++ b/packages/entry/src/ibiscart_entry/coordination/node.py
@@ -156,7 +156,7 @@
 
 
 def _delay_seconds(processors):
-    """Lets larger machines lead: the leader needs up to a quarter of a core at 176 workers."""
+    """Lets larger machines lead: the leader needs up to 0.45 of a core at 176 workers."""
     return SMALL_DELAY_SECONDS * max(0.0, 1.0 - processors / LARGE_PROCESSORS)
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/relay.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay.py
@@ -33,8 +33,8 @@
 # a third of the entries may be cut off at once; with four tried, one in eighty calls meets
 # only such entries
 PEERS_TRIED = 4
-# an entry in reach answers in some 20 ms
-PEER_PAUSE_SECONDS = 0.1
+# an entry in reach answers in some 20 ms; the next one is asked after this time
+PEER_STAGGER_SECONDS = 0.1
 # while the store does not answer, it is asked anew this often; each call waits for so long
 PROBE_PAUSE_SECONDS = 0.2
 PROBE_SECONDS = 1.0
@@ -211,7 +211,7 @@
                 return
             race.enter()
             nursery.start_soon(self._ask_peer, race, address, operation, fields, wait_seconds)
-            with trio.move_on_after(wait_seconds + PEER_PAUSE_SECONDS):
+            with trio.move_on_after(wait_seconds + PEER_STAGGER_SECONDS):
                 await race.wait()
 
     async def _ask_peer(self, race, address, operation, fields, wait_seconds):
