Calls that end late do not change what is known of the store

Change: neither an answer nor a failure of a call counts that was sent before the last change of the state. Before: the new test fails at once after the return; after: no entry is lost in 3 s.

--- a/packages/entry/src/ibiscart_entry/coordination/relay.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay.py
@@ -58,7 +58,7 @@
         self._silence = Silence(clock)
         self._doubted_until = 0.0
         self._reachable = True
-        self._lost_at = 0.0
+        self._changed_at = 0.0
         self._regained = trio.Event()
 
     @property
@@ -155,11 +155,14 @@
         return min(longest, HEDGE_SECONDS + HEDGE_ANSWERS * self._silence.usual_seconds)
 
     def _result(self, race, began):
+        # what became of a call tells nothing of a state that was noticed after it was sent
+        current = began >= self._changed_at
         if not race.answered:
-            self._note(False, race.error.reason)
+            if current:
+                self._note(False, race.error.reason)
             raise StoreError(race.error.reason, race.sent)
         self._silence.answer(began)
-        if began >= self._lost_at:
+        if current:
             self._note(True, "")
         if isinstance(race.value, Exception):
             raise race.value
@@ -169,13 +172,12 @@
         if reachable is self._reachable:
             return
         self._reachable = reachable
+        self._changed_at = self._clock()
         if reachable:
             LOG.info("The store is reached again.")
             regained, self._regained = self._regained, trio.Event()
             regained.set()
         else:
-            # answers to calls that were sent before do not show that it is reached again
-            self._lost_at = self._clock()
             LOG.warning("The store is not reached by any way.", extra={"cause": cause})
 
     async def _ask_directly(self, race, ask, waits):
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -276,6 +276,22 @@
 
         run_virtual(main)
 
+    def test_calls_that_end_after_the_return_of_the_store_refuse_no_others(self):
+        # a call for changes that was sent into the silence failed after it, and the entry
+        # refused submissions until its next probe
+        async def main():
+            async with Deployment() as deployment:
+                deployment.store.silenced.update(deployment.entries)
+                await trio.sleep(3.0)
+                deployment.store.silenced.clear()
+                await trio.sleep(0.5)
+                for _ in range(300):
+                    lost = [e.name for e in deployment.entries.values() if not e.table.answering]
+                    self.assertEqual([], lost)
+                    await trio.sleep(0.01)
+
+        run_virtual(main)
+
     def test_reads_pass_by_entries_that_are_cut_off_as_well(self):
         # each such entry was waited for in turn, 1.4 s each, and answers took up to 2.6 s
         async def main():
