--- a/packages/cli/src/ibiscart_cli/commands/explain.py
+++ b/packages/cli/src/ibiscart_cli/commands/explain.py
@@ -2,7 +2,7 @@
 ibiscart_cli.commands.explain
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Tells from the entries' logs what became of a request.
+Explains from the entries' logs what became of a request.
 """
 
 import itertools
@@ -29,7 +29,7 @@
 @click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
 @click.pass_obj
 def explain(session, request_id, logs):
-    """Collect the lines of LOGS that name REQUEST_ID, and tell how it ended and why.
+    """Collect the lines of LOGS that name REQUEST_ID, and explain how it ended.
 
     Reads the logs of any number of entries; asks no entry. Exits with 4 when no line names
     the id.
--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -28,7 +28,7 @@
 
 LOG = logging.getLogger("ibiscart.jobs")
 RETRY_SECONDS = 0.05
-# lost answers in a row after which the caller is told that the outcome is unknown
+# after so many lost answers in a row the outcome is reported as unknown
 ATTEMPTS = 5
 # callers often ask as the last task ends; its record takes one write, so a job that still runs
 # is read once more after that time
--- a/packages/entry/src/ibiscart_entry/coordination/silence.py
+++ b/packages/entry/src/ibiscart_entry/coordination/silence.py
@@ -2,7 +2,7 @@
 ibiscart_entry.coordination.silence
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Tells a store that has gone silent from one that is slow.
+Distinguishes a store that has gone silent from one that is slow.
 """
 
 import trio
--- a/tests/core/workflow/world.py
+++ b/tests/core/workflow/world.py
@@ -19,7 +19,7 @@
 
 
 class World:
-    """An ``Engine`` with workers that carry out orders at once, unless told otherwise."""
+    """An ``Engine`` with workers that carry out orders at once by default."""
 
     def __init__(self, workers=4, accelerators=8, per_rack=2, guaranteed=0):
         queues = [
--- a/tests/entry/coordination/test_silence.py
+++ b/tests/entry/coordination/test_silence.py
@@ -1,4 +1,4 @@
-"""Tests that a silent store is told from a slow one."""
+"""Tests that a silent store is distinguished from a slow one."""
 
 import unittest
 
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -328,7 +328,7 @@
         run_virtual(main)
 
     def test_store_that_refuses_all_is_not_waited_for(self):
-        # a refused submission was tried three times within 0.3 s before its caller was told
+        # a refused submission was tried three times within 0.3 s before the caller got the answer
         async def main():
             async with Deployment() as deployment:
                 deployment.store.down = True
