--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -16,6 +16,7 @@
 RETRY_SECONDS = 0.25
 # a worker that refused a start as unhealthy or could not be reached gets no work so long
 UNHEALTHY_SECONDS = 2.0
+# what holds the room ends or is listed by then
 NO_ROOM_SECONDS = 0.5
 # a stop takes up to 0.9 s, and its end has to be read before the worker is gone
 LEAVE_SECONDS = 1.2
--- a/packages/core/src/ibiscart_core/workflow/headroom.py
+++ b/packages/core/src/ibiscart_core/workflow/headroom.py
@@ -11,7 +11,7 @@
 
 # the peak of urgent work is looked for over so long; demand swings within some 15 s
 WINDOW_SECONDS = 15.0
-# at most this share of a pool is kept free
+# at most this share of a pool is kept free; gangs of lower priority need the rest
 LARGEST_SHARE = 0.25
 
 
--- a/packages/core/src/ibiscart_core/workflow/ordering.py
+++ b/packages/core/src/ibiscart_core/workflow/ordering.py
@@ -14,6 +14,7 @@
 # value of work that ends late, and of work that ends too late to count, against work in time;
 # late work earns a tenth to a half of the credit, depending on the kind of job
 LATE_FACTOR = 0.3
+# keeps expired work in order behind all other work
 EXPIRED_FACTOR = 0.01
 # a job earns late credit until this many times its objective
 LATE_LIMIT = 3.0
@@ -23,7 +24,9 @@
 DEFAULT_ESTIMATE_MS = 1000
 # credit of a job of priority 0 with the mean work of its queue; the users' figure
 TOP_CREDIT = 4.0
+# the mean follows some twenty jobs
 MEAN_WEIGHT = 0.05
+# avoids a division by zero for jobs that need next to nothing
 SMALLEST_COST = 1e-6
 # a run that has passed its estimate counts with this share of it
 LEAST_REMAINING = 0.2
--- a/packages/entry/src/ibiscart_entry/coordination/announcer.py
+++ b/packages/entry/src/ibiscart_entry/coordination/announcer.py
@@ -19,7 +19,9 @@
 ANNOUNCE_PATH = "/v1/announce"
 # the feed brings what is dropped here
 MAX_WAITING = 500
+# a leader in reach answers in some 20 ms; the feed of jobs makes up for what is late
 CALL_SECONDS = 0.5
+# some 2 KB a call
 IDS_PER_CALL = 100
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
@@ -17,6 +17,7 @@
 # changes have to be in force within 2 s: a connection that has gone silent is found out and
 # the configuration read anew within that time
 FOLLOW_SECONDS = 0.8
+# short against the bound of 2 s
 RETRY_SECONDS = 0.1
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -22,6 +22,7 @@
 
 LOG = logging.getLogger("ibiscart.coordinator")
 DECISION_LOG = logging.getLogger("ibiscart.decision")
+# after a failed read; as often as a lost store is probed
 RETRY_SECONDS = 0.2
 # waiting units are tried again this often when nothing else happens
 PASS_SECONDS = 0.25
--- a/packages/entry/src/ibiscart_entry/coordination/job_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_feed.py
@@ -25,8 +25,11 @@
 __all__ = ["JobFeed"]
 
 LOG = logging.getLogger("ibiscart.jobs")
+# after a failed call; as often as a lost store is probed
 RETRY_SECONDS = 0.2
+# announcements bring jobs at once, so the feed may wait long; it costs a call each time
 FOLLOW_SECONDS = 5.0
+# ended jobs are kept for minutes, so a few seconds more do not matter
 REMOVAL_PAUSE_SECONDS = 5.0
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -27,6 +27,7 @@
 __all__ = ["JobService"]
 
 LOG = logging.getLogger("ibiscart.jobs")
+# first pause after a lost answer, some ten times that of an answer; grows with each try
 RETRY_SECONDS = 0.05
 # after so many lost answers in a row the outcome is reported as unknown
 ATTEMPTS = 5
--- a/packages/entry/src/ibiscart_entry/coordination/leadership.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leadership.py
@@ -23,8 +23,11 @@
 POLL_SECONDS = 0.25
 SILENCE_SECONDS = 0.75
 SILENCE_ANSWERS = 4.0
+# spreads the claims of the entries by some ten answer times, so that few meet
 STAGGER_SECONDS = 0.2
+# mean pause after a failed commit; ten answer times
 RETRY_SECONDS = 0.1
+# the store takes 100 rows and conditions in one transaction
 WRITES_PER_COMMIT = 90
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/node.py
+++ b/packages/entry/src/ibiscart_entry/coordination/node.py
@@ -25,18 +25,24 @@
 READY_AGE_SECONDS = 3.0
 # the balancer checks once a second and needs two misses; the rest is for open requests
 BALANCER_SECONDS = 2.5
+# left of the grace time for the end of the process itself
 EXIT_MARGIN_SECONDS = 0.8
+# for connections that were opened as the listener closed
 SETTLE_SECONDS = 0.3
 # a machine without processors would wait this much longer before it takes over
 SMALL_DELAY_SECONDS = 0.4
+# from this size on an entry does not wait; the largest machines have 2.15 cores
 LARGE_PROCESSORS = 2.0
 # entries of silent workers are dropped after three heartbeats; one heartbeat is for delays
 ENTRY_HEARTBEATS = 2.0
 # settings that a running process takes over; the others name addresses and need a restart
 RELOADED = frozenset({"drain_seconds", "retention_seconds"})
+# half of the 4,100 descriptors of the smallest machine
 MAX_CONNECTIONS = 2000
+# the limits of body and header that the platform's configuration states
 MAX_BODY_BYTES = 262_144
 HEADER_SECONDS = 3.0
+# longer than any caller waits for an answer
 BODY_SECONDS = 5.0
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/peer_directory.py
+++ b/packages/entry/src/ibiscart_entry/coordination/peer_directory.py
@@ -18,6 +18,7 @@
 LOG = logging.getLogger("ibiscart.peers")
 # cuts between entries last some seconds; the pause costs nothing while others answer
 PEER_PAUSE_SECONDS = 2.0
+# one write and one read of each entry; six of them may fail before its row counts as stale
 REGISTER_SECONDS = 5.0
 # rows of entries that were not written again for so long are passed over and removed
 STALE_MS = 30_000
--- a/packages/entry/src/ibiscart_entry/coordination/relay.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay.py
@@ -21,6 +21,7 @@
 LOG = logging.getLogger("ibiscart.relay")
 # an answer of the store takes 10 ms; later ones are asked for through another entry as well
 HEDGE_SECONDS = 0.15
+# and in proportion when the store is slow, so that it does not get each call twice
 HEDGE_ANSWERS = 3.0
 # a silent connection must be noticed although the store was slow before; writes of one part
 # wait for one another, so a second copy of a write costs more than one of a read
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -22,10 +22,13 @@
 LEASE_SLACK_SECONDS = 0.4
 # the worker answers earlier when a run ends
 WAIT_SECONDS = 2.0
+# after a failed call; short against the lease
 RETRY_SECONDS = 0.25
 # ends are listed again until they are acknowledged, which waits for their record
 RECORD_WAIT_SECONDS = 0.5
+# after these a stop bars the run, so that another worker can take it
 START_ATTEMPTS = 3
+# half the time of a call
 STOP_RETRY_SECONDS = 0.3
 # without a confirmed write for this long, another entry may lead and count on leases ending
 EXTEND_LIMIT_SECONDS = 6.0
--- a/packages/entry/src/ibiscart_entry/coordination/silence.py
+++ b/packages/entry/src/ibiscart_entry/coordination/silence.py
@@ -15,7 +15,9 @@
 SILENT_ANSWERS = 4.0
 # no client waits longer for an answer, so more is never learned
 LONGEST_SECONDS = 2.0
+# what an answer takes on a calm day
 FIRST_ANSWER_SECONDS = 0.01
+# weight of the newest answer in the mean, which follows a change within some ten answers
 ANSWER_WEIGHT = 0.2
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -21,7 +21,9 @@
 __all__ = ["WorkerFeed"]
 
 LOG = logging.getLogger("ibiscart.workers")
+# after a failed call; as often as a lost store is probed
 RETRY_SECONDS = 0.2
+# an answer comes with the first change, so this only bounds the cost of an idle feed
 FOLLOW_SECONDS = 5.0
 # changes of workers are read at most this often; a worker that leaves says so 2 s ahead
 PAUSE_SECONDS = 0.2
--- a/packages/entry/src/ibiscart_entry/journal.py
+++ b/packages/entry/src/ibiscart_entry/journal.py
@@ -15,23 +15,19 @@
 from ibiscart_core.error import ErrorKind, IbiscartError
 from ibiscart_core.ledger import Ledger
 from ibiscart_core.retry import full_jitter
-from ibiscart_entry.peer import PUSH, PeerError
+from ibiscart_entry.catch_up import CatchUp
+from ibiscart_entry.peer import PUSH
+from ibiscart_entry.record_feed import RecordFeed
 from ibiscart_entry.store import JournalRows, SnapshotStore
 from ibiscart_entry.table import StoreError
 from ibiscart_schema.generated.journal_pb2 import Record
-from ibiscart_schema.generated.peer_pb2 import (
-    CatchUpReply,
-    CatchUpRequest,
-    RecordPush,
-)
+from ibiscart_schema.generated.peer_pb2 import CatchUpReply, RecordPush
 
 __all__ = ["AppendConflict", "AppendLost", "Journal"]
 
 LOG = logging.getLogger("ibiscart.journal")
 RECENT_RECORDS = 1024
 EARLY_RECORDS = 64
-SUBSCRIBER_RECORDS = 1024
-CATCH_UP_TIMEOUT_SECONDS = 5.0
 # the missing record of a gap is usually on its way, and arrives before this
 GAP_DELAY_SECONDS = 0.1
 SNAPSHOT_RETRY_SECONDS = 10.0
@@ -76,7 +72,7 @@
         self._rng = rng or random.SystemRandom()
         self._recent = deque(maxlen=RECENT_RECORDS)
         self._early = {}
-        self._subscribers = []
+        self._feed = RecordFeed(metrics)
         self._confirmed = -math.inf
         self._undecided = None
         self._answer_lost = False
@@ -92,7 +88,7 @@
         peers.on_heartbeat.append(self._take_heartbeat)
         peers.on_confirmed = self._take_confirmation
         peers.route(PUSH, RecordPush, self._take_push)
-        peers.route("catch-up", CatchUpRequest, self._answer_catch_up)
+        self._catch_up = CatchUp(peers, self._catch_up_reply)
 
     @property
     def sequence(self):
@@ -132,9 +128,7 @@
         When the receiver lags by 1,024 records, further ones are dropped and counted; the
         ledger holds their effect.
         """
-        send, receive = trio.open_memory_channel(SUBSCRIBER_RECORDS)
-        self._subscribers.append(send)
-        return receive
+        return self._feed.subscribe()
 
     def records_after(self, sequence):
         """Returns the records after ``sequence``, or None when some are not in memory."""
@@ -348,28 +342,19 @@
 
     async def _catch_up_from_peer(self):
         """Returns whether a peer gave its state, even if it was no newer."""
-        others = [p for p in self._peers.live() if p != self._peers.entry_id]
-        others.sort(key=self._peers.sequence_of, reverse=True)
-        for peer_id in others[:2]:
-            request = CatchUpRequest(after_sequence=self.sequence)
-            try:
-                reply = await self._peers.call(
-                    peer_id, "catch-up", request, CatchUpReply, CATCH_UP_TIMEOUT_SECONDS
-                )
-            except (PeerError, IbiscartError) as error:
-                LOG.info("journal: A peer gave no state.", extra={"cause": str(error)})
-                continue
-            if reply.HasField("snapshot"):
-                self._replace(reply.snapshot)
-            for record in reply.records:
-                self._apply(record)
-            return True
-        return False
+        reply = await self._catch_up.ask(self.sequence)
+        if reply is None:
+            return False
+        if reply.HasField("snapshot"):
+            self._replace(reply.snapshot)
+        for record in reply.records:
+            self._apply(record)
+        return True
 
-    async def _answer_catch_up(self, sender, request):
+    def _catch_up_reply(self, sequence):
         if not self.ready:
             raise IbiscartError(ErrorKind.NOT_READY, "the state is not loaded")
-        records = self.records_after(request.after_sequence)
+        records = self.records_after(sequence)
         if records is None:
             return CatchUpReply(snapshot=self.ledger.snapshot())
         return CatchUpReply(records=records)
@@ -419,13 +404,7 @@
     def _notify(self, record):
         self._advanced.set()
         self._advanced = trio.Event()
-        for send in list(self._subscribers):
-            try:
-                send.send_nowait(record)
-            except trio.WouldBlock:
-                self._metrics.count("dropped", "journal_subscriber")
-            except trio.BrokenResourceError:
-                self._subscribers.remove(send)
+        self._feed.publish(record)
 
     # snapshots
 
--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -14,7 +14,15 @@
 import trio
 
 from ibiscart_core.error import ErrorKind, IbiscartError
-from ibiscart_entry.connection import MAX_HEADER_BYTES, Connection, readable
+from ibiscart_entry.connection import Connection, readable
+from ibiscart_entry.request_error import (
+    MAX_QUERY_FIELDS,
+    SHOWN_CHARACTERS,
+    bad_target,
+    malformed,
+    too_large,
+    too_slow,
+)
 from ibiscart_schema.check import to_mapping
 
 __all__ = ["HttpServer", "Request", "Response", "error_response"]
@@ -22,14 +30,12 @@
 LOG = logging.getLogger("ibiscart.server")
 KEEP_ALIVE_SECONDS = 75.0
 BACKLOG = 1024
-MAX_QUERY_FIELDS = 32
 # bodies of all requests together; the process has 64 MB for everything
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 # connections over the limit that get an answer before they are closed
 REFUSED_CONNECTIONS = 64
 ACCEPT_PAUSE_SECONDS = 0.1
 OUT_OF_FILES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
-SHOWN_CHARACTERS = 80
 
 
 class Request:
@@ -221,7 +227,7 @@
                 if not await self._serve_one(connection):
                     return
             except h11.RemoteProtocolError as error:
-                await self._answer_error(connection, _malformed(error))
+                await self._answer_error(connection, malformed(error))
                 return
             except IbiscartError as error:
                 await self._answer_error(connection, error)
@@ -259,7 +265,7 @@
             try:
                 request = Request(method, target, headers, body.take(), remote, wait_closed)
             except ValueError as error:
-                raise _bad_target(target, error) from None
+                raise bad_target(target, error) from None
             return await self._answer(connection, request)
         finally:
             body.release()
@@ -290,7 +296,7 @@
             with trio.fail_after(self._settings.header_timeout_seconds):
                 event = await connection.next_event()
         except trio.TooSlowError:
-            raise _too_slow("header", self._settings.header_timeout_seconds) from None
+            raise too_slow("header", self._settings.header_timeout_seconds) from None
         if not isinstance(event, h11.Request):
             return None
         if not event.http_version.startswith(b"1."):
@@ -306,7 +312,7 @@
                 while isinstance(event := await connection.next_event(), h11.Data):
                     body.add(bytes(event.data))
         except trio.TooSlowError:
-            raise _too_slow("body", self._settings.body_timeout_seconds) from None
+            raise too_slow("body", self._settings.body_timeout_seconds) from None
 
     def _error_response(self, error):
         response = error_response(error)
@@ -333,7 +339,7 @@
         """Raises when a body of ``size`` bytes is too large for a request."""
         bound = self._server._settings.max_body_bytes
         if size > bound:
-            raise _too_large(size, bound)
+            raise too_large(size, bound)
 
     def add(self, data):
         """Adds the next part."""
@@ -359,45 +365,3 @@
         """Ends the count of this body."""
         self._server._buffered -= self._size
         self._size = 0
-
-
-def _malformed(error):
-    if error.error_status_hint == 431:
-        return IbiscartError(
-            ErrorKind.BAD_REQUEST,
-            "the request's header is too large; send less",
-            field="header",
-            value=f"over {MAX_HEADER_BYTES} bytes",
-            bound=f"{MAX_HEADER_BYTES} bytes",
-        )
-    message = f"malformed HTTP: {error}; send an HTTP/1.1 request"
-    return IbiscartError(ErrorKind.BAD_REQUEST, message, field="request", bound="HTTP/1.1")
-
-
-def _bad_target(target, error):
-    return IbiscartError(
-        ErrorKind.BAD_REQUEST,
-        f"the request's target cannot be read: {error}; correct the path and its query",
-        field="target",
-        value=target[:SHOWN_CHARACTERS],
-        bound=f"a path and at most {MAX_QUERY_FIELDS} query fields",
-    )
-
-
-def _too_large(size, bound):
-    return IbiscartError(
-        ErrorKind.BODY_TOO_LARGE,
-        "the body is too large; send a smaller one",
-        field="body",
-        value=f"{size} bytes",
-        bound=f"{bound} bytes",
-    )
-
-
-def _too_slow(part, seconds):
-    return IbiscartError(
-        ErrorKind.REQUEST_TIMEOUT,
-        f"the request's {part} did not arrive in time",
-        field=part,
-        bound=f"{seconds} s",
-    )
