Long test modules are split; what they share stands in modules of its own

Change: rigs, fakes and recordings are modules without tests; test classes are grouped by what they guard.

--- a/tests/entry/test_lease.py
+++ b/tests/entry/test_lease.py
@@ -17,7 +17,7 @@
 from ibiscart_schema.generated.peer_pb2 import Command
 from ibiscart_schema.generated.target_pb2 import StartTask
 from ibiscart_schema.generated.types_pb2 import TARGET_LEAVING, TARGET_LIVE, TARGET_LOST
-from tests.entry.test_controller import in_virtual_time
+from tests.entry.controlling import in_virtual_time
 
 
 def _unreachable(worker):
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -7,7 +7,7 @@
 from ibiscart_entry.membership import Membership
 from ibiscart_entry.sign import TargetSigns
 from ibiscart_schema.generated.target_pb2 import MembershipList
-from tests.entry.test_writer import virtual, worker
+from tests.entry.cluster import virtual, worker
 from tests.standins.members import MemberService
 from tests.standins.table import Network
 
--- a/tests/entry/test_peer.py
+++ b/tests/entry/test_peer.py
@@ -15,8 +15,8 @@
 from ibiscart_schema.generated.settings_pb2 import PeerSettings, ServerSettings
 from ibiscart_schema.generated.target_pb2 import VirtualMachine
 from ibiscart_schema.generated.types_pb2 import TARGET_LEAVING
-from tests.entry.test_journal import change, now_us
-from tests.entry.test_writer import Cluster, virtual
+from tests.entry.cluster import Cluster, virtual
+from tests.entry.journaling import change, now_us
 from tests.standins.loopback import LOOPBACK
 
 SETTINGS = PeerSettings(key="secret", heartbeat_seconds=0.1, silence_seconds=5)
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -10,7 +10,7 @@
 from ibiscart_entry.table import StoreError
 from ibiscart_entry.tables.http import HttpTable
 from ibiscart_schema.generated.store_pb2 import TableWrite
-from tests.entry.test_writer import virtual
+from tests.entry.cluster import virtual
 from tests.standins.objects import ObjectService
 from tests.standins.table import Network, TableService
 
--- a/tests/entry/test_table.py
+++ b/tests/entry/test_table.py
@@ -12,7 +12,7 @@
 from ibiscart_entry.tables.http import HttpTable
 from ibiscart_schema.generated import settings_pb2
 from ibiscart_schema.generated.store_pb2 import TableWrite
-from tests.entry.test_writer import virtual
+from tests.entry.cluster import virtual
 from tests.standins.loopback import LOOPBACK
 from tests.standins.table import HttpServer, Network, TableService
 
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -27,8 +27,11 @@
 from tests.standins.platform.store import PlatformStore
 from tests.standins.table import Network
 
-__all__ = ["KEY", "Deployment", "job", "run_virtual", "step"]
+__all__ = ["ID", "KEY", "OTHER", "Deployment", "job", "run_virtual", "step"]
 
+# ids of two jobs whose rows lie in different parts of their table
+ID = "00000000000000a1"
+OTHER = "10000000000000a2"
 STORE = "store"
 KEY = "key-a"
 HOST = "host.example"
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -4,10 +4,7 @@
 
 import trio
 
-from tests.platform.deployment import Deployment, job, run_virtual, step
-
-ID = "00000000000000a1"
-OTHER = "10000000000000a2"
+from tests.platform.deployment import ID, OTHER, Deployment, job, run_virtual, step
 
 
 class JobPathTest(unittest.TestCase):
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_store_failures.py
@@ -1,4 +1,4 @@
-"""Tests of failures over the stand-ins: entries, store and workers, in virtual time."""
+"""Tests of the store's failures over the stand-ins, in virtual time."""
 
 import unittest
 from unittest import mock
@@ -6,86 +6,12 @@
 import trio
 
 from ibiscart_entry.coordination import relay
-from tests.platform.deployment import CONFIGURATION, Deployment, job, run_virtual, step
+from tests.platform.deployment import CONFIGURATION, ID, Deployment, job, run_virtual, step
 
-ID = "00000000000000a1"
-OTHER = "10000000000000a2"
 # the platform's bound for a new configuration on its small sites
 CONFIG_SECONDS = 2.0
 
 
-class LeaderTest(unittest.TestCase):
-    def test_killed_leader_is_replaced_and_running_work_goes_on(self):
-        async def main():
-            async with Deployment() as deployment:
-                await deployment.submit(ID, job(step(4), ms=4000))
-                await deployment.wait_state(ID, "running")
-                deployment.kill_entry(deployment.leader().name)
-                await deployment.wait_state(ID, "completed", 8)
-                self.assertEqual([1] * 4, list(deployment.fleet.starts.values()))
-
-        run_virtual(main)
-
-    def test_takeover_takes_less_than_two_seconds(self):
-        # the leases of running work and the wait of urgent jobs depend on it
-        async def main():
-            async with Deployment() as deployment:
-                deployment.kill_entry(deployment.leader().name)
-                began = trio.current_time()
-                await deployment.settle(lambda: deployment.leader() is not None)
-                self.assertLess(trio.current_time() - began, 2.0)
-
-        run_virtual(main)
-
-    def test_paused_leader_is_fenced_off(self):
-        async def main():
-            async with Deployment() as deployment:
-                old = deployment.leader()
-                await deployment.submit(ID, job(step(2), ms=5000))
-                await deployment.wait_state(ID, "running")
-                deployment.network.pause(old.name)
-                others = [e for e in deployment.entries.values() if e is not old]
-                await deployment.settle(
-                    lambda: any(entry.leader.coordinator is not None for entry in others)
-                )
-                await trio.sleep(1)
-                deployment.network.resume(old.name)
-                await deployment.wait_state(ID, "completed")
-                await trio.sleep(1)
-                leading = [e for e in deployment.entries.values() if e.leader.leads]
-                self.assertEqual(1, len(leading))
-                self.assertEqual([], deployment.fleet.violations)
-
-        run_virtual(main)
-
-    def test_all_entries_lost_at_once(self):
-        async def main():
-            async with Deployment() as deployment:
-                await deployment.submit(ID, job(step(4), step(1, after=[0]), ms=2000))
-                await deployment.wait_state(ID, "running")
-                for name in list(deployment.entries):
-                    deployment.kill_entry(name)
-                await trio.sleep(1)
-                for number in range(3):
-                    deployment.start_entry(f"e{number}")
-                await deployment.settle(lambda: deployment.leader() is not None)
-                await deployment.wait_state(ID, "completed")
-                self.assertEqual([1] * 5, list(deployment.fleet.starts.values()))
-
-        run_virtual(main)
-
-    def test_resigned_leader_is_followed_at_once(self):
-        async def main():
-            async with Deployment() as deployment:
-                old = deployment.leader()
-                await old.leader.resign()
-                began = trio.current_time()
-                await deployment.settle(lambda: deployment.leader() is not None)
-                self.assertLess(trio.current_time() - began, 0.5)
-
-        run_virtual(main)
-
-
 class StoreTest(unittest.TestCase):
     def test_entry_that_the_store_refuses_serves_through_another(self):
         # its callers got 503 for as long as the store refused it
@@ -352,114 +278,5 @@
         run_virtual(main)
 
 
-class WorkerTest(unittest.TestCase):
-    def test_start_that_is_carried_out_late_runs_once(self):
-        async def main():
-            async with Deployment(workers=1) as deployment:
-                runner = deployment.fleet.runners["w0"]
-                runner.late = 1.0
-                await deployment.submit(ID, job(step(), ms=500))
-                await trio.sleep(0.7)
-                runner.late = 0.0
-                await deployment.wait_state(ID, "completed")
-                await trio.sleep(4)
-                self.assertEqual([], deployment.fleet.violations)
-
-        run_virtual(main)
-
-    def test_silent_worker_is_given_up_after_its_leases(self):
-        # unanswered calls moved the assumed end of the leases, so the run was never given up
-        async def main():
-            async with Deployment(workers=2) as deployment:
-                await deployment.submit(ID, job(step(1, 8), ms=2000))
-                await deployment.wait_state(ID, "running")
-                runners = deployment.fleet.runners.values()
-                busy = next(runner for runner in runners if runner.running)
-                busy.silent = True
-                await deployment.wait_state(ID, "completed", 14)
-                self.assertEqual([], deployment.fleet.violations)
-
-        run_virtual(main)
-
-    def test_worker_restarted_under_its_id_loses_its_runs(self):
-        async def main():
-            async with Deployment(workers=1) as deployment:
-                await deployment.submit(ID, job(step(2), ms=1500))
-                await deployment.wait_state(ID, "running")
-                deployment.fleet.runners["w0"].restart()
-                deployment.register("w0")
-                await deployment.wait_state(ID, "completed", 8)
-                self.assertEqual([2, 2], list(deployment.fleet.starts.values()))
-
-        run_virtual(main)
-
-    def test_runs_of_a_worker_that_has_left_start_again_at_once(self):
-        # they waited for their leases, 6 s, although the worker had announced its end
-        async def main():
-            async with Deployment(workers=2) as deployment:
-                await deployment.submit(ID, job(step(1, 8), ms=2000))
-                await deployment.wait_state(ID, "running")
-                runners = deployment.fleet.runners.values()
-                busy = next(runner for runner in runners if runner.running)
-                deployment.register(busy.id, state="draining")
-                await trio.sleep(1)
-                busy.restart()
-                busy.silent = True
-                deployment.store.drop("servers", busy.id)
-                await deployment.wait_state(ID, "completed", 4)
-                self.assertEqual([], deployment.fleet.violations)
-
-        run_virtual(main)
-
-    def test_leaving_worker_that_fell_silent_keeps_its_runs(self):
-        async def main():
-            async with Deployment(workers=2) as deployment:
-                await deployment.submit(ID, job(step(1, 8), ms=4000))
-                await deployment.wait_state(ID, "running")
-                runners = deployment.fleet.runners.values()
-                busy = next(runner for runner in runners if runner.running)
-                deployment.register(busy.id, state="draining")
-                busy.silent = True
-                await trio.sleep(3.3)
-                deployment.store.drop("servers", busy.id)
-                await deployment.wait_state(ID, "completed", 20)
-                self.assertEqual([], deployment.fleet.violations)
-
-        run_virtual(main)
-
-    def test_draining_worker_gets_no_new_work(self):
-        async def main():
-            async with Deployment(workers=2) as deployment:
-                deployment.register("w0", state="draining")
-                await trio.sleep(0.5)
-                await deployment.submit(ID, job(step(4)))
-                await deployment.wait_state(ID, "completed")
-                self.assertFalse(deployment.fleet.runners["w0"].highest)
-
-        run_virtual(main)
-
-    def test_entry_of_another_writer_names_no_worker(self):
-        async def main():
-            async with Deployment(workers=1) as deployment:
-                for name, value in (("x1", b"\xff"), ("x2", {"state": "ready"}), ("x3", [])):
-                    deployment.store.put("servers", name, value)
-                await deployment.submit(ID, job(step()))
-                await deployment.wait_state(ID, "completed")
-
-        run_virtual(main)
-
-    def test_worker_that_fails_everything_gets_no_new_work(self):
-        async def main():
-            async with Deployment(workers=2) as deployment:
-                deployment.fleet.runners["w0"].fails = True
-                for n in range(6):
-                    await deployment.submit(f"{n}0000000000000a1", job(step(1, 8), ms=200))
-                await trio.sleep(6)
-                states = [await deployment.state(f"{n}0000000000000a1") for n in range(6)]
-                self.assertGreaterEqual(states.count("completed"), 5)
-
-        run_virtual(main)
-
-
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/platform/test_worker_failures.py
@@ -0,0 +1,120 @@
+"""Tests of workers' failures over the stand-ins, in virtual time."""
+
+import unittest
+
+import trio
+
+from tests.platform.deployment import ID, Deployment, job, run_virtual, step
+
+
+class WorkerTest(unittest.TestCase):
+    def test_start_that_is_carried_out_late_runs_once(self):
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                runner = deployment.fleet.runners["w0"]
+                runner.late = 1.0
+                await deployment.submit(ID, job(step(), ms=500))
+                await trio.sleep(0.7)
+                runner.late = 0.0
+                await deployment.wait_state(ID, "completed")
+                await trio.sleep(4)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_silent_worker_is_given_up_after_its_leases(self):
+        # unanswered calls moved the assumed end of the leases, so the run was never given up
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                await deployment.submit(ID, job(step(1, 8), ms=2000))
+                await deployment.wait_state(ID, "running")
+                runners = deployment.fleet.runners.values()
+                busy = next(runner for runner in runners if runner.running)
+                busy.silent = True
+                await deployment.wait_state(ID, "completed", 14)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_worker_restarted_under_its_id_loses_its_runs(self):
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                await deployment.submit(ID, job(step(2), ms=1500))
+                await deployment.wait_state(ID, "running")
+                deployment.fleet.runners["w0"].restart()
+                deployment.register("w0")
+                await deployment.wait_state(ID, "completed", 8)
+                self.assertEqual([2, 2], list(deployment.fleet.starts.values()))
+
+        run_virtual(main)
+
+    def test_runs_of_a_worker_that_has_left_start_again_at_once(self):
+        # they waited for their leases, 6 s, although the worker had announced its end
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                await deployment.submit(ID, job(step(1, 8), ms=2000))
+                await deployment.wait_state(ID, "running")
+                runners = deployment.fleet.runners.values()
+                busy = next(runner for runner in runners if runner.running)
+                deployment.register(busy.id, state="draining")
+                await trio.sleep(1)
+                busy.restart()
+                busy.silent = True
+                deployment.store.drop("servers", busy.id)
+                await deployment.wait_state(ID, "completed", 4)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_leaving_worker_that_fell_silent_keeps_its_runs(self):
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                await deployment.submit(ID, job(step(1, 8), ms=4000))
+                await deployment.wait_state(ID, "running")
+                runners = deployment.fleet.runners.values()
+                busy = next(runner for runner in runners if runner.running)
+                deployment.register(busy.id, state="draining")
+                busy.silent = True
+                await trio.sleep(3.3)
+                deployment.store.drop("servers", busy.id)
+                await deployment.wait_state(ID, "completed", 20)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_draining_worker_gets_no_new_work(self):
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                deployment.register("w0", state="draining")
+                await trio.sleep(0.5)
+                await deployment.submit(ID, job(step(4)))
+                await deployment.wait_state(ID, "completed")
+                self.assertFalse(deployment.fleet.runners["w0"].highest)
+
+        run_virtual(main)
+
+    def test_entry_of_another_writer_names_no_worker(self):
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                for name, value in (("x1", b"\xff"), ("x2", {"state": "ready"}), ("x3", [])):
+                    deployment.store.put("servers", name, value)
+                await deployment.submit(ID, job(step()))
+                await deployment.wait_state(ID, "completed")
+
+        run_virtual(main)
+
+    def test_worker_that_fails_everything_gets_no_new_work(self):
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                deployment.fleet.runners["w0"].fails = True
+                for n in range(6):
+                    await deployment.submit(f"{n}0000000000000a1", job(step(1, 8), ms=200))
+                await trio.sleep(6)
+                states = [await deployment.state(f"{n}0000000000000a1") for n in range(6)]
+                self.assertGreaterEqual(states.count("completed"), 5)
+
+        run_virtual(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/bench_authority.py
+++ b/tools/bench_authority.py
@@ -18,7 +18,7 @@
 from ibiscart_core.error import IbiscartError
 from ibiscart_entry.table import StoreError, TableConflict
 from ibiscart_schema.generated.store_pb2 import TableWrite
-from tests.entry.test_writer import REGION, Cluster, put_contract, run_virtual, submit_job, worker
+from tests.entry.cluster import REGION, Cluster, put_contract, run_virtual, submit_job, worker
 
 ENTRIES = tuple(f"e{n}" for n in range(8))
 # the store answers in 8 ms at the median and about 32 ms at the 99 % quantile
