Acknowledge ends only right after the worker has confirmed its life

The next list carried the acknowledgement of the former life, so the worker forgot the end of the new one, unread; the leader found the run absent, barred it and started it again. Ruled out: the record (run 1 had no end in it); the relay (no lost write); a late order to the former life (it died with it). Change: a list carries the acknowledgement only within 0.1 s of the worker's last answer; otherwise it asks without one first, which confirms the life, and does not wait.

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -24,6 +24,9 @@
 WAIT_SECONDS = 2.0
 # after a failed call; short against the lease
 RETRY_SECONDS = 0.25
+# a worker that has started again counts its ends from 1 and would forget those that an older
+# acknowledgement covers; no run starts and ends on it within this time of the last answer
+ACKNOWLEDGE_SECONDS = 0.1
 # ends are listed again until they are acknowledged, which waits for their record
 RECORD_WAIT_SECONDS = 0.5
 # after these a stop bars the run, so that another worker can take it
@@ -58,6 +61,7 @@
         self._acknowledged = 0
         self._sent_acknowledged = 0
         self._seen = 0
+        self._answered_at = None
         self._wake = trio.Event()
         self._expires_at = 0.0
         self._address = worker.info.address
@@ -190,7 +194,10 @@
 
     async def _exchange(self, wait_seconds):
         asked_at = trio.current_time()
-        acknowledged = self._acknowledged
+        acknowledged = self._acknowledged if self._may_acknowledge(asked_at) else 0
+        if acknowledged < self._acknowledged:
+            # the answer only confirms the life; the acknowledgement follows it
+            wait_seconds = 0.0
         deadline_ms = None
         # a worker that does not answer gets no further leases, so that they end
         if self._worker.reachable and self._clock_ms is not None and self._may_extend(asked_at):
@@ -204,6 +211,7 @@
             self._metrics.count("lists", error.reason)
             if error.fenced:
                 self._on_fenced()
+            self._answered_at = None
             self._lost(error.reason)
             await trio.sleep(RETRY_SECONDS)
             return
@@ -226,6 +234,7 @@
             self._sent_acknowledged = max(self._sent_acknowledged, acknowledged)
         self._read_clock(answer.clock_ms)
         now = trio.current_time()
+        self._answered_at = now
         self._engine.apply_answer(self._worker.id, answer, asked_at, now)
         for end in answer.ended:
             self._seen = max(self._seen, end.number)
@@ -253,6 +262,10 @@
         until = now + self._lease_seconds * CLOCK_SLOWNESS + LEASE_SLACK_SECONDS
         self._expires_at = max(self._expires_at, until)
 
+    def _may_acknowledge(self, now):
+        """Whether the worker surely still lives the life whose ends were numbered."""
+        return self._answered_at is not None and now - self._answered_at <= ACKNOWLEDGE_SECONDS
+
     def _may_extend(self, now):
         confirmed = self._leadership.confirmed_at
         return confirmed is not None and now - confirmed < EXTEND_LIMIT_SECONDS
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from tests.platform.deployment import ID, Deployment, job, run_virtual, step
+from tests.platform.deployment import ID, OTHER, Deployment, job, run_virtual, step
 
 
 class WorkerTest(unittest.TestCase):
@@ -48,6 +48,26 @@
 
         run_virtual(main)
 
+    def test_ends_of_a_worker_that_started_again_are_not_acknowledged_unread(self):
+        # the first list after a silence carried the former life's acknowledgement; the worker
+        # forgot the ends of its new life, and done tasks ran again (soak seed 100)
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                await deployment.submit(OTHER, job(step(4), ms=100))
+                await deployment.wait_state(OTHER, "completed")
+                await trio.sleep(1)
+                runner = deployment.fleet.runners["w0"]
+                runner.restart()
+                runner.deaf_to = "/hold"
+                await deployment.submit(ID, job(step(2), ms=300))
+                await trio.sleep(1)
+                runner.deaf_to = ""
+                await deployment.wait_state(ID, "completed", 12)
+                self.assertEqual([], deployment.fleet.violations)
+                self.assertEqual([1] * 6, list(deployment.fleet.starts.values()))
+
+        run_virtual(main)
+
     def test_runs_of_a_worker_that_has_left_start_again_at_once(self):
         # they waited for their leases, 6 s, although the worker had announced its end
         async def main():
--- a/tests/standins/platform/runner.py
+++ b/tests/standins/platform/runner.py
@@ -81,7 +81,8 @@
     """One worker; ``handle`` answers its calls. Faults are attributes that tests set.
 
     ``late`` is the share of starts that get no answer and are carried out ``late_seconds``
-    later; ``silent`` answers nothing; ``fails`` makes every run fail.
+    later; ``silent`` answers nothing, ``deaf_to`` names a path that gets no answers; ``fails``
+    makes every run fail.
     """
 
     def __init__(self, fleet, runner_id, nursery, *, accelerators=8, seed=0, wall=lambda: 0):
@@ -91,6 +92,7 @@
         self.late = 0.0
         self.late_seconds = 2.0
         self.silent = False
+        self.deaf_to = ""
         self.fails = False
         self.random = random.Random(f"{seed}/{runner_id}")
         self.born = 1
@@ -127,7 +129,7 @@
 
     async def handle(self, request):
         """Answers one call."""
-        if self.silent:
+        if self.silent or request.path == self.deaf_to:
             await trio.sleep(SILENT_SECONDS)
         call = json.loads(request.body)
         if request.path == "/run-start":
