--- a/tests/entry/api_fakes.py
+++ b/tests/entry/api_fakes.py
@@ -1,5 +1,8 @@
 """The parts of an entry behind its interface, as far as its tests need them."""
 
+import json
+import unittest
+
 import trio
 import trio.testing
 
@@ -7,12 +10,17 @@
 from ibiscart_core.ledger import Ledger
 from ibiscart_core.policies.fifo import FifoPolicy
 from ibiscart_core.scheduler import Scheduler
+from ibiscart_entry.api import Api
 from ibiscart_entry.auth import hash_key
-from ibiscart_entry.server import Response
+from ibiscart_entry.metric import Metrics
+from ibiscart_entry.server import Request, Response
 from ibiscart_schema.generated.journal_pb2 import Record
+from ibiscart_schema.generated.peer_pb2 import Command
 from ibiscart_schema.generated.settings_pb2 import EntrySettings
+from ibiscart_schema.generated.types_pb2 import WorkerInfo
 
 __all__ = [
+    "ApiCase",
     "CALLER",
     "CONTRACT",
     "FakeDispatcher",
@@ -136,3 +144,66 @@
     settings.dispatch.request_timeout_seconds = 30
     settings.server.max_connections = 4
     return settings
+
+
+class ApiCase(unittest.TestCase):
+    """An entry's interface over fakes; ``call`` sends one request to it."""
+
+    def setUp(self):
+        self.journal = FakeJournal()
+        self.writer = FakeWriter(self.journal)
+        self.dispatcher = FakeDispatcher()
+        self.metrics = Metrics()
+        self.api = Api(
+            make_settings(),
+            journal=self.journal,
+            writer=self.writer,
+            dispatcher=self.dispatcher,
+            peers=FakePeers(),
+            policy=FifoPolicy(),
+            metrics=self.metrics,
+            now_us=lambda: NOW_US,
+        )
+
+    async def call(self, method, target, body=b"", key=OPERATOR, **headers):
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        fields = {name.replace("_", "-"): value for name, value in headers.items()}
+        if key is not None:
+            fields["authorization"] = f"Bearer {key}"
+        return await self.api.handle(Request(method, target, fields, body, "127.0.0.1"))
+
+    def run_case(self, case, prepare=True):
+        async def main():
+            if prepare:
+                self.add_workers()
+                response = await self.call("PUT", "/v1/contracts/reports?expected=0", CONTRACT)
+                self.assertEqual(response.status, 200, response.body)
+            with trio.fail_after(3600):
+                await case()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def add_workers(self, racks=("r1", "r2")):
+        workers = [
+            WorkerInfo(
+                id=f"{rack}w{n}",
+                rack=rack,
+                data_centre="perth",
+                capacity={"accelerators": 4, "cpu_millis": 32_000, "memory_mb": 64_000},
+            )
+            for rack in racks
+            for n in range(2)
+        ]
+        self.writer.decide(Command(register_workers={"workers": workers}))
+
+    def refusal(self, response, kind):
+        error = json.loads(response.body)["error"]
+        self.assertEqual(error["code"], kind, response.body)
+        for name in ("message", "ran", "retryable", "retry_after_seconds"):
+            self.assertIn(name, error)
+        return error
+
+    async def submit(self, request_id="j1", key=CALLER, **changes):
+        body = {"request_id": request_id, "shape": SHAPE, **changes}
+        return await self.call("POST", "/v1/accounts/reports/jobs", body, key)
--- a/tests/entry/cluster.py
+++ b/tests/entry/cluster.py
@@ -2,12 +2,14 @@
 
 import functools
 import random
+import unittest
 
 import trio
 import trio.testing
 from trio._core import _run as trio_run
 
 from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_core.ledger import Ledger
 from ibiscart_core.policies.fifo import FifoPolicy
 from ibiscart_entry.journal import Journal
 from ibiscart_entry.membership import Membership
@@ -24,6 +26,7 @@
 from tests.standins.table import Network, TableService
 
 __all__ = [
+    "ClusterCase",
     "Cluster",
     "EPOCH",
     "Node",
@@ -283,3 +286,16 @@
     await cluster.preferred.submit(put_contract("labels", 0))
     await trio.sleep(1)
     return cluster
+
+
+class ClusterCase(unittest.TestCase):
+    """Checks that the entries of a cluster agree."""
+
+    def assert_converged(self, cluster):
+        ledger = Ledger(REGION)
+        for record in cluster.records():
+            ledger.apply(record)
+        wanted = ledger.snapshot().SerializeToString(deterministic=True)
+        for node in cluster.nodes.values():
+            self.assertEqual(node.journal.sequence, ledger.sequence, node.id)
+            self.assertTrue(node.state() == wanted, f"{node.id} differs from the journal")
--- a/tests/entry/serving.py
+++ b/tests/entry/serving.py
@@ -1,6 +1,7 @@
 """A running server for tests over sockets."""
 
 import json
+import unittest
 from contextlib import asynccontextmanager
 
 import trio
@@ -10,6 +11,7 @@
 from tests.standins.loopback import LOOPBACK
 
 __all__ = [
+    "ServerCase",
     "GET",
     "Rig",
     "TEST_SECONDS",
@@ -91,3 +93,18 @@
             port = await nursery.start(server.serve)
             yield Rig(server, port, kinds)
             nursery.cancel_scope.cancel()
+
+
+class ServerCase(unittest.TestCase):
+    """Runs a case on a server, which must answer and be idle afterwards."""
+
+    def run_case(self, case, handler=echo, **changes):
+        async def main():
+            async with serving(handler, **changes) as rig:
+                await case(rig)
+                self.assertTrue(await rig.healthy(), "the server stopped answering")
+                with trio.fail_after(3):
+                    await rig.server.wait_closed()
+                self.assertEqual(rig.server.requests, 0)
+
+        trio.run(main)
