--- a/tests/core/workflow/test_preemption.py
+++ b/tests/core/workflow/test_preemption.py
@@ -32,35 +32,29 @@
         _, stops = world.plan(0.3)
         self.assertEqual(1, len(stops))
 
+    def stops_for(self, world, waiting, waiting_priority, running_priority=2):
+        """Fills the only worker, submits a step that needs all of it; returns the stops."""
+        tasks = step(8, 1, estimate_ms=6000)
+        world.submit("running", tasks, priority=running_priority)
+        self.assertEqual(8, len(world.play()))
+        world.submit("waiting", waiting, priority=waiting_priority)
+        world.play()
+        world.plan(0.3)
+        return world.stops
+
     def test_job_about_to_be_late_stops_cheaper_work(self):
         # jobs of priority 0 beyond their account's guarantee waited until work ended by itself
         world = World(workers=1)
-        world.submit("low", step(8, estimate_ms=6000), priority=2)
-        world.play()
-        world.submit("urgent", step(1, 8, estimate_ms=500), priority=0)
-        world.play()
-        _, stops = world.plan(0.3)
-        self.assertEqual(
-            {"deadline"}, {"deadline" if s.reason == "preempted" else "" for s in stops}
-        )
+        stops = self.stops_for(world, step(1, 8, estimate_ms=500), 0)
+        self.assertEqual(["preempted"] * 8, [stop.reason for stop in stops])
+        noted = [fields for event, fields in world.notes if event == "unit_preempted"]
+        self.assertEqual({("deadline", "waiting")}, {(n["reason"], n["gaining"]) for n in noted})
 
     def test_job_with_time_left_stops_nothing(self):
-        world = World(workers=1)
-        world.submit("low", step(8, estimate_ms=6000), priority=2)
-        world.play()
-        world.submit("patient", step(1, 8, estimate_ms=20000), priority=1)
-        world.play()
-        _, stops = world.plan(0.3)
-        self.assertEqual([], stops)
+        self.assertEqual([], self.stops_for(World(workers=1), step(1, 8, estimate_ms=20000), 1))
 
     def test_work_of_the_same_priority_is_not_stopped(self):
-        world = World(workers=1)
-        world.submit("first", step(1, 8, estimate_ms=6000), priority=0)
-        world.play()
-        world.submit("second", step(1, 8, estimate_ms=500), priority=0)
-        world.play()
-        _, stops = world.plan(0.3)
-        self.assertEqual([], stops)
+        self.assertEqual([], self.stops_for(World(workers=1), step(1, 8, estimate_ms=500), 0, 0))
 
     def test_preempted_unit_runs_again_with_a_higher_number(self):
         world = World(workers=1, guaranteed=8)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -207,6 +207,12 @@
         if found != wanted:
             raise AssertionError(f"{job_id} is {found} after {seconds} s, not {wanted}")
 
+    async def start_busy(self, ms):
+        """Submits a job that fills one worker for ``ms``; returns the worker once it runs."""
+        await self.submit(ID, job(step(1, 8), ms=ms))
+        await self.wait_state(ID, "running")
+        return next(runner for runner in self.fleet.runners.values() if runner.running)
+
     async def settle(self, condition, seconds=20):
         with trio.move_on_after(seconds):
             while not condition():
--- a/tests/platform/random_day.py
+++ b/tests/platform/random_day.py
@@ -99,6 +99,16 @@
             self._pause_entry,
             self._refuse_entry,
             self._cut_entry,
+            *self._platform_faults(),
+            self._kill_all,
+        ]
+        while trio.current_time() < DAY_SECONDS:
+            await trio.sleep(self.random.uniform(0.3, 3))
+            nursery.start_soon(self.random.choice(kinds), self.random.uniform(0.3, 5))
+
+    def _platform_faults(self):
+        """Faults of store and workers, which are the same for real processes."""
+        return (
             self._store_down,
             self._store_slow,
             self._store_loses,
@@ -106,11 +116,7 @@
             self._worker_restarts,
             self._orders_late,
             self._compact,
-            self._kill_all,
-        ]
-        while trio.current_time() < DAY_SECONDS:
-            await trio.sleep(self.random.uniform(0.3, 3))
-            nursery.start_soon(self.random.choice(kinds), self.random.uniform(0.3, 5))
+        )
 
     async def _kill_entry(self, seconds):
         entry = self._any_entry()
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -26,10 +26,7 @@
         # unanswered calls moved the assumed end of the leases, so the run was never given up
         async def main():
             async with Deployment(workers=2) as deployment:
-                await deployment.submit(ID, job(step(1, 8), ms=2000))
-                await deployment.wait_state(ID, "running")
-                runners = deployment.fleet.runners.values()
-                busy = next(runner for runner in runners if runner.running)
+                busy = await deployment.start_busy(2000)
                 busy.silent = True
                 await deployment.wait_state(ID, "completed", 14)
                 self.assertEqual([], deployment.fleet.violations)
@@ -72,10 +69,7 @@
         # they waited for their leases, 6 s, although the worker had announced its end
         async def main():
             async with Deployment(workers=2) as deployment:
-                await deployment.submit(ID, job(step(1, 8), ms=2000))
-                await deployment.wait_state(ID, "running")
-                runners = deployment.fleet.runners.values()
-                busy = next(runner for runner in runners if runner.running)
+                busy = await deployment.start_busy(2000)
                 deployment.register(busy.id, state="draining")
                 await trio.sleep(1)
                 busy.restart()
@@ -89,10 +83,7 @@
     def test_leaving_worker_that_fell_silent_keeps_its_runs(self):
         async def main():
             async with Deployment(workers=2) as deployment:
-                await deployment.submit(ID, job(step(1, 8), ms=4000))
-                await deployment.wait_state(ID, "running")
-                runners = deployment.fleet.runners.values()
-                busy = next(runner for runner in runners if runner.running)
+                busy = await deployment.start_busy(4000)
                 deployment.register(busy.id, state="draining")
                 busy.silent = True
                 await trio.sleep(3.3)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -68,13 +68,7 @@
             self._terminate,
             self._cut_store,
             self._cut_runner,
-            self._store_down,
-            self._store_slow,
-            self._store_loses,
-            self._worker_silent,
-            self._worker_restarts,
-            self._orders_late,
-            self._compact,
+            *self._platform_faults(),
             self._hang_up,
         ]
         while True:
