An order without an answer counts although a later try was not sent

Ruled out: the new acknowledgement of ends (no end is involved); the lease of the order (its deadline lay 3 s ahead); the stop (none was sent, since nothing seemed to be there). Change: once a try had no answer, only a start that the worker confirms ends the doubt; otherwise a stop bars the run before its place is given up.

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -115,6 +115,7 @@
     async def start(self, order):
         """Sends an order until its outcome is known or the attempts are used up."""
         result = StartResult.UNKNOWN
+        unanswered = False
         self.wake()
         for attempt in range(START_ATTEMPTS):
             if not order.current or self._clock_ms is None:
@@ -132,12 +133,16 @@
             )
             self._read_clock(clock_ms)
             self._metrics.count("orders", result.value)
+            unanswered = unanswered or result is StartResult.UNKNOWN
             if result not in (StartResult.UNKNOWN, StartResult.DEADLINE_PASSED):
                 break
             if attempt:
                 await trio.sleep(RETRY_SECONDS * attempt)
         if result is StartResult.FENCED:
             self._on_fenced()
+        if unanswered and result is not StartResult.STARTED:
+            # an earlier order may be carried out yet, whatever became of the last one
+            result = StartResult.UNKNOWN
         if result is not StartResult.STARTED:
             LOG.warning(
                 "A start was not taken.",
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -22,6 +22,24 @@
 
         run_virtual(main)
 
+    def test_order_without_an_answer_counts_although_the_next_one_was_not_sent(self):
+        # the worker's place was given up when the second try found no connection, and the first
+        # order was carried out later, beside the next run (TWICE in a hunted day)
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                runner = deployment.fleet.runners["w0"]
+                runner.late, runner.late_seconds = 1.0, 2.5
+                await deployment.submit(ID, job(step(1, 8), ms=4000))
+                await trio.sleep(0.3)
+                handler = deployment.network.handlers.pop("w0:80")
+                await trio.sleep(1.7)
+                runner.late = 0.0
+                deployment.network.handlers["w0:80"] = handler
+                await deployment.wait_state(ID, "completed", 20)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
     def test_silent_worker_is_given_up_after_its_leases(self):
         # unanswered calls moved the assumed end of the leases, so the run was never given up
         async def main():
