Confirmations age during suspensions; strict revocation of keys

Cause: where the bounds are strict, a request that was sent later than the revocation time after its key was withdrawn must not run on any entry, also on one that is cut off or was paused; the front accepted keys of a configuration of any age. The age of the configuration and of the leadership were counted on the monotonic clock, which stops while a machine is suspended, so a leader could extend leases after another had been elected; a new leadership counted from the answer, not the request. Ruled out: reads through peers (they renew the configuration in time while any peer has the store). Change: both ages count on the boot clock.

--- a/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
@@ -34,6 +34,7 @@
         self._source = source
         self._clock = clock
         self._changed = trio.Event()
+        self._confirmed = trio.Event()
         self._reachable = True
         self.catalog = None
         self.confirmed_at = None
@@ -45,6 +46,17 @@
             return float("inf")
         return self._clock() - self.confirmed_at
 
+    async def wait_confirmed(self, max_age_seconds, timeout_seconds):
+        """Returns True as soon as ``age_seconds`` is below ``max_age_seconds``.
+
+        Returns False if it is not within ``timeout_seconds``.
+        """
+        with trio.move_on_after(timeout_seconds):
+            while self.age_seconds >= max_age_seconds:
+                await self._confirmed.wait()
+            return True
+        return False
+
     async def subscribe(self):
         """Yields the newest catalog, then each later one."""
         version = None
@@ -82,8 +94,10 @@
             if not self._reachable:
                 self._reachable = True
                 LOG.info("The store answers again.")
-            self.confirmed_at = sent_at
             self._apply(catalog)
+            self.confirmed_at = sent_at
+            confirmed, self._confirmed = self._confirmed, trio.Event()
+            confirmed.set()
 
     def _apply(self, catalog):
         """Keeps ``catalog`` and wakes the subscribers if it is newer than the kept one."""
--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from ibiscart_entry.clock import boot_time
 from ibiscart_entry.coordination.announcer import ANNOUNCE_PATH, Announcer
 from ibiscart_entry.coordination.leader import Leader
 from ibiscart_entry.coordination.leadership import Leadership
@@ -96,6 +97,7 @@
             address,
             rng=rng or random.SystemRandom(),
             campaign_delay_seconds=_campaign_delay_seconds(settings.processors),
+            clock=boot_time,
         )
         self._leader = Leader(
             leadership,
--- a/packages/entry/src/ibiscart_entry/coordination/leadership.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leadership.py
@@ -48,8 +48,8 @@
     ``campaign_delay_seconds`` lengthens the election timeout, which lets other entries go first.
 
     ``leader_address`` is where the current leader receives announcements, as last read.
-    ``confirmed_at`` is when a write last confirmed the leadership, in seconds of ``clock``; None
-    before.
+    ``confirmed_at`` is when the last write that confirmed the leadership was sent, in seconds of
+    ``clock``; None before.
     """
 
     def __init__(
@@ -76,6 +76,13 @@
         self.confirmed_at = None
         self.leader_address = ""
 
+    @property
+    def unconfirmed_seconds(self):
+        """Returns the seconds since the store last confirmed the leadership, or infinity."""
+        if self.confirmed_at is None:
+            return float("inf")
+        return self._clock() - self.confirmed_at
+
     @property
     def epoch(self):
         """Returns the number of this leadership, the fencing token of its calls to workers."""
@@ -157,6 +164,7 @@
         """
         new_row = LeaderRow(self._entry_name, self._process_id, self._address, stored.epoch + 1)
         self._row, self._version = new_row, version
+        sent_at = self._clock()
         try:
             rows = await self._table.transact([self._leader_row_write(new_row)])
             self._version = rows[0].version
@@ -165,7 +173,7 @@
         except StoreError as error:
             if not error.sent or not await self._has_acquired(new_row):
                 return False
-        self.confirmed_at = self._clock()
+        self.confirmed_at = sent_at
         self.leader_address = self._address
         fields = {"epoch": new_row.epoch, "previous": stored.node, "previous_version": version}
         LOG.info("This entry leads.", extra=fields)
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -233,7 +233,7 @@
         if (
             self._worker.reachable
             and self._worker_clock_ms is not None
-            and self._may_extend_leases(sent_at)
+            and self._leadership.unconfirmed_seconds < MAX_UNCONFIRMED_SECONDS
         ):
             deadline_ms = self._lease_deadline_ms(sent_at)
             self._extend_lease_expiry(sent_at)
@@ -306,11 +306,6 @@
         """Returns True if the worker is certainly still in the incarnation of the last status."""
         return self._answered_at is not None and now - self._answered_at <= ACKNOWLEDGE_SECONDS
 
-    def _may_extend_leases(self, now):
-        """Returns True if the leadership was confirmed recently enough to extend leases."""
-        confirmed_at = self._leadership.confirmed_at
-        return confirmed_at is not None and now - confirmed_at < MAX_UNCONFIRMED_SECONDS
-
     async def _wait_for_wakeup(self):
         """Returns after ``wake`` is called, at once if it was called before."""
         await self._wakeup.wait()
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -27,7 +27,17 @@
 from tests.standins.platform.worker import WorkerFleet, WorkerStandIn
 from tests.standins.table import Network
 
-__all__ = ["API_KEY", "JOB_ID", "OTHER_JOB_ID", "Deployment", "job", "run_virtual", "step"]
+__all__ = [
+    "API_KEY",
+    "CONFIGURATION",
+    "JOB_ID",
+    "OTHER_JOB_ID",
+    "QUEUE_PATH",
+    "Deployment",
+    "job",
+    "run_virtual",
+    "step",
+]
 
 # ids of two jobs whose rows are in different partitions of their table
 JOB_ID = "00000000000000a1"
@@ -89,10 +99,19 @@
         )
         self.peer_directory = PeerDirectory(name, name, self.direct_table, deployment.now_ms)
         self.table = RelayTable(self.direct_table, self.peer_directory, connect, self.metrics, rng)
-        self.catalogs = CatalogWatch(PlatformCatalogSource(self.table))
+        # seconds for which the entry's machine was suspended
+        self.suspended_seconds = 0.0
+        self.catalogs = CatalogWatch(PlatformCatalogSource(self.table), self.boot_time)
         self.job_service = JobService(self.table, deployment.now_ms)
-        self.frontend = Frontend(self.job_service, self.catalogs, self.metrics)
-        self.leadership = Leadership(self.table, name, f"{name}/{rng.random()}", name, rng=rng)
+        self.frontend = Frontend(
+            self.job_service,
+            self.catalogs,
+            self.metrics,
+            key_revocation_seconds=deployment.key_revocation_seconds,
+        )
+        self.leadership = Leadership(
+            self.table, name, f"{name}/{rng.random()}", name, rng=rng, clock=self.boot_time
+        )
         self.leader = Leader(
             self.leadership,
             self.table,
@@ -111,6 +130,10 @@
         self.cancel_scope = trio.CancelScope()
         deployment.network.handlers[name] = self.handle_peer
 
+    def boot_time(self):
+        """Returns the time of a clock that goes on in suspensions, in seconds."""
+        return trio.current_time() + self.suspended_seconds
+
     async def run(self):
         """Runs the entry's components until ``cancel_scope`` is cancelled."""
         with self.cancel_scope:
@@ -138,7 +161,8 @@
 class Deployment:
     """Store, workers and entries, within ``async with Deployment() as deployment``."""
 
-    def __init__(self, entries=3, workers=4, rack_size=2, seed=1):
+    def __init__(self, entries=3, workers=4, rack_size=2, seed=1, key_revocation_seconds=None):
+        self.key_revocation_seconds = key_revocation_seconds
         self._entry_count, self._worker_count, self._rack_size = entries, workers, rack_size
         self.seed = seed
         self.entries = {}
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -13,7 +13,7 @@
 listen: {front: "10.1.0.1:80", readiness: "10.1.0.1:81"}
 internalPorts: [7000, 7015]
 platform: {address: "10.2.0.1:90"}
-bounds: {graceS: 6, maxHoldMs: 6000, status_s: 120}
+bounds: {graceS: 6, maxHoldMs: 6000, status_s: 120, strictRevoke: true, revokeMs: 5000}
 limits: {cpuShare: 0.5, cores: 2}
 heartbeatMs: 1500
 unknown: {a: 1}
@@ -40,6 +40,17 @@
             ),
         )
 
+    def test_revocation_bound_is_read_only_where_it_is_strict(self):
+        self.assertEqual(5.0, self.read(VALID).key_revocation_seconds)
+        text = VALID.replace("strictRevoke: true", "strictRevoke: false")
+        self.assertIsNone(self.read(text).key_revocation_seconds)
+        self.assertIsNone(
+            self.read(VALID.replace("strictRevoke: true, ", "")).key_revocation_seconds
+        )
+        with self.assertRaises(SettingsError) as caught:
+            self.read(VALID.replace("strictRevoke: true", "strictRevoke: 1"))
+        self.assertIn("bounds.strictRevoke", caught.exception.problems[0])
+
     def test_all_problems_are_reported_at_once(self):
         text = VALID.replace("node: n1", "node: 5").replace("zone: z", "").replace("6000", "true")
         with self.assertRaises(SettingsError) as caught:
--- a/tests/platform/test_store_failures.py
+++ b/tests/platform/test_store_failures.py
@@ -6,7 +6,16 @@
 import trio
 
 from ibiscart_entry.coordination import relay
-from tests.platform.deployment import CONFIGURATION, JOB_ID, Deployment, job, run_virtual, step
+from tests.platform.deployment import (
+    CONFIGURATION,
+    JOB_ID,
+    OTHER_JOB_ID,
+    QUEUE_PATH,
+    Deployment,
+    job,
+    run_virtual,
+    step,
+)
 
 # the platform's limit, at its small deployments, for the time from the write of a new
 # configuration to its application by an entry
@@ -286,6 +295,63 @@
 
         run_virtual(main)
 
+    def test_a_key_is_refused_by_an_entry_that_cannot_know_of_its_revocation(self):
+        """Guards against calls that run under a key that was revoked 5 s before.
+
+        The entry reads jobs through other entries, but its configuration is not renewed.
+        """
+
+        tenants = [{**tenant, "apiKeys": []} for tenant in CONFIGURATION["tenants"]]
+        revoked = {**CONFIGURATION, "version": 4, "tenants": tenants}
+
+        async def main(method, key_revocation_seconds):
+            async with Deployment(key_revocation_seconds=key_revocation_seconds) as deployment:
+                entry = deployment.first_entry()
+                self.assertEqual(200, await deployment.submit(JOB_ID, job(step())))
+                source = entry.catalogs._source
+                unresponsive = mock.Mock(read=trio.sleep_forever)
+                unresponsive.changes = lambda version, seconds: trio.sleep_forever()
+                entry.catalogs._source = unresponsive
+                await trio.sleep(1)
+                deployment.store.put("op", "config", revoked)
+                await trio.sleep(5)
+                path = QUEUE_PATH + (OTHER_JOB_ID if method == "POST" else JOB_ID)
+                body = job(step()) if method == "POST" else None
+                cut_off = (await entry.call(method, path, body))[0]
+                # as after a wake-up: the configuration is read while the request waits
+                entry.catalogs._source = source
+                entry.suspended_seconds += 10
+                deployment.nursery.start_soon(entry.catalogs.run)
+                woken = (await entry.call(method, path, body))[0]
+                return cut_off, woken
+
+        for method in ("POST", "GET"):
+            with self.subTest(method=method):
+                self.assertEqual((503, 401), run_virtual(lambda m=method: main(m, 5.0)))
+        # without the bound, an entry that is cut off goes on serving
+        self.assertEqual(200, run_virtual(lambda: main("GET", None))[0])
+
+    def test_a_leader_that_was_suspended_extends_no_lease_before_the_store_confirms_it(self):
+        """Guards against leases of a leader that another entry may have replaced meanwhile.
+
+        The monotonic clock stops in a suspension, so the confirmation looks recent afterwards.
+        """
+
+        async def main(suspended_seconds):
+            async with Deployment() as deployment:
+                worker = await deployment.occupy_worker(ms=60_000)
+                leader = deployment.leader()
+                deployment.store.unanswered_callers.update(deployment.entries)
+                await trio.sleep(0.5)
+                leader.suspended_seconds += suspended_seconds
+                await trio.sleep(0.2)
+                deadline_ms = worker._deadline_ms
+                await trio.sleep(3)
+                return worker._deadline_ms - deadline_ms
+
+        self.assertGreater(run_virtual(lambda: main(0)), 0)
+        self.assertEqual(run_virtual(lambda: main(6)), 0)
+
     def test_older_configuration_is_ignored(self):
         async def main():
             async with Deployment() as deployment:
