Run times are learned from the tasks that have ended

Cause: the objective of a job counts from its real run times, and the scheduler took the callers' estimates for them. Overestimated ones preempted too late. Ruled out: order of guaranteed jobs, headroom, evidence against workers. Change: a regression of the logarithm of run times on that of the estimates, by queue, with a prior that estimates are right; objectives, slack and work use it. It knows no site: exact estimates stay. The run of a task that lasts longer than expected lengthens its job's path.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -302,6 +302,7 @@
             return
         if end.cause is EndCause.DONE:
             worker.reliability.record_success(now)
+            self._record_duration(worker, unit, end.task_key[3], now)
         elif end.cause is EndCause.FAILED and unit.job.id not in counted_jobs:
             # tasks of one job that fail together may share a cause in the job, so each job counts
             # against the worker only once
@@ -309,6 +310,23 @@
             worker.reliability.record_failure(now)
         self._end_run(worker, unit, end.task_key, end.run, end.cause, end.checkpoint, "reported")
 
+    def _record_duration(self, worker, unit, index, now):
+        """Records the run time of a task that completed in its first run, within its rack.
+
+        A later run may have resumed from a checkpoint.
+        """
+        step = unit.spec
+        allocation = unit.allocations.get(index)
+        if unit.run != 1 or allocation is None or allocation.ordered_at is None:
+            return
+        if allocation.confirmed_at is None or step.long_running:
+            return
+        if step.preferred_rack and step.preferred_rack != worker.info.rack:
+            return
+        actual_ms = (now - allocation.confirmed_at) * 1000
+        durations = self._scheduler.ranking.durations
+        durations.record(unit.job.queue, step.estimate_ms, actual_ms, 1.0 / step.tasks)
+
     def _apply_missing_run(self, worker, run_key, unit, incarnation, asked_at):
         """Handles a run that the worker's status does not list.
 
--- a/packages/core/src/ibiscart_core/workflow/ordering.py
+++ b/packages/core/src/ibiscart_core/workflow/ordering.py
@@ -5,6 +5,7 @@
 Ranks waiting jobs: the order in which they are placed.
 """
 
+from ibiscart_core.workflow.duration import DurationModel
 from ibiscart_core.workflow.job import UnitState
 
 __all__ = ["JobRank", "JobRanking"]
@@ -21,8 +22,6 @@
 LATE_LIMIT = 3.0
 # part of a job's credit that does not depend on its amount of work
 BASE_CREDIT = 0.3
-# assumed run time of a task without an estimate
-DEFAULT_ESTIMATE_MS = 1000
 # credit of a job of priority 0 with the mean work of its queue, as the users state it
 TOP_CREDIT = 4.0
 # weight of a new job in the moving mean of its queue's work per job, which then covers about 20
@@ -31,8 +30,8 @@
 # lower limit of a job's remaining work in pool-share seconds, the time that the whole pool would
 # take for it; avoids a division by zero
 MIN_SHARE_SECONDS = 1e-6
-# lower limit of a run's remaining time as a share of its estimate, also when the run has taken
-# longer than estimated
+# lower limit of a run's remaining time as a share of its expected length, also when the run has
+# taken longer than expected
 MIN_REMAINING_SHARE = 0.2
 
 
@@ -56,15 +55,17 @@
     """Ranks jobs by the credit they can still earn per unit of capacity.
 
     Credit grows with the priority of the queue and with the job's work relative to the mean of
-    its queue, a moving mean over accepted jobs.
+    its queue, a moving mean over accepted jobs. Run times are the callers' estimates, corrected by
+    ``durations``, the run times of earlier tasks.
     """
 
     def __init__(self):
+        self.durations = DurationModel()
         self._mean_work = {}
 
     def record_job(self, job):
         """Adds an accepted job to the mean work of its queue."""
-        core_seconds = job_work(job)
+        core_seconds = _job_work(job, self._step_lengths(job))
         mean_work = self._mean_work.get(job.queue)
         self._mean_work[job.queue] = (
             core_seconds
@@ -78,13 +79,15 @@
         ``pool_capacity`` has the resources of the job's pool. ``now`` is in seconds of the
         monotonic clock, ``now_ms`` in Unix milliseconds.
         """
-        objective_ms = queue.stretch * job.spec.critical_path_ms() + queue.target_latency_ms
+        step_lengths_ms = _extend_by_running_units(job, self._step_lengths(job), now)
+        critical_path_ms = job.spec.critical_path_ms(step_lengths_ms)
+        objective_ms = queue.stretch * critical_path_ms + queue.target_latency_ms
         begin_ms = _begin_ms(job, now_ms)
-        remaining_ms, share_seconds = _remaining_work(job, pool_capacity, now)
+        remaining_ms, share_seconds = _remaining_work(job, step_lengths_ms, pool_capacity, now)
         age_ms = now_ms - begin_ms
         finish_ms = age_ms + remaining_ms
         slack_ms = objective_ms - finish_ms
-        credit = self._job_credit(job, queue)
+        credit = self._job_credit(job, queue, step_lengths_ms)
         # estimates are rough: a job that is not late yet may still end in time
         lateness_loss = credit * (1.0 - LATE_FACTOR) if age_ms < objective_ms else 0.0
         if slack_ms >= 0:
@@ -96,23 +99,19 @@
         score = credit * factor / max(share_seconds, MIN_SHARE_SECONDS)
         return JobRank(score, slack_ms, lateness_loss)
 
-    def _job_credit(self, job, queue):
+    def _step_lengths(self, job):
+        """Returns the expected run time in milliseconds of a task of each step."""
+        return [self.durations.run_ms(job.queue, step.estimate_ms) for step in job.spec.steps]
+
+    def _job_credit(self, job, queue, step_lengths_ms):
         """Returns the credit of a job that ends in time; the factor for its work is at most 4."""
         mean_work = self._mean_work.get(job.queue) or 1.0
-        relative_credit = min(4.0, BASE_CREDIT + (1 - BASE_CREDIT) * job_work(job) / mean_work)
+        relative_credit = min(
+            4.0, BASE_CREDIT + (1 - BASE_CREDIT) * _job_work(job, step_lengths_ms) / mean_work
+        )
         return relative_credit * TOP_CREDIT / (1 + queue.priority)
 
 
-def job_work(job):
-    """Returns the estimated work of a job in core-seconds, including accelerators."""
-    return sum(step.tasks * _step_work(step) for step in job.spec.steps) * job.spec.occurrence_count
-
-
-def step_estimate_ms(step):
-    """Returns the estimated run time of one task of the step in milliseconds."""
-    return step.estimate_ms or DEFAULT_ESTIMATE_MS
-
-
 def share_of(resources, pool_capacity):
     """Returns the share of ``pool_capacity`` that ``resources`` use, by the scarcest kind."""
     return max(
@@ -127,9 +126,23 @@
     return resources.cpu_millis / 1000 + resources.accelerators * CORES_PER_ACCELERATOR
 
 
-def _step_work(step):
-    """Returns the estimated work of one task of the step in core-seconds."""
-    return cores_of(step.resources) * step_estimate_ms(step) / 1000
+def _job_work(job, step_lengths_ms):
+    """Returns the expected work of a job in core-seconds, including accelerators."""
+    core_ms = sum(
+        step.tasks * cores_of(step.resources) * length_ms
+        for step, length_ms in zip(job.spec.steps, step_lengths_ms, strict=True)
+    )
+    return core_ms / 1000 * job.spec.occurrence_count
+
+
+def _extend_by_running_units(job, step_lengths_ms, now):
+    """Returns the lengths of the steps in milliseconds, at least the time that a task has run."""
+    lengths_ms = list(step_lengths_ms)
+    for unit in job.units():
+        if unit.state is UnitState.ACTIVE:
+            age_ms = unit_age_seconds(unit, now) * 1000
+            lengths_ms[unit.step] = max(lengths_ms[unit.step], age_ms)
+    return lengths_ms
 
 
 def _begin_ms(job, now_ms):
@@ -142,21 +155,21 @@
     return min(due, default=now_ms)
 
 
-def _remaining_work(job, pool_capacity, now):
+def _remaining_work(job, step_lengths_ms, pool_capacity, now):
     """Returns (remaining critical path in ms, remaining work in pool-share seconds)."""
-    task_counts, longest_ms = _remaining_by_step(job, now)
+    task_counts, longest_ms = _remaining_by_step(job, step_lengths_ms, now)
     ends_ms = []
     share_seconds = 0.0
     for step_index, step in enumerate(job.spec.steps):
         tasks = task_counts.get(step_index, step.tasks)
-        length_ms = longest_ms.get(step_index, step_estimate_ms(step)) if tasks else 0
+        length_ms = longest_ms.get(step_index, step_lengths_ms[step_index]) if tasks else 0
         begin_ms = max((ends_ms[dependency] for dependency in step.after), default=0)
         ends_ms.append(begin_ms + length_ms)
         share_seconds += tasks * share_of(step.demand, pool_capacity) * length_ms / 1000
     return max(ends_ms, default=0), share_seconds
 
 
-def _remaining_by_step(job, now):
+def _remaining_by_step(job, step_lengths_ms, now):
     """Returns (number of unfinished tasks, longest remaining time of a task in ms) as two dicts.
 
     Their keys are the indexes of the steps that have units.
@@ -168,9 +181,9 @@
         if unit.state is UnitState.DONE:
             continue
         task_counts[step_index] += unit.size
-        estimate_ms = step_estimate_ms(unit.spec)
+        length_ms = step_lengths_ms[step_index]
         remaining_ms = max(
-            estimate_ms * MIN_REMAINING_SHARE, estimate_ms - unit_age_seconds(unit, now) * 1000
+            length_ms * MIN_REMAINING_SHARE, length_ms - unit_age_seconds(unit, now) * 1000
         )
         longest_ms[step_index] = max(longest_ms.get(step_index, 0), remaining_ms)
     return task_counts, longest_ms
--- a/packages/core/src/ibiscart_core/workflow/spec.py
+++ b/packages/core/src/ibiscart_core/workflow/spec.py
@@ -153,12 +153,17 @@
             return 0
         return self.first_due_ms + occurrence * self.interval_ms
 
-    def critical_path_ms(self):
-        """Returns the estimated run time of the critical path of the steps in milliseconds."""
+    def critical_path_ms(self, step_lengths_ms=None):
+        """Returns the run time of the critical path of the steps in milliseconds.
+
+        ``step_lengths_ms`` has the run time of a task of each step, by default its estimate.
+        """
+        if step_lengths_ms is None:
+            step_lengths_ms = [step.estimate_ms for step in self.steps]
         ends_ms = []
-        for step in self.steps:
+        for step, length_ms in zip(self.steps, step_lengths_ms, strict=True):
             begin_ms = max((ends_ms[dependency] for dependency in step.after), default=0)
-            ends_ms.append(begin_ms + step.estimate_ms)
+            ends_ms.append(begin_ms + length_ms)
         return max(ends_ms, default=0)
 
     def check(self):
