Malformed input stops no process

Cause: each of these ended the leader or the entry, and for stored rows the next leader too: a job with a fractional count or text for a number (stored, then read by the engine), JSON nested 100,000 deep from a caller, a worker, another entry or a stored row, a clock or a run number of another type in a worker's list, an error response of another entry's relay, a tenant that is no object, a damaged row of an entry, a schedule of any number of occurrences. Change: types are checked where input is parsed; a malformed row of a worker's list, or of jobs or entries, is left out and logged; schedules have at most 1,000 occurrences.

--- a/packages/core/src/ibiscart_core/workflow/spec.py
+++ b/packages/core/src/ibiscart_core/workflow/spec.py
@@ -13,6 +13,10 @@
 # limits the size of a row in the store: a running step of 1,000 tasks takes about 50 KiB
 MAX_TASKS_PER_STEP = 1000
 MAX_STEPS = 100
+# limits the tasks of a scheduled job that are kept in memory
+MAX_OCCURRENCES = 1000
+# a year, in milliseconds
+MAX_ESTIMATE_MS = 31_536_000_000
 
 
 class StepSpec:
@@ -168,6 +172,10 @@
 
     def check(self):
         """Raises ``IbiscartError`` with the name of the first invalid field."""
+        if not 0 <= self.occurrences <= MAX_OCCURRENCES:
+            raise _field_error("occurrences", self.occurrences, f"0 to {MAX_OCCURRENCES}")
+        if self.interval_ms < 0 or self.first_due_ms < 0:
+            raise _field_error("interval_ms", self.interval_ms, "times of 0 ms or more")
         if not 1 <= len(self.steps) <= MAX_STEPS:
             raise _field_error("steps", len(self.steps), f"1 to {MAX_STEPS} steps")
         for step_index, step in enumerate(self.steps):
@@ -175,6 +183,14 @@
                 raise _field_error(
                     f"steps[{step_index}].tasks", step.tasks, f"1 to {MAX_TASKS_PER_STEP}"
                 )
+            if not 0 <= step.estimate_ms <= MAX_ESTIMATE_MS:
+                raise _field_error(
+                    f"steps[{step_index}].estimate_ms", step.estimate_ms, f"0 to {MAX_ESTIMATE_MS}"
+                )
+            resources = step.resources
+            amounts = (resources.accelerators, resources.cpu_millis, resources.memory_mb)
+            if min(*amounts, step.max_per_worker) < 0:
+                raise _field_error(f"steps[{step_index}]", min(amounts), "amounts of 0 or more")
             if any(not 0 <= dependency < step_index for dependency in step.after):
                 raise _field_error(
                     f"steps[{step_index}].after", list(step.after), "indexes of earlier steps"
--- a/packages/entry/src/ibiscart_entry/coordination/announcer.py
+++ b/packages/entry/src/ibiscart_entry/coordination/announcer.py
@@ -71,7 +71,7 @@
     async def handle(self, request):
         """Passes the announcement of another entry to the coordinator, if this entry leads."""
         if self._leader.coordinator is not None:
-            self._leader.coordinator.read_announced_jobs(json.loads(request.body)["jobs"])
+            self._leader.coordinator.read_announced_jobs(_parse_job_ids(request.body))
         return Response.from_json(200, {})
 
     async def _call(self, address, job_ids):
@@ -85,3 +85,14 @@
             await client.request("POST", ANNOUNCE_PATH, body=body, timeout=CALL_TIMEOUT_SECONDS)
         except TransportError as error:
             self._metrics.count("peer_errors", error.reason)
+
+
+def _parse_job_ids(body):
+    """Returns the ids of an announcement, none if it is malformed."""
+    try:
+        job_ids = json.loads(body)["jobs"]
+    except (KeyError, TypeError, ValueError, RecursionError):
+        return []
+    if not isinstance(job_ids, list):
+        return []
+    return [job_id for job_id in job_ids[:MAX_IDS_PER_CALL] if job_id and isinstance(job_id, str)]
--- a/packages/entry/src/ibiscart_entry/coordination/peer_directory.py
+++ b/packages/entry/src/ibiscart_entry/coordination/peer_directory.py
@@ -88,13 +88,22 @@
         peers = {}
         for row in snapshot.rows:
             row_name = row.key.partition("/")[2]
-            registration = decode(row.value)
             if row_name == self._entry_name:
                 continue
-            if self._now_ms() - registration["at_ms"] > STALE_MS:
+            address = _live_address(row.value, self._now_ms())
+            if address is None:
                 removal = TableWrite(key=row.key, delete=True, expected_version=row.version)
                 writes.append(removal)
             else:
-                peers[row_name] = registration["address"]
+                peers[row_name] = address
         self._peers = peers
         await self._table.transact(writes)
+
+
+def _live_address(value, now_ms):
+    """Returns the address in an entry's row, None if the row is stale or malformed."""
+    try:
+        registration = decode(value)
+        return None if now_ms - registration["at_ms"] > STALE_MS else registration["address"]
+    except (KeyError, TypeError, ValueError):
+        return None
--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import logging
 
 from ibiscart_core.workflow.job import Job, Outcome
 from ibiscart_schema.generated.store_pb2 import TableWrite
@@ -28,6 +29,7 @@
     "visible_state",
 ]
 
+LOG = logging.getLogger("ibiscart.record")
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
 # partition with the registrations of the entries; it is not the leader's, because one partition
@@ -47,8 +49,11 @@
 
 
 def decode(data):
-    """Returns the value of JSON bytes."""
-    return json.loads(data)
+    """Returns the value of JSON bytes; raises ``ValueError`` if they cannot be decoded."""
+    try:
+        return json.loads(data)
+    except RecursionError:
+        raise ValueError("the JSON is nested too deeply") from None
 
 
 def job_key(job_id):
@@ -77,14 +82,21 @@
 
 
 def jobs_from_rows(rows):
-    """Returns (jobs by id, ids of cancelled jobs) from rows of the jobs table."""
+    """Returns (jobs by id, ids of cancelled jobs) from rows of the jobs table.
+
+    Leaves out a row that cannot be read, so that it does not stop the other jobs.
+    """
     jobs, cancelled = {}, set()
     for row in rows:
         name = row.key.partition("/")[2]
         if name.endswith(CANCEL_SUFFIX):
             cancelled.add(name.removesuffix(CANCEL_SUFFIX))
-        else:
+            continue
+        try:
             jobs[name] = Job.from_document(name, decode(row.value))
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            fields = {"job": name, "version": row.version, "cause": repr(error)}
+            LOG.error("The row of a job cannot be read; the job does not run.", extra=fields)
     return jobs, cancelled
 
 
