--- a/packages/core/src/ibiscart_core/workflow/placement.py
+++ b/packages/core/src/ibiscart_core/workflow/placement.py
@@ -158,9 +158,12 @@
         """Returns [(``WorkerCapacity``, number of tasks)] on workers of ``candidates``, or None.
 
         ``candidates`` has pairs (``WorkerCapacity``, number of tasks that fit). A gang is placed on
-        suspect workers only if the others do not suffice.
+        suspect workers only if the others do not suffice, and a unit that has failed before is not:
+        it has few attempts left, and the evidence against a worker fades within seconds.
         """
         step = unit.spec
+        if unit.failures:
+            candidates = [pair for pair in candidates if not pair[0].suspect]
         if unit.size == 1:
             return self._find_single_worker(candidates, step, any_rack)
         unsuspected = [pair for pair in candidates if not pair[0].suspect]
--- a/tests/core/workflow/test_placement.py
+++ b/tests/core/workflow/test_placement.py
@@ -3,6 +3,7 @@
 import unittest
 from collections import Counter
 
+from ibiscart_core.workflow.job import EndCause
 from tests.core.workflow.harness import EngineHarness, step
 
 
@@ -20,6 +21,28 @@
         orders, _ = harness.plan()
         self.assertEqual({"w0": 1, "w1": 1, "w2": 1}, dict(count_by_worker(orders)))
 
+    def test_a_unit_that_failed_waits_for_workers_without_evidence_against_them(self):
+        """Replays a full fleet with a worker that fails all runs at once, as on inc-1503.
+
+        A gang lost all its attempts within 2 s, since that worker was the only one with room.
+        """
+        for size, gang in ((2, True), (1, False)):
+            with self.subTest(gang=gang):
+                harness = EngineHarness(workers=4)
+                harness.submit("full", step(3, 8, estimate_ms=60_000))
+                harness.run_pass()
+                job = harness.submit("urgent", step(size, 4, gang=gang), priority=0)
+                harness.run_pass()
+                (unit,) = job.units()
+                harness.end_unit(unit, EndCause.FAILED)
+                self.assertEqual(1, unit.failures)
+                for _ in range(10):
+                    harness.run_pass(0.1)
+                self.assertEqual(1, unit.run)
+                # the evidence against the worker fades
+                harness.run_pass(4.0)
+                self.assertEqual(2, unit.run)
+
     def test_limit_per_worker_counts_tasks_of_earlier_passes(self):
         harness = EngineHarness(workers=2)
         harness.submit("j", step(4, max_per_worker=1))
