A worker that was silent is polled at once when it is back

Cause: after a failed poll the session sent the next one as a long poll, without a new deadline since the worker had not responded yet. A worker that was silent for 3 s answered it only when the leases lapsed, 5.9 s after their last extension, and its run started again elsewhere. Ruled out: the timeout of the poll (2.8 s), the leases' length (6 s). Change: the poll of a worker that did not respond asks for no delay, so that the next one extends the leases.

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -292,8 +292,12 @@
         )
 
     def _poll_wait_seconds(self):
-        """Returns how long the worker may delay its response to the next poll."""
-        if not self._worker.units_by_run:
+        """Returns how long the worker may delay its response to the next poll.
+
+        A worker that did not respond is polled without a delay: its leases are extended only once
+        it has responded, and may expire soon.
+        """
+        if not self._worker.units_by_run or not self._worker.reachable:
             return 0.0
         return STOPPING_POLL_SECONDS if self._worker.stopping else LONG_POLL_SECONDS
 
--- a/tests/platform/test_leader_failures.py
+++ b/tests/platform/test_leader_failures.py
@@ -4,7 +4,16 @@
 
 import trio
 
-from tests.platform.deployment import JOB_ID, OTHER_JOB_ID, Deployment, job, run_virtual, step
+from tests.platform.deployment import (
+    CONFIGURATION,
+    JOB_ID,
+    OTHER_JOB_ID,
+    QUEUE_PATH,
+    Deployment,
+    job,
+    run_virtual,
+    step,
+)
 
 
 class LeaderFailureTest(unittest.TestCase):
@@ -123,6 +132,43 @@
 
         run_virtual(main)
 
+    def test_restarted_entries_use_no_revoked_key_and_no_worker_that_left(self):
+        """Guards against state of before that comes back with a restart of all entries.
+
+        The key was revoked and the worker left while no entry was running.
+        """
+
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                await deployment.submit(JOB_ID, job(step(), ms=500))
+                await deployment.wait_for_state(JOB_ID, "completed")
+                for name in list(deployment.entries):
+                    deployment.kill_entry(name)
+                tenants = [
+                    {**tenant, "apiKeys": ["key-new"] if tenant["name"] == "a" else []}
+                    for tenant in CONFIGURATION["tenants"]
+                ]
+                revoked = {**CONFIGURATION, "version": 4, "tenants": tenants}
+                deployment.store.put("op", "config", revoked)
+                deployment.store.delete("servers", "w0")
+                for number in range(3):
+                    deployment.start_entry(f"e{number}")
+                    path, body = QUEUE_PATH + OTHER_JOB_ID, job(step(4, 4), ms=300)
+                    for _ in range(20):
+                        entry = deployment.entries[f"e{number}"]
+                        status, _ = await entry.call("POST", path, body)
+                        self.assertIn(status, (401, 503))
+                        await trio.sleep(0.05)
+                status, _ = await entry.call("POST", path, body, key="key-new")
+                self.assertEqual(200, status)
+                await trio.sleep(6)
+                departed = deployment.fleet.workers["w0"]
+                self.assertFalse([t for t in departed.highest_run_by_task if OTHER_JOB_ID in t])
+                status, answer = await entry.call("GET", path, key="key-new")
+                self.assertEqual((200, "completed"), (status, answer.get("state")))
+
+        run_virtual(main)
+
     def test_resigned_leader_is_replaced_within_half_a_second(self):
         async def main():
             async with Deployment() as deployment:
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -1,5 +1,6 @@
 """Tests of worker failures over the stand-ins, in virtual time."""
 
+import functools
 import unittest
 
 import trio
@@ -71,6 +72,34 @@
         # 0.5 s of run time, 0.2 s until the guarantee preempts, 0.1 s for stops and two hedges
         self.assertLess(run_virtual(main), 0.5 + 0.2 + 0.1 + 2 * 0.15 + 0.3)
 
+    def test_a_worker_that_is_silent_for_less_than_its_lease_keeps_its_runs(self):
+        """Guards against work that starts again elsewhere while it still runs.
+
+        A change of leader during the silence must not make the next leader give the run up either.
+        """
+
+        async def main(silent_seconds, kill_leader):
+            async with Deployment() as deployment:
+                worker = await deployment.occupy_worker(ms=15_000)
+                worker.unresponsive = True
+                await trio.sleep(silent_seconds / 2)
+                if kill_leader:
+                    deployment.kill_entry(deployment.leader().name)
+                await trio.sleep(silent_seconds / 2)
+                worker.unresponsive = False
+                await deployment.wait_for_state(JOB_ID, "completed", 20)
+                self.assertEqual([], deployment.fleet.violations)
+                return max(
+                    w.highest_run_by_task.get(f"{JOB_ID}.0.0.0", 0)
+                    for w in deployment.fleet.workers.values()
+                )
+
+        for silent_seconds in (1.0, 3.0, 4.5):
+            for kill_leader in (False, True):
+                with self.subTest(silent_seconds=silent_seconds, kill_leader=kill_leader):
+                    play = functools.partial(main, silent_seconds, kill_leader)
+                    self.assertEqual(1, run_virtual(play))
+
     def test_runs_of_an_unresponsive_worker_end_with_their_leases(self):
         # calls that the worker did not answer extended the lease expiry that the leader assumed,
         # so the run never ended
--- a/tools/operator_docs.py
+++ b/tools/operator_docs.py
@@ -167,8 +167,8 @@
         "Errors on one worker: it is cut off or gone.",
         {
             "answered": "The worker listed its runs.",
-            "loading": "A new leader extended the worker's leases before it had loaded the jobs. More "
-            "than one a worker after a change of leader means that loading takes over a second.",
+            "loading": "A new leader extended the worker's leases before it had loaded the jobs: "
+            "loading took over a second.",
             "*": "Error of the connection, or the worker's refusal.",
         },
     ),
