Suspect workers are left out for preemption and promises too

Cause: a unit that had failed was kept off suspect workers only where it is placed; preemption could still stop work on such a worker and reserve it for the unit, in vain. Change: the rule moves to the list of workers that a unit may use, which all of these share.

--- a/packages/core/src/ibiscart_core/workflow/placement.py
+++ b/packages/core/src/ibiscart_core/workflow/placement.py
@@ -104,10 +104,14 @@
     def available_workers(self, unit):
         """Yields the ``WorkerCapacity`` of each worker that the unit may use.
 
-        Such a worker has the required label and is reserved for no other unit.
+        Such a worker has the required label and is reserved for no other unit. A unit that has
+        failed may not use suspect workers: it has few attempts left, and the evidence against a
+        worker fades within seconds.
         """
         label = unit.spec.required_label
         for capacity in self.workers:
+            if capacity.suspect and unit.failures:
+                continue
             if self._reserved.get(capacity.worker.id, unit.key) == unit.key:
                 if not label or label in capacity.labels:
                     yield capacity
@@ -158,12 +162,9 @@
         """Returns [(``WorkerCapacity``, number of tasks)] on workers of ``candidates``, or None.
 
         ``candidates`` has pairs (``WorkerCapacity``, number of tasks that fit). A gang is placed on
-        suspect workers only if the others do not suffice, and a unit that has failed before is not:
-        it has few attempts left, and the evidence against a worker fades within seconds.
+        suspect workers only if the others do not suffice.
         """
         step = unit.spec
-        if unit.failures:
-            candidates = [pair for pair in candidates if not pair[0].suspect]
         if unit.size == 1:
             return self._find_single_worker(candidates, step, any_rack)
         unsuspected = [pair for pair in candidates if not pair[0].suspect]
--- a/tests/core/workflow/test_placement.py
+++ b/tests/core/workflow/test_placement.py
@@ -39,6 +39,7 @@
                 for _ in range(10):
                     harness.run_pass(0.1)
                 self.assertEqual(1, unit.run)
+                self.assertNotIn("unit_preempted", [event for event, _ in harness.events])
                 # the evidence against the worker fades
                 harness.run_pass(4.0)
                 self.assertEqual(2, unit.run)
