--- a/tests/core/workflow/test_placement.py
+++ b/tests/core/workflow/test_placement.py
@@ -29,9 +29,10 @@
         for size, gang in ((2, True), (1, False)):
             with self.subTest(gang=gang):
                 harness = EngineHarness(workers=4)
-                harness.submit("full", step(3, 8, estimate_ms=60_000))
+                harness.submit("full", step(3, 8, estimate_ms=60_000), priority=0)
+                harness.submit("small", step(1, 1, estimate_ms=60_000), priority=0)
                 harness.run_pass()
-                job = harness.submit("urgent", step(size, 4, gang=gang), priority=0)
+                job = harness.submit("urgent", step(size, 3, gang=gang), priority=0)
                 harness.run_pass()
                 (unit,) = job.units()
                 harness.end_unit(unit, EndCause.FAILED)
@@ -39,10 +40,23 @@
                 for _ in range(10):
                     harness.run_pass(0.1)
                 self.assertEqual(1, unit.run)
-                self.assertNotIn("unit_preempted", [event for event, _ in harness.events])
-                # the evidence against the worker fades
-                harness.run_pass(4.0)
-                self.assertEqual(2, unit.run)
+                # nor is such a worker reserved for the unit
+                bulk = harness.submit("bulk", step(1, 4, estimate_ms=60_000), priority=2)
+                self.assertEqual(1, len(harness.run_pass()))
+                self.assertEqual(1, next(bulk.units()).run)
+
+    def test_the_evidence_against_a_worker_fades(self):
+        harness = EngineHarness(workers=4)
+        harness.submit("full", step(3, 8, estimate_ms=60_000), priority=0)
+        harness.run_pass()
+        job = harness.submit("urgent", step(2, 4, gang=True), priority=0)
+        harness.run_pass()
+        (unit,) = job.units()
+        harness.end_unit(unit, EndCause.FAILED)
+        harness.run_pass(1.0)
+        self.assertEqual(1, unit.run)
+        harness.run_pass(4.0)
+        self.assertEqual(2, unit.run)
 
     def test_limit_per_worker_counts_tasks_of_earlier_passes(self):
         harness = EngineHarness(workers=2)
