Promises of workers in one module: estimates, budget and the units they are for

No change of behaviour: what a pass may promise and for how long moves from the scheduler to backfill, beside the estimate of the start. tests.core.workflow: 45 passed before and after.

--- a/packages/core/src/ibiscart_core/workflow/backfill.py
+++ b/packages/core/src/ibiscart_core/workflow/backfill.py
@@ -5,7 +5,17 @@
 Estimates when a unit that does not fit now can start, and on which workers.
 """
 
-__all__ = ["FutureStart", "find_future_start"]
+__all__ = ["FutureStart", "FutureStarts", "PromiseBudget"]
+
+# workers are promised to at most this many waiting units of a pool, and to no more than this share
+# of its workers, so that little capacity idles if the estimated run times are wrong
+MAX_PROMISES = 8
+MAX_PROMISED_SHARE = 0.5
+# time after which the expected start of a waiting unit is estimated anew
+PROMISE_SECONDS = 0.3
+# workers are promised to a gang, and to a unit whose task needs at least this share of a worker;
+# smaller units find room as soon as any task ends
+PROMISE_WORKER_SHARE = 0.4
 
 
 class FutureStart:
@@ -19,7 +29,85 @@
         self.computed_at = computed_at
 
 
-def find_future_start(unit, pool_capacity, any_rack, expected_end, now):
+class FutureStarts:
+    """Expected starts of waiting units, each estimated anew after ``PROMISE_SECONDS``.
+
+    ``ranking`` is the ``JobRanking``, which expects the ends of runs.
+    """
+
+    def __init__(self, ranking):
+        self._ranking = ranking
+        self._by_key = {}
+
+    def find(self, unit, pool_capacity, any_rack, now):
+        """Returns the ``FutureStart`` of a unit that does not fit now, or None."""
+        future = self._by_key.get(unit.key)
+        if future is not None and now - future.computed_at < PROMISE_SECONDS:
+            return future
+
+        def expected_end(other, allocation):
+            return self._ranking.expected_end(other, allocation, now)
+
+        future = _find_future_start(unit, pool_capacity, any_rack, expected_end, now)
+        if future is None:
+            self.discard(unit)
+        else:
+            self._by_key[unit.key] = future
+        return future
+
+    def discard(self, unit):
+        """Forgets the expected start of a unit."""
+        self._by_key.pop(unit.key, None)
+
+    def drop_outdated(self, now):
+        """Forgets the estimates that would be made anew."""
+        for key, future in list(self._by_key.items()):
+            if now - future.computed_at >= PROMISE_SECONDS:
+                del self._by_key[key]
+
+
+class PromiseBudget:
+    """Limits the promises of one pass over a pool with the usable ``workers``."""
+
+    def __init__(self, workers):
+        self._worker_count = len(workers)
+        self._largest = max((w.info.capacity for w in workers), key=_size_key, default=None)
+        self._promised_ids = set()
+        self._promises = 0
+
+    def allows(self, unit):
+        """Returns True if workers may be promised to a unit, which must be hard to place."""
+        return self._promises < MAX_PROMISES and self._is_hard_to_place(unit)
+
+    def spend(self, future):
+        """Returns True if the promise of a ``FutureStart`` is within the budget; else ends it."""
+        self._promised_ids |= future.worker_ids
+        if len(self._promised_ids) > MAX_PROMISED_SHARE * self._worker_count:
+            self._promises = MAX_PROMISES
+            return False
+        self._promises += 1
+        return True
+
+    def _is_hard_to_place(self, unit):
+        """Returns True if a unit needs several workers, or a large part of one."""
+        if unit.size > 1:
+            return True
+        if self._largest is None:
+            return False
+        demand, largest = unit.spec.demand, self._largest
+        return (
+            demand.accelerators >= PROMISE_WORKER_SHARE * largest.accelerators
+            or demand.cpu_millis >= PROMISE_WORKER_SHARE * largest.cpu_millis
+            or demand.memory_mb >= PROMISE_WORKER_SHARE * largest.memory_mb
+        )
+
+
+def _size_key(resources):
+    """Returns a key by which larger workers sort after smaller ones."""
+    return resources.accelerators, resources.cpu_millis, resources.memory_mb
+
+
+def _find_future_start(unit, pool_capacity, any_rack, expected_end, now):
     """Returns the earliest ``FutureStart`` of a unit, or None if it never fits.
 
     ``expected_end`` returns the monotonic time in seconds at which a task's run is expected to end,
--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -5,7 +5,7 @@
 Decides which units start on which workers, and which are stopped for others.
 """
 
-from ibiscart_core.workflow.backfill import find_future_start
+from ibiscart_core.workflow.backfill import FutureStarts, PromiseBudget
 from ibiscart_core.workflow.headroom import Headroom
 from ibiscart_core.workflow.job import Allocation, UnitState
 from ibiscart_core.workflow.ordering import JobRanking, cores_of, unit_age_seconds
@@ -31,15 +31,6 @@
 # largest share of suspect workers in a pool; with more, the jobs are assumed to cause the
 # failures, as a fault of workers affects about 15 % of them
 MAX_SUSPECT_SHARE = 0.3
-# workers are promised to at most this many waiting units of a pool, and to no more than this share
-# of its workers, so that little capacity idles if the estimated run times are wrong
-MAX_PROMISES = 8
-MAX_PROMISED_SHARE = 0.5
-# time after which the expected start of a waiting unit is estimated anew
-PROMISE_SECONDS = 0.3
-# a unit is given workers in advance if it is a gang, or if a task needs at least this share of a
-# worker: smaller units find room as soon as any task ends
-PROMISE_WORKER_SHARE = 0.4
 # priority of urgent jobs; only these can be guaranteed
 URGENT_PRIORITY = 0
 
@@ -74,9 +65,8 @@
         # maps unit keys to (ids of the reserved workers, time of expiry on the monotonic clock)
         self._reservations = {}
         self._headrooms = {}
-        # maps unit keys to ``FutureStart``
-        self._future_starts = {}
         self.ranking = JobRanking()
+        self._future_starts = FutureStarts(self.ranking)
 
     def plan(self, jobs, catalog, now, now_ms):
         """Returns (starts, stops) for the waiting units of ``jobs``.
@@ -115,22 +105,11 @@
                 waiting.append((sort_key, job.accepted_ms, job.id, units))
         if not waiting:
             return
-        reserved = {
-            worker_id: key
-            for key, (worker_ids, _) in self._reservations.items()
-            for worker_id in worker_ids
-        }
         workers = self._fleet.usable(pool, now)
-        reserved_empty_workers = self._empty_workers_to_reserve(
-            pool, workers, queued_jobs, total_capacity, now
-        )
-        free_capacity = PoolCapacity(
-            workers, reserved, reserved_empty_workers, _suspect_workers(workers, now)
-        )
+        free_capacity = self._free_capacity(pool, workers, queued_jobs, total_capacity, now)
         free_share = _free_pool_share(free_capacity, total_capacity)
         blocked_keys = set()
-        promised_ids = set()
-        promises = 0
+        promise_budget = PromiseBudget(workers)
         for _, _, job_id, units in sorted(waiting, key=lambda item: item[:3]):
             for unit in units:
                 equivalence_key = _equivalence_key(unit)
@@ -145,37 +124,28 @@
                 if chosen is not None:
                     free_capacity.allocate(unit, chosen)
                     self._reservations.pop(unit.key, None)
-                    self._future_starts.pop(unit.key, None)
+                    self._future_starts.discard(unit)
                     reason = "guaranteed" if job_id in guaranteed_jobs else "ordered"
                     starts.append(StartDecision(unit, _make_allocations(unit, chosen), reason))
                 elif not self._preempt(unit, free_capacity, guaranteed_jobs, ranks, now, stops):
                     blocked_keys.add(equivalence_key)
-                    if promises < MAX_PROMISES and _is_hard_to_place(unit, workers):
-                        future = self._future_start(unit, free_capacity, any_rack, now)
-                        if future is None:
-                            continue
-                        promised_ids |= future.worker_ids
-                        if len(promised_ids) > MAX_PROMISED_SHARE * len(workers):
-                            promises = MAX_PROMISES
-                            continue
-                        promises += 1
-                        free_capacity.promise(future.worker_ids, future.starts_at)
-
-    def _future_start(self, unit, free_capacity, any_rack, now):
-        """Returns the ``FutureStart`` of a unit that does not fit now, or None."""
-        future = self._future_starts.get(unit.key)
-        if future is not None and now - future.computed_at < PROMISE_SECONDS:
-            return future
-
-        def expected_end(other, allocation):
-            return self.ranking.expected_end(other, allocation, now)
-
-        future = find_future_start(unit, free_capacity, any_rack, expected_end, now)
-        if future is None:
-            self._future_starts.pop(unit.key, None)
-        else:
-            self._future_starts[unit.key] = future
-        return future
+                    if promise_budget.allows(unit):
+                        future = self._future_starts.find(unit, free_capacity, any_rack, now)
+                        if future is not None and promise_budget.spend(future):
+                            free_capacity.promise(future.worker_ids, future.starts_at)
+
+    def _free_capacity(self, pool, workers, queued_jobs, total_capacity, now):
+        """Returns the ``PoolCapacity`` of the usable ``workers`` of a pool."""
+        reserved = {
+            worker_id: key
+            for key, (worker_ids, _) in self._reservations.items()
+            for worker_id in worker_ids
+        }
+        reserved_empty_workers = self._empty_workers_to_reserve(
+            pool, workers, queued_jobs, total_capacity, now
+        )
+        suspect_ids = _suspect_workers(workers, now)
+        return PoolCapacity(workers, reserved, reserved_empty_workers, suspect_ids)
 
     def _empty_workers_to_reserve(self, pool, workers, queued_jobs, total_capacity, now):
         """Returns the number of empty workers to reserve for urgent units."""
@@ -273,9 +243,7 @@
             job = jobs.get(key[0])
             if expires_at <= now or job is None or job.ended:
                 del self._reservations[key]
-        for key, future in list(self._future_starts.items()):
-            if now - future.computed_at >= PROMISE_SECONDS:
-                del self._future_starts[key]
+        self._future_starts.drop_outdated(now)
 
 
 def _wasted_credit(victim, now):
@@ -332,26 +300,6 @@
     )
 
 
-def _is_hard_to_place(unit, workers):
-    """Returns True if a unit needs several workers, or a large part of one."""
-    if unit.size > 1:
-        return True
-    largest = max((worker.info.capacity for worker in workers), key=_size_key, default=None)
-    if largest is None:
-        return False
-    demand = unit.spec.demand
-    return (
-        demand.accelerators >= PROMISE_WORKER_SHARE * largest.accelerators
-        or demand.cpu_millis >= PROMISE_WORKER_SHARE * largest.cpu_millis
-        or demand.memory_mb >= PROMISE_WORKER_SHARE * largest.memory_mb
-    )
-
-
-def _size_key(resources):
-    """Returns a key by which larger workers sort after smaller ones."""
-    return resources.accelerators, resources.cpu_millis, resources.memory_mb
-
-
 def _equivalence_key(unit):
     """Returns the same key for units that are interchangeable within a pass."""
     return (unit.job.id, unit.occurrence, unit.step, unit.size)
