--- a/tests/standins/table.py
+++ b/tests/standins/table.py
@@ -12,6 +12,8 @@
 """
 
 import argparse
+import contextlib
+import functools
 import json
 import random
 
@@ -34,7 +36,8 @@
 
     A request whose sender has timed out still reaches its receiver, as on a real network.
     ``request_delay`` maps (sender, address, request) to seconds added to ``latency`` before the
-    request arrives.
+    request arrives. ``link_bytes_per_second`` limits what a node sends, and what it receives; the
+    links of nodes that it does not name have no limit.
     ``messages`` counts requests and ``bytes`` their payload by (sender, address).
     """
 
@@ -43,14 +46,17 @@
         self.handlers = {}
         self.blocked = set()
         self.request_delay = lambda sender, address, request: 0.0
+        self.link_bytes_per_second = {}
         self.messages = {}
         self.bytes = {}
         self._nursery = nursery
         self._paused = {}
+        # maps (node, direction) to when the bytes that already wait for its link have passed
+        self._link_busy_until = {}
 
     def connect_from(self, sender):
         """Returns a function from an address to a client, in place of ``HttpClient``."""
-        return lambda address: NetworkClient(self, sender, address)
+        return functools.partial(NetworkClient, self, sender)
 
     def partition(self, first_group, second_group):
         """Drops all requests and responses between two groups of nodes."""
@@ -76,17 +82,34 @@
 
     async def deliver(self, sender, address, request, responses):
         """Delivers a request to its receiver and sends the response to ``responses``."""
+        await self._transmit(sender, address, len(request.body))
         await trio.sleep(self.latency + self.request_delay(sender, address, request))
         await self.wait_running(address)
         handler = self.handlers.get(address)
         if handler is None or (sender, address) in self.blocked:
             return
         response = await handler(request)
+        if not responses.statistics().open_receive_channels:
+            # the sender has closed the connection, so the response does not use the links
+            return
+        await self._transmit(address, sender, len(response.body))
         await trio.sleep(self.latency)
         await self.wait_running(address)
         if (address, sender) not in self.blocked:
             headers = {"content-type": response.content_type, **dict(response.headers)}
-            responses.send_nowait(ClientResponse(response.status, headers, response.body))
+            with contextlib.suppress(trio.BrokenResourceError):
+                responses.send_nowait(ClientResponse(response.status, headers, response.body))
+
+    async def _transmit(self, sender, receiver, size):
+        """Waits until ``size`` bytes have passed the sender's and the receiver's link."""
+        arrives_at = trio.current_time()
+        for link in ((sender, "send"), (receiver, "receive")):
+            bytes_per_second = self.link_bytes_per_second.get(link[0])
+            if bytes_per_second:
+                begins_at = max(trio.current_time(), self._link_busy_until.get(link, 0.0))
+                self._link_busy_until[link] = begins_at + size / bytes_per_second
+                arrives_at = max(arrives_at, self._link_busy_until[link])
+        await trio.sleep_until(arrives_at)
 
     def start_delivery(self, *arguments):
         """Starts ``deliver`` in the background, so that it outlives the sender's timeout."""
@@ -96,10 +119,11 @@
 class NetworkClient:
     """Client of one address over a ``Network``; has the interface of ``HttpClient``."""
 
-    def __init__(self, network, sender, address):
+    def __init__(self, network, sender, address, *, max_connections=64):
         self.address = address
         self._network = network
         self._sender = sender
+        self._limit = trio.CapacityLimiter(max_connections)
 
     async def request(self, method, target, *, body=b"", headers=(), timeout):
         """Returns the receiver's response; ``timeout`` is in seconds. Raises ``TransportError``."""
@@ -108,13 +132,9 @@
             await network.wait_running(sender)
             if self.address not in network.handlers:
                 raise TransportError("refused", False)
-            key = (sender, self.address)
-            network.messages[key] = network.messages.get(key, 0) + 1
-            network.bytes[key] = network.bytes.get(key, 0) + len(body)
-            request = Request(method, target, dict(headers), body, sender)
-            send, receive = trio.open_memory_channel(1)
-            network.start_delivery(sender, self.address, request, send)
-            response = await receive.receive()
+            async with self._limit:
+                request = Request(method, target, dict(headers), body, sender)
+                response = await self._exchange(request)
             await network.wait_running(sender)
             return response
         # a sender that was paused past its deadline times out, even if the response has arrived
@@ -124,6 +144,17 @@
     async def aclose(self):
         pass
 
+    async def _exchange(self, request):
+        """Sends a request and returns the receiver's response."""
+        network = self._network
+        key = (self._sender, self.address)
+        network.messages[key] = network.messages.get(key, 0) + 1
+        network.bytes[key] = network.bytes.get(key, 0) + len(request.body)
+        send, receive = trio.open_memory_channel(1)
+        with receive:
+            network.start_delivery(self._sender, self.address, request, send)
+            return await receive.receive()
+
 
 class ServiceFaults:
     """Faults of the stand-in for a service, which tests set directly or by ``POST /control``."""
