Log size, duration and age when a configuration takes effect; count bytes by counterpart

Cause: the log did not tell a read that waited for a connection from one that waited for its bytes, and the byte counters were not connected to the clients of the platform path.

--- a/packages/core/src/ibiscart_core/workflow/catalog.py
+++ b/packages/core/src/ibiscart_core/workflow/catalog.py
@@ -107,10 +107,14 @@
 
 
 class Catalog:
-    """One version of the configuration; immutable by convention."""
+    """One version of the configuration; immutable by convention.
 
-    def __init__(self, version, queues, pools, accounts):
+    ``document`` is the configuration as the operators wrote it, in bytes.
+    """
+
+    def __init__(self, version, queues, pools, accounts, document=b""):
         self.version = version
+        self.document = document
         self.queues = {queue.name: queue for queue in queues}
         self.pools = {pool.name: pool for pool in pools}
         self.accounts = {account.name: account for account in accounts}
--- a/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
@@ -94,20 +94,30 @@
             if not self._reachable:
                 self._reachable = True
                 LOG.info("The store answers again.")
-            self._apply(catalog)
+            self._apply(catalog, sent_at)
             self.confirmed_at = sent_at
             confirmed, self._confirmed = self._confirmed, trio.Event()
             confirmed.set()
 
-    def _apply(self, catalog):
-        """Keeps ``catalog`` and wakes the subscribers if it is newer than the kept one."""
+    def _apply(self, catalog, sent_at):
+        """Keeps ``catalog`` and wakes the subscribers if it is newer than the kept one.
+
+        ``sent_at`` is when the call that returned it was sent, in seconds of the clock.
+        """
         if catalog is None:
             return
         if self.catalog is not None and catalog.version <= self.catalog.version:
             return
         previous = self.catalog.version if self.catalog is not None else 0
         self.catalog = catalog
-        fields = {"version": catalog.version, "previous": previous}
+        fields = {
+            "version": catalog.version,
+            "previous": previous,
+            "bytes": len(catalog.document),
+            # includes the time that the store waited for a change
+            "call_ms": round((self._clock() - sent_at) * 1000),
+            "unconfirmed_ms": round(min(self.age_seconds, 1e6) * 1000),
+        }
         LOG.info("A configuration is in force.", extra=fields)
         changed, self._changed = self._changed, trio.Event()
         changed.set()
--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -119,7 +119,9 @@
         self._peer_directory = peer_directory
         self._table = table
         self._relay_server = relay_server
-        self._peer_server = HttpServer(self._handle_peer, _server_settings(address))
+        self._peer_server = HttpServer(
+            self._handle_peer, _server_settings(address), traffic=metrics.traffic("peers")
+        )
         metrics.gauge("configuration_age_seconds", lambda: catalogs.age_seconds)
         metrics.gauge("leads", lambda: int(self._leader.leads))
 
