Entries pass the configuration on from memory, compressed

What callers saw: 404 for a queue that a configuration confirmed more than 3 s before had added, on entries that the store served. Cause: an entry that the store does not answer read the configuration through another one. Each such read made that entry fetch the whole configuration from the store again and send it on uncompressed, up to four entries at once; copies that took over 1.4 s were given up and fetched anew. On links of 10 Mbit/s the served entries' own reads waited behind these copies. Class of fault: the load of those that fail over displaces the work of those that serve; no isolation, and more copies the slower it gets. Change: while the store is late, an entry asks the store over another connection and two other entries at once. These respond from memory: the configuration in zlib if it is newer, else how long ago the store confirmed it. An entry that is cut off too says so within milliseconds, and passes on what it has. An age counts from the confirmation by the store, so a revoked key gains no time. Why it works: a served entry reads each version once, whatever others need, and passes on a tenth of its size. The planted fault of the hedge moved to a read of a job, since the configuration no longer uses the hedge; that of the configuration is now the time after which it is read in another way, with the same bound.

--- a/packages/entry/src/ibiscart_entry/coordination/agent.py
+++ b/packages/entry/src/ibiscart_entry/coordination/agent.py
@@ -84,3 +84,11 @@
         Waits up to ``wait_seconds`` for a change. Raises ``HistoryLost`` when ``read`` is needed
         instead, and ``StoreError``.
         """
+
+    @abstractmethod
+    async def fetch(self):
+        """Returns the current ``Catalog``, or None, by a single call; raises ``StoreError``."""
+
+    @abstractmethod
+    def parse(self, document):
+        """Returns the ``Catalog`` of a configuration in bytes, None if it is invalid."""
--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_exchange.py
@@ -0,0 +1,200 @@
+"""
+ibiscart_entry.coordination.catalog_exchange
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Passes the configuration from entry to entry, from memory and compressed.
+
+An entry that the store does not answer gets it without a call to the store.
+"""
+
+import json
+import math
+import zlib
+from base64 import b64decode, b64encode
+
+import trio
+
+from ibiscart_entry.client import TransportError
+from ibiscart_entry.server import Response
+
+__all__ = ["CATALOG_PATH", "CatalogClient", "CatalogOffer", "CatalogServer"]
+
+CATALOG_PATH = "/v1/catalog"
+# an entry whose configuration was confirmed longer ago is taken to be cut off from the store: a
+# long poll of the store, and a late answer to it, confirm the configuration more often
+MAX_OFFER_AGE_SECONDS = 2.0
+# longest wait for a newer configuration that an entry grants to another
+MAX_WAIT_SECONDS = 2.0
+# number of entries that are asked at once, so that one which has just lost the store, and does not
+# know yet, delays nothing
+CONCURRENT_ENTRIES = 2
+# number of entries asked for one offer; with most entries cut off, more have to be tried, and each
+# answers that it is within some milliseconds
+MAX_ENTRIES = 8
+# time beyond the wait after which the next entry is asked as well
+LATE_SECONDS = 0.2
+# time beyond the wait after which a call is given up
+TIMEOUT_SECONDS = 1.0
+# the fastest level; the keys and names in a configuration shrink to about a tenth with any level
+COMPRESSION_LEVEL = 1
+# largest configuration, as protection against a malformed offer
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+
+
+class CatalogOffer:
+    """Response of an entry: ``document`` is its configuration in bytes if newer, else None.
+
+    The store confirmed it to that entry ``confirmed_before_seconds`` before the entry received the
+    request; negative if after that.
+    """
+
+    __slots__ = ("confirmed_before_seconds", "document")
+
+    def __init__(self, document, confirmed_before_seconds):
+        self.document = document
+        self.confirmed_before_seconds = confirmed_before_seconds
+
+
+class CatalogServer:
+    """Offers the configuration of ``catalogs``, the ``CatalogWatch``, to other entries.
+
+    ``clock`` returns the time in seconds and is also that of ``catalogs``.
+    """
+
+    def __init__(self, catalogs, clock=trio.current_time):
+        self._catalogs = catalogs
+        self._clock = clock
+        self._compressed_version = None
+        self._compressed = ""
+
+    async def handle(self, request):
+        """Returns the ``Response`` with a newer configuration, or with none after the wait.
+
+        Does not wait if the store has not confirmed the own configuration for some time, so that
+        the caller asks another entry.
+        """
+        arrived_at = self._clock()
+        try:
+            call = json.loads(request.body)
+            after, wait_seconds = int(call["after"]), float(call["wait_seconds"])
+        except (KeyError, OverflowError, TypeError, ValueError, RecursionError):
+            return Response.from_json(400, {"error": {"code": "bad_field"}})
+        if self._catalogs.age_seconds <= MAX_OFFER_AGE_SECONDS and wait_seconds > 0:
+            with trio.move_on_after(min(wait_seconds, MAX_WAIT_SECONDS)):
+                await self._catalogs.wait_newer(after)
+        catalog, confirmed_at = self._catalogs.catalog, self._catalogs.confirmed_at
+        if catalog is None:
+            return Response.from_json(503, {"error": {"code": "not_ready"}})
+        document = {"confirmed_before_seconds": arrived_at - confirmed_at}
+        if catalog.version > after:
+            document["data"] = self._compress(catalog)
+        return Response.from_json(200, document)
+
+    def _compress(self, catalog):
+        """Returns the document of a ``Catalog``, compressed and in base64."""
+        if self._compressed_version != catalog.version:
+            compressed = zlib.compress(catalog.document, COMPRESSION_LEVEL)
+            self._compressed = b64encode(compressed).decode()
+            self._compressed_version = catalog.version
+        return self._compressed
+
+
+class CatalogClient:
+    """Asks other entries for a newer configuration.
+
+    ``connect`` returns the HTTP client for the address of an entry. ``clock`` returns the time in
+    seconds.
+    """
+
+    def __init__(self, peer_directory, connect, metrics, rng, clock=trio.current_time):
+        self._peer_directory = peer_directory
+        self._connect = connect
+        self._metrics = metrics
+        self._rng = rng
+        self._clock = clock
+        self._clients = {}
+
+    async def fetch(self, after, wait_seconds):
+        """Returns (configuration in bytes or None, when it was confirmed), or None without offer.
+
+        The first offer of an entry counts whose configuration is newer than version ``after``, or
+        to which the store has confirmed a short time ago that there is none. The entries that are
+        asked wait up to ``wait_seconds`` for a newer one.
+        """
+        addresses = iter(self._peer_directory.candidates(self._rng)[:MAX_ENTRIES])
+        results = []
+
+        async def ask(address, done):
+            """Asks one entry; ends the fetch if its offer counts."""
+            result = await self._ask(address, after, wait_seconds)
+            done.set()
+            if result is not None:
+                results.append(result)
+                nursery.cancel_scope.cancel()
+
+        async def ask_in_turn():
+            """Asks one entry after another; one that is late does not hold up the next."""
+            for address in addresses:
+                done = trio.Event()
+                nursery.start_soon(ask, address, done)
+                with trio.move_on_after(wait_seconds + LATE_SECONDS):
+                    await done.wait()
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(CONCURRENT_ENTRIES):
+                nursery.start_soon(ask_in_turn)
+        return results[0] if results else None
+
+    async def _ask(self, address, after, wait_seconds):
+        """Returns (configuration or None, when it was confirmed) of one entry.
+
+        Returns None if the entry makes no offer that counts.
+        """
+        sent_at = self._clock()
+        try:
+            offer = await self._call(address, after, wait_seconds)
+        except TransportError as error:
+            self._metrics.count("peer_errors", error.reason)
+            self._peer_directory.record_failure(address)
+            return None
+        if offer is None:
+            self._metrics.count("peer_errors", "malformed")
+            return None
+        # the entry received the request later than it was sent, so this is a lower limit
+        confirmed_at = sent_at - offer.confirmed_before_seconds
+        if offer.document is None and self._clock() - confirmed_at > MAX_OFFER_AGE_SECONDS:
+            self._metrics.count("peer_errors", "outdated")
+            self._peer_directory.record_failure(address)
+            return None
+        return offer.document, confirmed_at
+
+    async def _call(self, address, after, wait_seconds):
+        """Returns the ``CatalogOffer`` of the entry at ``address``, None if it is malformed."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = self._connect(address)
+        body = json.dumps({"after": after, "wait_seconds": wait_seconds}).encode()
+        self._metrics.count("peer_messages", "catalog")
+        timeout = wait_seconds + TIMEOUT_SECONDS
+        return parse_offer(await client.request("POST", CATALOG_PATH, body=body, timeout=timeout))
+
+
+def parse_offer(response):
+    """Returns the ``CatalogOffer`` of a response, None if it is malformed."""
+    if response.status != 200:
+        return None
+    try:
+        document = json.loads(response.body)
+        confirmed_before_seconds = float(document["confirmed_before_seconds"])
+        data = document.get("data")
+        if not math.isfinite(confirmed_before_seconds):
+            return None
+        if data is None:
+            return CatalogOffer(None, confirmed_before_seconds)
+        decompressor = zlib.decompressobj()
+        decoded = decompressor.decompress(b64decode(data, validate=True), MAX_DOCUMENT_BYTES)
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError, RecursionError):
+        return None
+    except zlib.error:
+        return None
+    return CatalogOffer(decoded, confirmed_before_seconds) if decompressor.eof else None
--- a/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
@@ -7,6 +7,7 @@
 The version that is kept never decreases while the process runs.
 """
 
+import functools
 import logging
 
 import trio
@@ -17,25 +18,35 @@
 
 LOG = logging.getLogger("ibiscart.catalog")
 # longest time that a read waits for a change; changes must take effect within 2 s, in which a
-# stalled connection must be detected and the configuration read again
+# stalled connection must be detected and the configuration read in another way
 LONG_POLL_SECONDS = 0.8
-# pause after a failed read; short compared with the 2 s within which changes must take effect
+# pause after a failed read, doubled after each further one up to the maximum, so that a store or
+# entries that refuse are not asked all the time
 RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 0.8
+# the configuration is read in other ways too when the store has not confirmed it for this time: a
+# long poll and a margin for its response; also the longest duration of one attempt in other ways,
+# after which the next attempt uses new connections
+OVERDUE_SECONDS = 1.2
 
 
 class CatalogWatch:
     """Follows a ``CatalogSource``.
 
-    ``catalog`` is the newest ``Catalog``, None until one is read. ``confirmed_at`` is when
-    the last successful read was sent, in seconds of ``clock``; None before.
+    ``peers`` is the ``CatalogClient`` that asks the other entries while the store does not confirm
+    the configuration. ``catalog`` is the newest ``Catalog``, None until one is read.
+    ``confirmed_at`` is a time at which it was certainly the newest, in seconds of ``clock``; None
+    before.
     """
 
-    def __init__(self, source, clock=trio.current_time):
+    def __init__(self, source, clock=trio.current_time, peers=None):
         self._source = source
         self._clock = clock
+        self._peers = peers
         self._changed = trio.Event()
         self._confirmed = trio.Event()
         self._reachable = True
+        self._store_confirmed_at = clock()
         self.catalog = None
         self.confirmed_at = None
 
@@ -68,10 +79,24 @@
                 continue
             await changed.wait()
 
+    async def wait_newer(self, version):
+        """Returns as soon as the catalog is newer than ``version``."""
+        while self.catalog is None or self.catalog.version <= version:
+            await self._changed.wait()
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Follows the configuration until cancelled."""
-        task_status.started()
+        # the first read does not wait for a change
+        self._store_confirmed_at = self._clock() - LONG_POLL_SECONDS
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_store)
+            nursery.start_soon(self._read_while_overdue)
+            task_status.started()
+
+    async def _follow_store(self):
+        """Reads each change from the store until cancelled."""
         table_version = None
+        retry_seconds = RETRY_SECONDS
         while True:
             sent_at = self._clock()
             try:
@@ -89,13 +114,92 @@
                     self._reachable = False
                     LOG.warning("The store does not answer.", extra={"cause": error.reason})
                 table_version = None
-                await trio.sleep(RETRY_SECONDS)
+                await trio.sleep(retry_seconds)
+                retry_seconds = min(MAX_RETRY_SECONDS, 2 * retry_seconds)
                 continue
+            retry_seconds = RETRY_SECONDS
             if not self._reachable:
                 self._reachable = True
                 LOG.info("The store answers again.")
-            self._apply(catalog, sent_at)
-            self.confirmed_at = sent_at
+            self._apply_confirmed(catalog, sent_at)
+            self._store_confirmed_at = sent_at
+
+    async def _read_while_overdue(self):
+        """Reads the configuration in other ways while the store is late to confirm it."""
+        wait_seconds = 0.0
+        retry_seconds = RETRY_SECONDS
+        while True:
+            overdue_at = self._store_confirmed_at + OVERDUE_SECONDS
+            if self._clock() < overdue_at:
+                wait_seconds = 0.0
+                await trio.sleep(overdue_at - self._clock())
+            elif await self._read_otherwise(wait_seconds):
+                wait_seconds = LONG_POLL_SECONDS
+                retry_seconds = RETRY_SECONDS
+            else:
+                wait_seconds = 0.0
+                await trio.sleep(retry_seconds)
+                retry_seconds = min(MAX_RETRY_SECONDS, 2 * retry_seconds)
+
+    async def _read_otherwise(self, wait_seconds):
+        """Asks the store over another connection and the other entries, at the same time.
+
+        The entries wait up to ``wait_seconds`` for a change. Returns True if one of them confirmed
+        the configuration.
+        """
+        confirmed = False
+        with trio.move_on_after(OVERDUE_SECONDS):
+            async with trio.open_nursery() as nursery:
+
+                async def attempt(read):
+                    """Ends the attempts if ``read`` returns True."""
+                    nonlocal confirmed
+                    if await read():
+                        confirmed = True
+                        nursery.cancel_scope.cancel()
+
+                nursery.start_soon(attempt, self._read_from_store)
+                if self._peers is not None:
+                    nursery.start_soon(
+                        attempt, functools.partial(self._read_from_peers, wait_seconds)
+                    )
+        return confirmed
+
+    async def _read_from_store(self):
+        """Reads the current configuration from the store; returns True if it answered."""
+        sent_at = self._clock()
+        try:
+            catalog = await self._source.fetch()
+        except StoreError:
+            return False
+        self._apply_confirmed(catalog, sent_at)
+        self._store_confirmed_at = max(self._store_confirmed_at, sent_at)
+        return True
+
+    async def _read_from_peers(self, wait_seconds):
+        """Reads the configuration of another entry; returns True if one had a recent one."""
+        sent_at = self._clock()
+        version = self.catalog.version if self.catalog is not None else 0
+        result = await self._peers.fetch(version, wait_seconds)
+        if result is None:
+            return False
+        document, confirmed_at = result
+        catalog = self._source.parse(document) if document is not None else None
+        if document is not None and catalog is None:
+            return False
+        self._apply(catalog, sent_at)
+        self._confirm(confirmed_at)
+        return True
+
+    def _apply_confirmed(self, catalog, sent_at):
+        """Applies what the store returned to a call that was sent at ``sent_at``."""
+        self._apply(catalog, sent_at)
+        self._confirm(sent_at)
+
+    def _confirm(self, confirmed_at):
+        """Records that the catalog was the newest at a time; wakes those who wait for that."""
+        if self.confirmed_at is None or confirmed_at > self.confirmed_at:
+            self.confirmed_at = confirmed_at
             confirmed, self._confirmed = self._confirmed, trio.Event()
             confirmed.set()
 
--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -13,6 +13,7 @@
 
 from ibiscart_entry.clock import boot_time
 from ibiscart_entry.coordination.announcer import ANNOUNCE_PATH, Announcer
+from ibiscart_entry.coordination.catalog_exchange import CATALOG_PATH, CatalogServer
 from ibiscart_entry.coordination.leader import Leader
 from ibiscart_entry.coordination.leadership import Leadership
 from ibiscart_entry.coordination.session import LEASE_SECONDS
@@ -119,6 +120,7 @@
         self._peer_directory = peer_directory
         self._table = table
         self._relay_server = relay_server
+        self._catalog_server = CatalogServer(catalogs, boot_time)
         self._peer_server = HttpServer(
             self._handle_peer, _server_settings(address), traffic=metrics.traffic("peers")
         )
@@ -181,9 +183,14 @@
         return Response.from_json(200 if ready else 503, {"ready": ready})
 
     async def _handle_peer(self, request):
-        """Responds to an announcement, a relayed store call or a request for the metrics."""
+        """Responds to a request of another entry, or to one for the metrics.
+
+        Other entries announce jobs, relay store calls and ask for the configuration.
+        """
         if request.path == ANNOUNCE_PATH:
             return await self._announcer.handle(request)
+        if request.path == CATALOG_PATH:
+            return await self._catalog_server.handle(request)
         if request.method == "POST":
             return await self._relay_server.handle(request)
         return Response(200, self._metrics.render().encode(), "text/plain; version=0.0.4")
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -9,6 +9,11 @@
 from trio._core import _run as trio_run
 
 from ibiscart_entry.coordination.announcer import ANNOUNCE_PATH, Announcer
+from ibiscart_entry.coordination.catalog_exchange import (
+    CATALOG_PATH,
+    CatalogClient,
+    CatalogServer,
+)
 from ibiscart_entry.coordination.catalog_watch import CatalogWatch
 from ibiscart_entry.coordination.job_service import JobService
 from ibiscart_entry.coordination.leader import Leader
@@ -101,7 +106,12 @@
         self.table = RelayTable(self.direct_table, self.peer_directory, connect, self.metrics, rng)
         # seconds for which the entry's machine was suspended
         self.suspended_seconds = 0.0
-        self.catalogs = CatalogWatch(PlatformCatalogSource(self.table), self.boot_time)
+        self.catalogs = CatalogWatch(
+            PlatformCatalogSource(self.direct_table),
+            self.boot_time,
+            CatalogClient(self.peer_directory, connect, self.metrics, rng, self.boot_time),
+        )
+        self.catalog_server = CatalogServer(self.catalogs, self.boot_time)
         self.job_service = JobService(self.table, deployment.now_ms)
         self.frontend = Frontend(
             self.job_service,
@@ -148,6 +158,8 @@
         """Handles a request of another entry."""
         if request.path == ANNOUNCE_PATH:
             return await self.announcer.handle(request)
+        if request.path == CATALOG_PATH:
+            return await self.catalog_server.handle(request)
         return await self.relay_server.handle(request)
 
     async def call(self, method, path, document=None, key=API_KEY):
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -13,9 +13,15 @@
 
 from ibiscart_core.error import IbiscartError
 from ibiscart_entry.coordination.agent import AgentError
+from ibiscart_entry.coordination.catalog_exchange import (
+    CATALOG_PATH,
+    CatalogServer,
+    parse_offer,
+)
+from ibiscart_entry.coordination.catalog_watch import CatalogWatch
 from ibiscart_entry.coordination.record import jobs_from_rows
 from ibiscart_entry.coordination.relay import _parse_peer_response
-from ibiscart_entry.server import Response
+from ibiscart_entry.server import Request, Response
 from ibiscart_entry.table import Changes, Row, StoreError
 from ibiscart_platform.agent import PlatformAgent
 from ibiscart_platform.configuration import PlatformCatalogSource
@@ -177,6 +183,28 @@
         except StoreError:
             pass
 
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(
+        mutated({"confirmed_before_seconds": 0.5, "data": "eJwDAAAAAAE="}) | st.just(DEEPLY_NESTED),
+        st.sampled_from([200, 503]),
+    )
+    def test_configurations_of_other_entries(self, body, status):
+        offer = parse_offer(Response(status, body, "application/json"))
+        if offer is not None:
+            self.assertIsInstance(offer.confirmed_before_seconds, float)
+            self.assertIsInstance(offer.document, bytes | None)
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(mutated({"after": 1, "wait_seconds": 0.0}) | st.just(DEEPLY_NESTED))
+    def test_requests_for_the_configuration(self, body):
+        async def main():
+            watch = CatalogWatch(PlatformCatalogSource(_Table("op/config", b"{}")))
+            request = Request("POST", CATALOG_PATH, {}, body, "entry")
+            response = await CatalogServer(watch).handle(request)
+            self.assertIn(response.status, (400, 503))
+
+        trio.run(main)
+
 
 class HostileDeploymentTest(unittest.TestCase):
     def test_a_worker_with_malformed_lists_stops_no_other(self):
--- a/tests/platform/test_store_failures.py
+++ b/tests/platform/test_store_failures.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from ibiscart_entry.coordination import relay
+from ibiscart_entry.coordination import catalog_watch, relay
 from tests.platform.deployment import (
     CONFIGURATION,
     JOB_ID,
@@ -20,6 +20,8 @@
 # the platform's limit, at its small deployments, for the time from the write of a new
 # configuration to its application by an entry
 MAX_CONFIG_DELAY_SECONDS = 2.0
+# a link of 10 Mbit/s, that of most entries of the platform's larger deployments
+LINK_BYTES_PER_SECOND = 1_250_000
 
 
 class StoreFailureTest(unittest.TestCase):
@@ -146,11 +148,39 @@
         # configuration for 3 s
         run_virtual(self.update_over_unresponsive_connection)
 
-    def test_unbounded_hedge_delay_is_detected(self):
-        with mock.patch.object(relay, "MAX_READ_HEDGE_SECONDS", float("inf")):
+    def test_configuration_that_is_never_read_in_another_way_is_detected(self):
+        with mock.patch.object(catalog_watch, "OVERDUE_SECONDS", float("inf")):
             with self.assertRaisesRegex(AssertionError, "the condition does not hold"):
                 run_virtual(self.update_over_unresponsive_connection)
 
+    def test_read_over_unresponsive_connection_after_a_slow_store_is_answered(self):
+        # the delay after which a read was also sent through a peer grew with the latency of a slow
+        # store, so a caller of an entry whose connection then became unresponsive waited for 2 s
+        self.assertLess(run_virtual(self.time_read_over_unresponsive_connection), 1.0)
+
+    def test_unbounded_hedge_delay_is_detected(self):
+        with mock.patch.object(relay, "MAX_READ_HEDGE_SECONDS", float("inf")):
+            self.assertGreater(run_virtual(self.time_read_over_unresponsive_connection), 1.0)
+
+    async def time_read_over_unresponsive_connection(self):
+        """Returns the seconds in which an entry whose connection stalled tells a job's state.
+
+        The store was slow before. No call counts as overdue, as other connections of the entry may
+        still be answered.
+        """
+        async with Deployment() as deployment:
+            await deployment.submit(JOB_ID, job(step()))
+            await deployment.wait_for_state(JOB_ID, "completed")
+            await trio.sleep(6)
+            entry = deployment.entries["e1"]
+            deployment.store.unanswered_callers.add("e1")
+            detector = entry.table._stall_detector
+            detector.latency_seconds = 1.5
+            started_at = trio.current_time()
+            with mock.patch.object(type(detector), "stalled", False):
+                self.assertEqual("completed", await deployment.state(JOB_ID, entry))
+            return trio.current_time() - started_at
+
     async def update_over_unresponsive_connection(self):
         """Checks that an entry applies a new configuration in time after its connection stalled."""
         async with Deployment() as deployment:
@@ -309,9 +339,9 @@
                 entry = deployment.first_entry()
                 self.assertEqual(200, await deployment.submit(JOB_ID, job(step())))
                 source = entry.catalogs._source
-                unresponsive = mock.Mock(read=trio.sleep_forever)
+                unresponsive = mock.Mock(read=trio.sleep_forever, fetch=trio.sleep_forever)
                 unresponsive.changes = lambda version, seconds: trio.sleep_forever()
-                entry.catalogs._source = unresponsive
+                entry.catalogs._source, entry.catalogs._peers = unresponsive, None
                 await trio.sleep(1)
                 deployment.store.put("op", "config", revoked)
                 await trio.sleep(5)
@@ -381,6 +411,55 @@
 
         run_virtual(main)
 
+    def test_configuration_is_in_time_on_entries_that_the_store_serves_while_most_are_cut_off(self):
+        # entries that the store did not answer read a large configuration through the others, whose
+        # own reads then waited for minutes behind these copies on their links of 10 Mbit/s
+        for callers in ("unanswered_callers", "refused_callers"):
+            with self.subTest(callers=callers):
+
+                async def main(callers=callers):
+                    async with Deployment(entries=12) as deployment:
+                        await trio.sleep(7)
+                        names = list(deployment.entries)
+                        link = dict.fromkeys(names, LINK_BYTES_PER_SECOND)
+                        deployment.network.link_bytes_per_second.update(link)
+                        getattr(deployment.store, callers).update(names[:10])
+                        for version in range(10, 25):
+                            await self.put_large_configuration(deployment, version)
+
+                run_virtual(main)
+
+    async def put_large_configuration(self, deployment, version):
+        """Checks that all entries apply a configuration of 230 KB in time; returns after 0.6 s."""
+        template = CONFIGURATION["routes"][0]
+        idle = [{**template, "name": f"i{n}", "pathPrefix": f"/i{n}/"} for n in range(1400)]
+        routes = [*CONFIGURATION["routes"], *idle]
+        newer = {**CONFIGURATION, "version": version, "routes": routes}
+        deployment.store.put("op", "config", newer)
+        next_at = trio.current_time() + 0.6
+        catalogs = [entry.catalogs for entry in deployment.entries.values()]
+        await deployment.wait_until(
+            lambda: all(catalog.catalog.version >= version for catalog in catalogs),
+            MAX_CONFIG_DELAY_SECONDS,
+        )
+        await trio.sleep_until(max(next_at, trio.current_time()))
+
+    def test_configuration_passes_through_an_entry_that_is_cut_off_too(self):
+        # an entry that knew only entries without store access kept an outdated configuration
+        async def main():
+            async with Deployment(entries=4) as deployment:
+                await trio.sleep(6)
+                deployment.store.refused_callers.update({"e0", "e1"})
+                deployment.network.partition({"e0"}, {"e2", "e3"})
+                await trio.sleep(3)
+                deployment.store.put("op", "config", {**CONFIGURATION, "version": 9})
+                catalogs = deployment.entries["e0"].catalogs
+                await deployment.wait_until(
+                    lambda: catalogs.catalog.version == 9, MAX_CONFIG_DELAY_SECONDS
+                )
+
+        run_virtual(main)
+
     def test_older_configuration_is_ignored(self):
         async def main():
             async with Deployment() as deployment:
