Log why a worker does not answer whenever the reason changes, and its address

Cause: only the first reason was logged (truncated), so a worker that is cut off could not be told from one whose process has ended (refused, then status 421 from the next process at its address).

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -90,6 +90,8 @@
         self._acknowledged_sequence = 0
         self._applied_sequence = 0
         self._answered_at = None
+        # why the last failed poll failed
+        self._failure_reason = ""
         self._wakeup = trio.Event()
         self._expires_at = 0.0
         self._address = worker.info.address
@@ -353,9 +355,15 @@
 
     def _mark_unreachable(self, reason):
         """Records that a poll failed; ends the worker's runs if their leases have expired."""
-        if self._worker.reachable:
-            fields = {"worker": self._worker.id, "reason": reason}
+        if self._worker.reachable or reason != self._failure_reason:
+            fields = {
+                "worker": self._worker.id,
+                "reason": reason,
+                "registered": self._worker.registered,
+                "runs": len(self._worker.units_by_run),
+            }
             LOG.warning("A worker does not answer.", extra=fields)
+        self._failure_reason = reason
         self._worker.reachable = False
         now = trio.current_time()
         if self._worker.units_by_run and now > self._expires_at:
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -180,7 +180,12 @@
         """Adds or updates a worker and opens a session if it has none with this address."""
         worker = self._engine.fleet.get(worker_id)
         if worker is None or not worker.registered:
-            fields = {"worker": worker_id, "rack": info.rack, "draining": info.draining}
+            fields = {
+                "worker": worker_id,
+                "address": info.address,
+                "rack": info.rack,
+                "draining": info.draining,
+            }
             LOG.info("A worker has joined.", extra=fields)
         elif info.draining and not worker.info.draining:
             LOG.info("A worker is leaving.", extra={"worker": worker_id})
