A task under which three workers were lost is given up

What callers saw: a job that never ended, and jobs on the same workers whose runs were lost again and again, each time for a lease of 6.5 s. Cause: only ends that a worker reports count as attempts; a crashed worker reports none. Class of fault: work that kills its executor is retried without a limit, because the count of attempts depends on the executor's report. Change: each task has evidence of the workers lost under it, in the job's record. A worker has crashed for certain if it answers in a later incarnation, or if another process answers at its address (status 421), which also ends its runs at once; it was only cut off if it answers in the same incarnation, and then does not count. A worker that vanished is asked for 30 s more. A task is given up with three lost workers of which two crashed for certain while it ran, or with five without certainty; with three that are uncertain it waits 15 s, then twice as long. A task that was lost once goes where the fewest others are; one that was lost twice shares no worker with another suspect, so that the third crash tells the cause. Draining workers, and runs of over 60 s, are no evidence. Why it works: the limit counts what can be observed from outside the worker, and outlasts leaders. The engine's model now has crashes under tasks and checks that no job fails without cause; a planted hasty verdict is found.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -92,6 +92,8 @@
         self._scheduler.ranking.record_job(job)
         for unit in job.units():
             unit.ready_at = now
+            unit.retry_at = now + unit.hold_seconds
+            self._attach_vanished_runs(unit, now)
             for index, allocation in unit.allocations.items():
                 worker = self.fleet.get(allocation.worker_id)
                 if worker is not None:
@@ -128,16 +130,21 @@
                 counts[job.queue] = counts.get(job.queue, 0) + 1
         return counts
 
-    def end_lost_runs(self, worker_id, reason):
-        """Ends all runs of a worker that has left or whose leases have expired.
+    def end_lost_runs(self, worker_id, cause, now, reason):
+        """Ends all runs of a worker that has left, crashed or vanished until its leases expired.
 
-        ``reason`` is for the log.
+        ``cause`` is ``LOST``, ``WORKER_CRASHED`` or ``WORKER_VANISHED``; a worker that was draining
+        has left. ``reason`` is for the log.
         """
         worker = self.fleet.get(worker_id)
         if worker is None:
             return
+        if worker.info.draining:
+            cause = EndCause.LOST
+        if cause is EndCause.WORKER_CRASHED:
+            self._resolve_vanished_runs(worker, None)
         for (task_key, run), unit in list(worker.units_by_run.items()):
-            self._end_run(worker, unit, task_key, run, EndCause.LOST, "", reason)
+            self._end_run(worker, unit, task_key, run, cause, "", reason, now)
 
     def apply_worker_status(self, worker_id, status, asked_at, now):
         """Applies a worker's status.
@@ -148,6 +155,8 @@
         if worker is None:
             return
         worker.reachable = True
+        if status.incarnation is not None:
+            self._resolve_vanished_runs(worker, status.incarnation)
         listed = {}
         for run in status.running:
             listed[(run.task_key, run.run)] = run
@@ -157,7 +166,7 @@
             self._apply_end(worker, end, now, counted_jobs)
         for key, unit in list(worker.units_by_run.items()):
             if key not in listed:
-                self._apply_missing_run(worker, key, unit, status.incarnation, asked_at)
+                self._apply_missing_run(worker, key, unit, status.incarnation, asked_at, now)
 
     def apply_start_result(self, order, result, now):
         """Applies a ``StartResult``, unless the run no longer waits for an answer to the order."""
@@ -178,7 +187,8 @@
             elif result is StartResult.INSUFFICIENT_CAPACITY:
                 worker.suspend(now, INSUFFICIENT_CAPACITY_SUSPEND_SECONDS)
         unit.retry_at = now + START_RETRY_SECONDS
-        self._end_run(worker, unit, order.task_key, order.run, EndCause.LOST, "", result.value)
+        cause = EndCause.LOST
+        self._end_run(worker, unit, order.task_key, order.run, cause, "", result.value, now)
 
     def confirm_stop(self, stop, now):
         """Records that a worker acknowledged a stop: the run can no longer start on that worker."""
@@ -308,7 +318,8 @@
             # against the worker only once
             counted_jobs.add(unit.job.id)
             worker.reliability.record_failure(now)
-        self._end_run(worker, unit, end.task_key, end.run, end.cause, end.checkpoint, "reported")
+        cause, checkpoint = end.cause, end.checkpoint
+        self._end_run(worker, unit, end.task_key, end.run, cause, checkpoint, "reported", now)
 
     def _record_duration(self, worker, unit, index, now):
         """Records the run time of a task that completed in its first run, within its rack.
@@ -327,7 +338,7 @@
         durations = self._scheduler.ranking.durations
         durations.record(unit.job.queue, step.estimate_ms, actual_ms, 1.0 / step.tasks)
 
-    def _apply_missing_run(self, worker, run_key, unit, incarnation, asked_at):
+    def _apply_missing_run(self, worker, run_key, unit, incarnation, asked_at, now):
         """Handles a run that the worker's status does not list.
 
         A start order may still be in flight, so the run ends only after the worker has
@@ -338,32 +349,36 @@
         if allocation is None:
             worker.release(task_key, run)
             return
+        restarted = incarnation is not None and incarnation != allocation.incarnation
         if allocation.state is AllocationState.STOPPING:
             if (
                 allocation.stop_acknowledged_at is not None
                 and allocation.stop_acknowledged_at < asked_at
             ):
-                self._end_run(worker, unit, task_key, run, EndCause.LOST, "", "absent_after_stop")
+                cause = EndCause.WORKER_CRASHED if restarted else EndCause.LOST
+                self._end_run(worker, unit, task_key, run, cause, "", "absent_after_stop", now)
             return
-        restarted = incarnation is not None and incarnation != allocation.incarnation
         recovered = allocation.ordered_at is None
         confirmed = allocation.confirmed_at is not None and allocation.confirmed_at < asked_at
         if restarted or recovered or confirmed:
             reason = "worker_restarted" if restarted else "run_absent"
             self._request_stop(unit, task_key[3], reason)
 
-    def _end_run(self, worker, unit, task_key, run, cause, checkpoint, reason):
+    def _end_run(self, worker, unit, task_key, run, cause, checkpoint, reason, now):
         """Ends one task's run and releases its resources; ``worker`` is None if it is unknown.
 
         Unless the task or its unit has succeeded, the unit's other tasks are stopped. ``reason`` is
-        for the log.
+        for the log, ``now`` in seconds of the monotonic clock.
         """
         if worker is not None:
             worker.release(task_key, run)
         if unit.run != run or task_key[3] not in unit.allocations:
             return
         was_done = unit.state is UnitState.DONE
-        unit.end_task(task_key[3], cause, checkpoint if unit.spec.checkpointing else "")
+        index = task_key[3]
+        allocation = unit.end_task(index, cause, checkpoint if unit.spec.checkpointing else "")
+        if not was_done and cause in (EndCause.WORKER_CRASHED, EndCause.WORKER_VANISHED):
+            self._record_lost_worker(worker, unit, index, allocation, cause, now)
         self.unsaved_job_ids[unit.job.id] = True
         self._log_event(
             "run_ended",
@@ -380,6 +395,53 @@
                 self._request_stop(unit, index, "member_ended")
         self._update_outcome(unit.job)
 
+    def _record_lost_worker(self, worker, unit, index, allocation, cause, now):
+        """Adds a worker that was lost to the evidence against a task that ran on it."""
+        unit.record_lost_worker(index, allocation, cause is EndCause.WORKER_CRASHED, now)
+        if cause is EndCause.WORKER_VANISHED:
+            worker.record_vanished_run(unit, index, now)
+        if unit.hold_seconds:
+            unit.retry_at = now + unit.hold_seconds
+        self._log_crash_evidence(unit, index, worker.id)
+
+    def _resolve_vanished_runs(self, worker, incarnation):
+        """Decides whether a worker that had vanished has crashed.
+
+        ``incarnation`` is that in which it answers, None if another process has taken its place.
+        """
+        resolved, worker.vanished_runs = worker.vanished_runs, []
+        for unit, index in resolved:
+            evidence = unit.crash_evidence.get(index)
+            if evidence is None or unit.job.ended:
+                continue
+            if not evidence.resolve(worker.id, incarnation):
+                continue
+            unit.retry_at = 0.0
+            self.unsaved_job_ids[unit.job.id] = True
+            self._log_crash_evidence(unit, index, worker.id)
+            self._update_outcome(unit.job)
+
+    def _attach_vanished_runs(self, unit, now):
+        """Lets the workers that vanished under an earlier leader tell whether they crashed."""
+        for index, evidence in unit.crash_evidence.items():
+            for worker_id in evidence.uncertain_workers:
+                worker = self.fleet.get(worker_id)
+                if worker is not None:
+                    worker.record_vanished_run(unit, index, now)
+
+    def _log_crash_evidence(self, unit, index, worker_id):
+        """Logs the evidence that a task crashes its workers after it has changed."""
+        evidence = unit.crash_evidence.get(index)
+        self._log_event(
+            "crash_evidence_changed",
+            job=unit.job.id,
+            task=f"{unit.occurrence}.{unit.step}.{index}",
+            worker=worker_id,
+            crashed=evidence.crashed if evidence is not None else 0,
+            lost=evidence.lost_workers if evidence is not None else 0,
+            given_up=unit.given_up,
+        )
+
     def _update_outcome(self, job):
         """Ends the job if it has completed or one of its units has no attempts left."""
         queue = job.accepted_queue if self.catalog is None else self.catalog.queue_of(job)
--- a/packages/core/src/ibiscart_core/workflow/fleet.py
+++ b/packages/core/src/ibiscart_core/workflow/fleet.py
@@ -11,6 +11,10 @@
 
 __all__ = ["Fleet", "FleetWorker", "WorkerInfo"]
 
+# time for which a worker that left the directory without notice is still asked whether it runs; a
+# crashed worker, or a network partition, is usually back within some seconds
+RETURN_SECONDS = 30.0
+
 
 class WorkerInfo:
     """Properties that a worker reports.
@@ -64,8 +68,10 @@
 
     ``registered`` is True while the directory has an entry of the worker. ``reachable`` is False
     until its list of runs has been read, and while it does not answer. ``units_by_run`` maps
-    (task key, run) to the unit of the run. ``leaves_at``, ``last_seen_at`` and
-    ``suspended_until`` are in seconds of the monotonic clock.
+    (task key, run) to the unit of the run. ``vanished_runs`` has (unit, index of the task)
+    of the runs that were lost while it did not answer, until it is known whether it crashed.
+    ``leaves_at``, ``last_seen_at``, ``suspended_until`` and ``vanished_at`` are in seconds of the
+    monotonic clock.
     """
 
     __slots__ = (
@@ -78,6 +84,8 @@
         "suspended_until",
         "units_by_run",
         "used",
+        "vanished_at",
+        "vanished_runs",
     )
 
     def __init__(self, info):
@@ -90,6 +98,8 @@
         self.reliability = Reliability()
         self.leaves_at = None
         self.last_seen_at = None
+        self.vanished_at = 0.0
+        self.vanished_runs = []
 
     @property
     def id(self):
@@ -136,6 +146,15 @@
             return False
         return now - self.last_seen_at < silence_seconds
 
+    def record_vanished_run(self, unit, index, now):
+        """Records that a task's run was lost while the worker did not answer."""
+        self.vanished_runs.append((unit, index))
+        self.vanished_at = now
+
+    def may_return(self, now):
+        """Returns True if the worker may still answer and tell whether it crashed."""
+        return bool(self.vanished_runs) and now - self.vanished_at < RETURN_SECONDS
+
     def allocate(self, task_key, run, unit):
         """Allocates the resources of one task's run; does nothing if they are allocated."""
         if (task_key, run) not in self.units_by_run:
--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from ibiscart_core.workflow.catalog import QueueEntry
+from ibiscart_core.workflow.crash import STABLE_RUN_SECONDS, CrashEvidence
 from ibiscart_core.workflow.spec import JobSpec
 
 __all__ = ["Allocation", "AllocationState", "EndCause", "Job", "Outcome", "Unit", "UnitState"]
@@ -17,7 +18,9 @@
     """Cause of the end of a task's run on a worker.
 
     ``MEMBER_ENDED``: another member of the gang ended; ``MEMBERS_MISSING``: the other members did
-    not start in time; ``LOST``: the run did not start, or the worker did not report its end.
+    not start in time; ``WORKER_CRASHED``: the worker's process ended without notice;
+    ``WORKER_VANISHED``: the worker stopped answering, and the lease has expired; ``LOST``: the run
+    did not start, or the worker did not report its end for another cause.
     """
 
     DONE = "done"
@@ -26,6 +29,8 @@
     LEASE_EXPIRED = "lease_expired"
     MEMBER_ENDED = "member_ended"
     MEMBERS_MISSING = "members_missing"
+    WORKER_CRASHED = "worker_crashed"
+    WORKER_VANISHED = "worker_vanished"
     LOST = "lost"
 
 
@@ -89,12 +94,14 @@
     indexes to their ``Allocation``. ``failure_counted`` is True once a failure of the current run
     is counted, so that a gang with several failed tasks counts once. The unit waits for workers
     from ``ready_at`` and is not placed before ``retry_at``, both in seconds of the monotonic
-    clock.
+    clock. ``crash_evidence`` maps indexes of tasks under which workers were lost to their
+    ``CrashEvidence``.
     """
 
     __slots__ = (
         "allocations",
         "checkpoint",
+        "crash_evidence",
         "failure_counted",
         "failures",
         "first_index",
@@ -118,6 +125,7 @@
         self.run = 0
         self.failures = 0
         self.checkpoint = ""
+        self.crash_evidence = {}
         self.allocations = {}
         self.failure_counted = False
         self.ready_at = 0.0
@@ -145,6 +153,42 @@
             allocation.state is AllocationState.RUNNING for allocation in self.allocations.values()
         )
 
+    @property
+    def crash_suspect(self):
+        """True if workers were lost under one of the tasks."""
+        return any(evidence.lost_workers for evidence in self.crash_evidence.values())
+
+    @property
+    def isolated(self):
+        """True if the unit is to share no worker with another unit that is a crash suspect."""
+        return any(evidence.isolated for evidence in self.crash_evidence.values())
+
+    @property
+    def given_up(self):
+        """True if one of the tasks crashes the workers that run it."""
+        return any(evidence.conclusive for evidence in self.crash_evidence.values())
+
+    @property
+    def hold_seconds(self):
+        """Delay of the next run in seconds after a worker was lost, 0 for none."""
+        evidence = self.crash_evidence.values()
+        return max((found.hold_seconds for found in evidence), default=0.0)
+
+    def record_lost_worker(self, index, allocation, crashed, now):
+        """Adds the worker of a task's run, which was lost, to the evidence against the task.
+
+        ``crashed`` is True if it has crashed for certain. ``now`` is in seconds of the monotonic
+        clock.
+        """
+        confirmed_at = allocation.confirmed_at
+        if confirmed_at is not None and now - confirmed_at > STABLE_RUN_SECONDS:
+            self.crash_evidence.pop(index, None)
+            return
+        evidence = self.crash_evidence.setdefault(index, CrashEvidence())
+        started = confirmed_at is not None
+        worker_id, incarnation = allocation.worker_id, allocation.incarnation
+        evidence.record_loss(worker_id, incarnation, crashed=crashed, started=started)
+
     def task_key(self, index):
         """Returns the key of a task: (job id, occurrence, step, index)."""
         return (self.job.id, self.occurrence, self.step, index)
@@ -183,14 +227,23 @@
             for index, allocation in sorted(self.allocations.items())
         ]
         done = int(self.state is UnitState.DONE)
-        return [self.first_index, done, self.run, self.failures, self.checkpoint, allocations]
+        row = [self.first_index, done, self.run, self.failures, self.checkpoint, allocations]
+        evidence = [
+            [index, found.to_record()]
+            for index, found in sorted(self.crash_evidence.items())
+            if found.lost_workers
+        ]
+        # left out of most rows, which keeps them as short as they were
+        return [*row, evidence] if evidence and not done else row
 
     def load_record(self, record):
         """Restores the state that ``to_record`` returned."""
-        _, done, self.run, self.failures, self.checkpoint, allocations = record
+        _, done, self.run, self.failures, self.checkpoint, allocations, *rest = record
         if done:
             self.state = UnitState.DONE
             return
+        for index, row in rest[0] if rest else ():
+            self.crash_evidence[index] = CrashEvidence.from_record(row)
         self.allocations = {
             index: Allocation(worker_id, incarnation)
             for index, worker_id, incarnation in allocations
@@ -304,10 +357,13 @@
         """Sets the outcome if the job has failed or completed; returns True if it was set now.
 
         The job fails when one unit has ``max_failures`` failed runs, never if ``max_failures`` is
-        None.
+        None, and when a unit that is not done is given up.
         """
         if self.ended:
             return False
+        if any(unit.given_up and unit.state is not UnitState.DONE for unit in self.units()):
+            self.outcome = Outcome.FAILED
+            return True
         if max_failures is not None and any(
             unit.failures >= max_failures
             and unit.state is not UnitState.DONE
--- a/packages/core/src/ibiscart_core/workflow/placement.py
+++ b/packages/core/src/ibiscart_core/workflow/placement.py
@@ -19,6 +19,7 @@
 
     __slots__ = (
         "_allocated_tasks",
+        "_allocated_units",
         "accelerators",
         "cpu_millis",
         "labels",
@@ -38,6 +39,12 @@
         self.labels = worker.info.labels
         self.rack = worker.info.rack
         self._allocated_tasks = {}
+        self._allocated_units = []
+
+    @property
+    def units(self):
+        """Units with tasks on the worker, including those of this pass; one may occur twice."""
+        return [*self.worker.units_by_run.values(), *self._allocated_units]
 
     @property
     def empty(self):
@@ -57,11 +64,22 @@
         """Allocates the resources of ``tasks`` tasks of a unit."""
         step_key = (unit.job.id, unit.occurrence, unit.step)
         self._allocated_tasks[step_key] = self._allocated_tasks.get(step_key, 0) + tasks
+        self._allocated_units.append(unit)
         demand = unit.spec.demand
         self.accelerators -= demand.accelerators * tasks
         self.cpu_millis -= demand.cpu_millis * tasks
         self.memory_mb -= demand.memory_mb * tasks
 
+    def may_share(self, unit):
+        """Returns True if a crash of the worker would still tell its cause if the unit joined.
+
+        Of two units that are crash suspects, none may be isolated.
+        """
+        suspects = [other for other in self.units if other is not unit and other.crash_suspect]
+        if unit.isolated:
+            return not suspects
+        return not any(other.isolated for other in suspects)
+
     def max_tasks(self, demand):
         """Returns the number of tasks, each with ``demand``, that fit in the free resources."""
         count = UNBOUNDED
@@ -111,15 +129,18 @@
 
         Such a worker has the required label and is reserved for no other unit. A unit that has
         failed may not use suspect workers: it has few attempts left, and the evidence against a
-        worker fades within seconds.
+        worker fades within seconds. Units that may crash their workers are kept apart.
         """
         label = unit.spec.required_label
+        crash_suspect = unit.crash_suspect
         key, failed, reserved = unit.key, unit.failures > 0, self._reserved
         for capacity in self.workers:
             if failed and capacity.suspect:
                 continue
             if label and label not in capacity.labels:
                 continue
+            if crash_suspect and not capacity.may_share(unit):
+                continue
             if not reserved or reserved.get(capacity.worker.info.id, key) == key:
                 yield capacity
 
@@ -173,7 +194,7 @@
         """
         step = unit.spec
         if unit.size == 1:
-            return self._find_single_worker(candidates, step, any_rack)
+            return self._find_single_worker(candidates, unit, any_rack)
         unsuspected = [pair for pair in candidates if not pair[0].suspect]
         may_spread = any_rack and bool(step.same_rack or step.preferred_rack)
         for spread in (False, True) if may_spread else (False,):
@@ -189,13 +210,14 @@
         for capacity, tasks in chosen:
             capacity.allocate(unit, tasks)
 
-    def _find_single_worker(self, candidates, step, any_rack):
+    def _find_single_worker(self, candidates, unit, any_rack):
         """Returns [(``WorkerCapacity``, 1)] for a unit of one task, or None.
 
         Workers outside the step's preferred rack are used only with ``any_rack``, if none on the
         rack fits the task. Suspect workers come last, and those with the least resources left
-        after the task first.
+        after the task first. A unit that may crash its worker goes where the fewest others are.
         """
+        step = unit.spec
         preferred = step.preferred_rack
         if preferred:
             on_preferred_rack = [pair for pair in candidates if pair[0].rack == preferred]
@@ -203,9 +225,15 @@
                 candidates = on_preferred_rack
         if not candidates:
             return None
-        capacity, _ = min(
-            candidates, key=lambda pair: (pair[0].suspect, _remaining_after(pair[0], step.demand))
-        )
+        crash_suspect = unit.crash_suspect
+
+        def cost(pair):
+            """Returns a key by which better workers sort first."""
+            capacity = pair[0]
+            endangered = len(capacity.units) if crash_suspect else 0
+            return capacity.suspect, endangered, _remaining_after(capacity, step.demand)
+
+        capacity, _ = min(candidates, key=cost)
         return [(capacity, 1)]
 
     def _candidate_groups(self, candidates, step, spread):
--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -302,7 +302,8 @@
 
 def _equivalence_key(unit):
     """Returns the same key for units that are interchangeable within a pass."""
-    return (unit.job.id, unit.occurrence, unit.step, unit.size)
+    suspicion = (unit.crash_suspect, unit.isolated)
+    return (unit.job.id, unit.occurrence, unit.step, unit.size, suspicion)
 
 
 def _make_allocations(unit, chosen):
--- a/packages/entry/src/ibiscart_entry/coordination/agent.py
+++ b/packages/entry/src/ibiscart_entry/coordination/agent.py
@@ -16,13 +16,15 @@
 
     ``reason`` is the cause, for logs and metrics. ``sent`` is False only if the worker cannot
     have received the call. ``fenced`` is True if the worker has seen a higher fencing token.
+    ``replaced`` is True if another process than the worker's answered at its address.
     """
 
-    def __init__(self, reason, *, sent=True, fenced=False):
+    def __init__(self, reason, *, sent=True, fenced=False, replaced=False):
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
         self.fenced = fenced
+        self.replaced = replaced
 
 
 class WorkerAgent(ABC):
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from ibiscart_core.workflow.job import EndCause
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_entry.coordination.agent import AgentError
 
@@ -324,7 +325,7 @@
             if error.fenced:
                 self._on_fenced()
             self._answered_at = None
-            self._mark_unreachable(error.reason)
+            self._mark_unreachable(error.reason, error.replaced)
             await trio.sleep(RETRY_SECONDS)
             return
         self._metrics.count("lists", "answered")
@@ -353,8 +354,12 @@
         for end in status.ended:
             self._applied_sequence = max(self._applied_sequence, end.sequence)
 
-    def _mark_unreachable(self, reason):
-        """Records that a poll failed; ends the worker's runs if their leases have expired."""
+    def _mark_unreachable(self, reason, replaced):
+        """Records that a poll failed; ends the worker's runs once they cannot go on.
+
+        They have ended if another process has taken the worker's place (``replaced``) or their
+        leases have expired.
+        """
         if self._worker.reachable or reason != self._failure_reason:
             fields = {
                 "worker": self._worker.id,
@@ -366,8 +371,12 @@
         self._failure_reason = reason
         self._worker.reachable = False
         now = trio.current_time()
-        if self._worker.units_by_run and now > self._expires_at:
-            self._engine.end_lost_runs(self._worker.id, "lease_expired")
+        if replaced and (self._worker.units_by_run or self._worker.vanished_runs):
+            self._engine.end_lost_runs(self._worker.id, EndCause.WORKER_CRASHED, now, reason)
+            self._on_change()
+        elif self._worker.units_by_run and now > self._expires_at:
+            cause = EndCause.WORKER_VANISHED
+            self._engine.end_lost_runs(self._worker.id, cause, now, "lease_expired")
             self._on_change()
 
     def _record_clock(self, clock_ms):
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -11,6 +11,7 @@
 
 from ibiscart_core.resource import Resources
 from ibiscart_core.workflow.fleet import WorkerInfo
+from ibiscart_core.workflow.job import EndCause
 from ibiscart_entry.coordination.hedge import CallHedge
 from ibiscart_entry.coordination.session import (
     CLOCK_SLOWNESS,
@@ -167,9 +168,10 @@
             session = self._sessions.get(worker_id)
             expires_at = self._assumed_lease_expiry.get(worker_id, 0.0)
             if session is None and worker.units_by_run and now > expires_at:
-                self._engine.end_lost_runs(worker_id, "lease_expired")
+                cause = EndCause.WORKER_VANISHED
+                self._engine.end_lost_runs(worker_id, cause, now, "lease_expired")
                 self._on_change()
-            if not worker.units_by_run:
+            if not worker.units_by_run and not (session and worker.may_return(now)):
                 if session is not None:
                     session.close()
                     del self._sessions[worker_id]
@@ -206,10 +208,11 @@
         if worker is None or not worker.registered:
             return
         worker.registered = False
-        drained = worker.left_after_drain(trio.current_time(), self._directory_ttl_seconds)
+        now = trio.current_time()
+        drained = worker.left_after_drain(now, self._directory_ttl_seconds)
         LOG.info("A worker has left.", extra={"worker": worker_id, "ended": drained})
         if drained:
-            self._engine.end_lost_runs(worker_id, "worker_left")
+            self._engine.end_lost_runs(worker_id, EndCause.LOST, now, "worker_left")
 
     def _open_session(self, worker):
         """Opens a session with a worker, whose runs may have leases of an earlier leader."""
--- a/tests/core/workflow/engine_model.py
+++ b/tests/core/workflow/engine_model.py
@@ -94,6 +94,9 @@
         self.stops = []
         self.applied_sequences = {}
         self.late_leader_change = False
+        # by task: failed ends, and workers that crashed while it ran
+        self.failures = {}
+        self.crashes = {}
 
     @initialize(late_leader_change=st.booleans())
     def begin(self, late_leader_change):
@@ -191,6 +194,8 @@
         runs = sorted((w.id, run_key) for w in self.workers.values() for run_key in w.running)
         worker_id, run_key = data.draw(st.sampled_from(runs))
         if failed:
+            unit_key = run_key[0][:3] if self._step_spec(run_key).gang else run_key[0]
+            self.failures[unit_key] = self.failures.get(unit_key, 0) + 1
             self.workers[worker_id].end(run_key, EndCause.FAILED)
             self._break_gang(run_key)
         else:
@@ -224,7 +229,20 @@
         """Restarts a worker without its runs and unreported ends if ``chance`` is 0."""
         if chance:
             return
-        worker = self.workers[f"w{worker_index}"]
+        self._restart_worker(self.workers[f"w{worker_index}"])
+
+    @precondition(lambda self: any(worker.running for worker in self.workers.values()))
+    @rule(data=st.data(), chance=st.integers(0, FAULT_ODDS))
+    def restart_busy_worker(self, data, chance):
+        """Restarts a worker that runs tasks, as one of them may do, if ``chance`` is 0."""
+        if not chance:
+            busy = sorted(worker.id for worker in self.workers.values() if worker.running)
+            self._restart_worker(self.workers[data.draw(st.sampled_from(busy))])
+
+    def _restart_worker(self, worker):
+        """Restarts a worker without its runs and unreported ends."""
+        for task_key, _ in worker.running:
+            self.crashes[task_key] = self.crashes.get(task_key, 0) + 1
         for run_key in sorted(worker.running):
             self._break_gang(run_key)
         worker.running.clear()
@@ -260,6 +278,18 @@
             if record.get("outcome") == "completed":
                 assert self._task_keys(job_id) <= self.done_tasks, job_id
 
+    @invariant()
+    def jobs_fail_only_for_failed_runs_or_crashes(self):
+        for job_id, record in self.records.items():
+            if record.get("outcome") == "failed":
+                counts = [
+                    count
+                    for found in (self.failures, self.crashes)
+                    for key, count in found.items()
+                    if key[0] == job_id
+                ]
+                assert max(counts, default=0) >= 2, job_id
+
     def teardown(self):
         """Checks that every job ends once no more faults happen.
 
--- /dev/null
+++ b/tests/core/workflow/test_crash.py
@@ -0,0 +1,155 @@
+"""Tests of the evidence that a task crashes its workers, and of where such a task is placed."""
+
+import json
+import unittest
+
+from ibiscart_core.workflow.crash import HOLD_SECONDS, STABLE_RUN_SECONDS, CrashEvidence
+from ibiscart_core.workflow.job import EndCause, Job, Outcome
+from tests.core.workflow.harness import EngineHarness, step
+
+
+def evidence(crashed=0, cut_off=0, unstarted=0):
+    """Returns evidence with numbers of workers that crashed, or were lost for another cause."""
+    found = CrashEvidence()
+    for number in range(crashed):
+        found.record_loss(f"crashed{number}", 1, crashed=True, started=True)
+    for number in range(cut_off):
+        found.record_loss(f"cut{number}", 1, crashed=False, started=True)
+    for number in range(unstarted):
+        found.record_loss(f"unstarted{number}", 1, crashed=True, started=False)
+    return found
+
+
+class CrashEvidenceTest(unittest.TestCase):
+    def test_three_lost_workers_are_conclusive_only_if_two_have_crashed(self):
+        self.assertFalse(evidence(crashed=2).conclusive)
+        self.assertTrue(evidence(crashed=3).conclusive)
+        self.assertTrue(evidence(crashed=2, cut_off=1).conclusive)
+        self.assertFalse(evidence(crashed=1, cut_off=2).conclusive)
+        self.assertFalse(evidence(cut_off=4).conclusive)
+
+    def test_a_worker_that_crashed_before_the_start_counts_less(self):
+        # orders in flight to a worker that another task crashes must not fail their jobs
+        self.assertFalse(evidence(crashed=1, unstarted=3).conclusive)
+        self.assertTrue(evidence(unstarted=5).conclusive)
+
+    def test_next_run_is_held_while_it_is_unclear_whether_workers_crashed(self):
+        self.assertEqual(0.0, evidence(crashed=1, cut_off=1).hold_seconds)
+        self.assertEqual(HOLD_SECONDS, evidence(cut_off=3).hold_seconds)
+        self.assertEqual(2 * HOLD_SECONDS, evidence(cut_off=4).hold_seconds)
+
+    def test_a_worker_that_answers_in_the_same_incarnation_was_only_cut_off(self):
+        found = evidence(cut_off=3)
+        self.assertTrue(found.resolve("cut0", 1))
+        self.assertEqual((0, 2), (found.crashed, found.lost_workers))
+
+    def test_a_worker_that_answers_in_a_later_incarnation_has_crashed(self):
+        found = evidence(cut_off=3)
+        self.assertTrue(found.resolve("cut0", 2))
+        self.assertTrue(found.resolve("cut1", None))
+        self.assertFalse(found.resolve("cut1", None))
+        self.assertEqual((2, 3), (found.crashed, found.lost_workers))
+
+    def test_evidence_is_unchanged_after_it_is_stored_and_read(self):
+        found = evidence(crashed=1, cut_off=1, unstarted=1)
+        loaded = CrashEvidence.from_record(json.loads(json.dumps(found.to_record())))
+        self.assertEqual(found.to_record(), loaded.to_record())
+        self.assertTrue(loaded.resolve("cut0", 1))
+        self.assertEqual(2, loaded.lost_workers)
+
+
+class CrashingUnitTest(unittest.TestCase):
+    def lose_worker(self, harness, job, cause=EndCause.WORKER_CRASHED):
+        """Places the job's only task and loses its worker; returns the worker's id."""
+        harness.run_pass(1.0)
+        unit = next(job.units())
+        worker_id = unit.allocations[0].worker_id
+        harness.running[worker_id].clear()
+        harness.engine.fleet.get(worker_id).reachable = False
+        harness.engine.end_lost_runs(worker_id, cause, harness.now, "test")
+        return worker_id
+
+    def test_third_crash_fails_the_job_and_is_recorded(self):
+        harness = EngineHarness()
+        job = harness.submit("a", step())
+        for _ in range(3):
+            self.assertIsNone(job.outcome)
+            self.lose_worker(harness, job)
+        self.assertIs(Outcome.FAILED, job.outcome)
+        self.assertIn("a", harness.engine.unsaved_job_ids)
+
+    def test_evidence_outlasts_the_leader(self):
+        # a new leader began to count anew
+        harness = EngineHarness()
+        job = harness.submit("a", step())
+        for _ in range(2):
+            self.lose_worker(harness, job)
+        loaded = Job("b", job.account, job.queue, job.spec, job.accepted_ms)
+        loaded.load_record(json.loads(json.dumps(job.to_record())))
+        harness.engine.remove_job("a")
+        harness.engine.add_job(loaded, harness.now)
+        self.lose_worker(harness, loaded)
+        self.assertIs(Outcome.FAILED, loaded.outcome)
+
+    def test_worker_of_a_run_that_lasted_long_is_no_evidence(self):
+        harness = EngineHarness()
+        job = harness.submit("a", step())
+        for _ in range(5):
+            harness.run_pass(1.0)
+            harness.now += STABLE_RUN_SECONDS + 1
+            worker_id = next(job.units()).allocations[0].worker_id
+            harness.running[worker_id].clear()
+            cause = EndCause.WORKER_CRASHED
+            harness.engine.end_lost_runs(worker_id, cause, harness.now, "test")
+        self.assertIsNone(job.outcome)
+
+    def test_workers_that_left_after_draining_are_no_evidence(self):
+        harness = EngineHarness()
+        job = harness.submit("a", step())
+        for _ in range(4):
+            harness.run_pass(1.0)
+            worker_id = next(job.units()).allocations[0].worker_id
+            worker = harness.engine.fleet.get(worker_id)
+            worker.info.draining = True
+            cause = EndCause.WORKER_CRASHED
+            harness.engine.end_lost_runs(worker_id, cause, harness.now, "test")
+            worker.info.draining = False
+        self.assertIsNone(job.outcome)
+
+    def test_a_task_that_was_lost_twice_shares_no_worker_with_another_suspect(self):
+        # tasks that ran beside a task that crashes its workers were placed with it again, and
+        # nothing told which of them was the cause
+        harness = EngineHarness(workers=2)
+        first, second = harness.submit("a", step()), harness.submit("b", step())
+        harness.run_pass()
+        for _ in range(2):
+            for worker_id, running in harness.running.items():
+                running.clear()
+                cause = EndCause.WORKER_CRASHED
+                harness.engine.end_lost_runs(worker_id, cause, harness.now, "test")
+            harness.run_pass(1.0)
+        workers = {next(job.units()).allocations[0].worker_id for job in (first, second)}
+        self.assertEqual(2, len(workers))
+
+    def test_an_isolated_task_waits_rather_than_join_another_suspect(self):
+        harness = EngineHarness(workers=1)
+        first, second = harness.submit("a", step()), harness.submit("b", step())
+        harness.run_pass()
+        for _ in range(2):
+            harness.running["w0"].clear()
+            harness.engine.end_lost_runs("w0", EndCause.WORKER_CRASHED, harness.now, "test")
+            harness.run_pass(1.0)
+        states = sorted(len(next(job.units()).allocations) for job in (first, second))
+        self.assertEqual([0, 1], states)
+
+    def test_held_task_runs_once_its_workers_turn_out_to_have_been_cut_off(self):
+        harness = EngineHarness()
+        job = harness.submit("a", step())
+        lost = [self.lose_worker(harness, job, EndCause.WORKER_VANISHED) for _ in range(3)]
+        self.assertEqual([], harness.run_pass(1.0))
+        harness.report(lost[0])
+        self.assertEqual(1, len(harness.run_pass(1.0)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/core/workflow/test_engine_model.py
+++ b/tests/core/workflow/test_engine_model.py
@@ -6,6 +6,7 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from ibiscart_core.workflow.crash import CrashEvidence
 from ibiscart_core.workflow.engine import Engine
 from ibiscart_core.workflow.fleet import FleetWorker
 from ibiscart_core.workflow.job import AllocationState, EndCause
@@ -47,7 +48,7 @@
                 return
             worker = engine.fleet.get(unit.allocations[index].worker_id)
             key = unit.task_key(index)
-            engine._end_run(worker, unit, key, unit.run, EndCause.LOST, "", reason)
+            engine._end_run(worker, unit, key, unit.run, EndCause.LOST, "", reason, 0.0)
 
         with mock.patch.object(Engine, "_request_stop", end_at_once):
             self.assert_found()
@@ -65,6 +66,11 @@
         with mock.patch.object(Engine, "_request_stop", release_early):
             self.assert_found()
 
+    def test_task_given_up_after_a_single_crash(self):
+        hasty = property(lambda evidence: evidence.lost_workers >= 1)
+        with mock.patch.object(CrashEvidence, "conclusive", hasty):
+            self.assert_found()
+
     def test_recorded_allocations_ignored_by_a_new_leader(self):
         with mock.patch.object(FleetWorker, "allocate", lambda worker, key, run, unit: None):
             self.assert_found()
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -1,7 +1,9 @@
 """A complete deployment in one process in virtual time: store, workers and entries."""
 
+import functools
 import json
 import random
+from base64 import b64decode
 from unittest import mock
 
 import trio
@@ -179,6 +181,7 @@
         self.seed = seed
         self.entries = {}
         self.fleet = WorkerFleet()
+        self._replacements = 0
 
     async def __aenter__(self):
         self._nursery_manager = trio.open_nursery()
@@ -205,17 +208,54 @@
 
     def add_worker(self, number):
         """Adds, registers and returns the worker ``w<number>``."""
-        name = f"w{number}"
-        worker = WorkerStandIn(self.fleet, name, self.nursery, seed=self.seed)
-        self.network.handlers[f"{name}:80"] = worker.handle
-        self.register(name)
-        return worker
+        return self._add_worker(f"w{number}", f"w{number}:80")
+
+    def address_of(self, name):
+        """Returns the address at which a worker registered."""
+        return json.loads(b64decode(self.store.rows["servers", "", name][0]))["address"]
 
-    def register(self, name, **fields):
+    def register(self, name, address="", **fields):
         """Writes a worker's registration into the store, with ``fields`` changed."""
         worker = self.fleet.workers[name]
-        rack = f"r{int(name[1:]) // self._rack_size}"
-        self.store.put("servers", name, worker.registration(f"{name}:80", rack=rack, **fields))
+        address = address or f"{name}:80"
+        rack = f"r{int(address.partition(':')[0][1:]) // self._rack_size}"
+        self.store.put("servers", name, worker.registration(address, rack=rack, **fields))
+
+    def crash_worker(self, name, address="", back_after_seconds=3.2):
+        """Crashes a worker; another one is at its address ``back_after_seconds`` later.
+
+        The registration expires 4.5 s after the crash.
+        """
+        worker = self.fleet.workers.pop(name)
+        self.fleet.count_crash(worker)
+        address = address or f"{name}:80"
+        self.network.handlers.pop(address)
+        for run in worker.running.values():
+            run.scope.cancel()
+        worker.running = {}
+        self.nursery.start_soon(self._replace_worker, name, address, back_after_seconds)
+
+    async def _replace_worker(self, name, address, back_after_seconds):
+        """Lets a crashed worker's registration expire and puts another worker at its address."""
+        crashed_at = trio.current_time()
+
+        async def expire():
+            await trio.sleep_until(crashed_at + 4.5)
+            self.store.delete("servers", name)
+
+        self.nursery.start_soon(expire)
+        await trio.sleep(back_after_seconds)
+        self._replacements += 1
+        new_name = f"{name.partition('-')[0]}-{self._replacements}"
+        self._add_worker(new_name, address)
+
+    def _add_worker(self, name, address):
+        """Adds and registers a worker that a task may crash; returns it."""
+        worker = WorkerStandIn(self.fleet, name, self.nursery, seed=self.seed)
+        worker.crash = functools.partial(self.crash_worker, name, address)
+        self.network.handlers[address] = worker.handle
+        self.register(name, address)
+        return worker
 
     def start_entry(self, name):
         """Starts and returns an entry under a name."""
--- a/tests/platform/test_fault_scenario.py
+++ b/tests/platform/test_fault_scenario.py
@@ -37,9 +37,9 @@
         # expire, so the tasks start elsewhere while the worker still executes them
         mark_unreachable = WorkerSession._mark_unreachable
 
-        def end_runs_early(session, reason):
+        def end_runs_early(session, reason, replaced):
             session._expires_at = 0.0
-            mark_unreachable(session, reason)
+            mark_unreachable(session, reason, replaced)
 
         async def main():
             async with Deployment(workers=2) as deployment:
@@ -65,7 +65,7 @@
                 return
             worker = engine.fleet.get(unit.allocations[index].worker_id)
             key = unit.task_key(index)
-            engine._end_run(worker, unit, key, unit.run, EndCause.LOST, "", reason)
+            engine._end_run(worker, unit, key, unit.run, EndCause.LOST, "", reason, 0.0)
 
         async def main():
             async with Deployment(workers=2) as deployment:
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -21,13 +21,19 @@
 GANG_START_TIMEOUT_SECONDS = 3.0
 MAX_LEASE_MS = 6000
 CLOCK_START_MS = 1000
+# time from the start of a task that crashes its worker to the crash
+CRASH_DELAY_SECONDS = 0.01
+# the platform's limit: this many starts after this many workers have crashed under a task
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 3
 
 
 class WorkerFleet:
     """All workers; collects violations of the guarantees that hold across workers.
 
     The spec of a task is JSON with ``ms`` (run time in milliseconds), ``fail`` (runs up to this
-    number fail) and ``gang`` (number of members). ``starts`` counts the started runs by task.
+    number fail), ``gang`` (number of members) and ``crash`` (the task crashes its worker).
+    ``starts`` counts the started runs by task, ``crashes`` the workers that crashed while it ran.
     """
 
     def __init__(self):
@@ -35,6 +41,8 @@
         self.violations = []
         self.acknowledged_tasks = {}
         self.starts = {}
+        self.crashes = {}
+        self._starts_after_crashes = {}
 
     def active_runs(self, task):
         """Returns (worker id, run number) of each active run of a task."""
@@ -54,6 +62,15 @@
             self.violations.append(
                 f"{task} run {run} on {worker.id} follows an acknowledged completion"
             )
+        if self.crashes.get(task, 0) >= MAX_CRASHES:
+            count = self._starts_after_crashes[task] = self._starts_after_crashes.get(task, 0) + 1
+            if count >= MAX_STARTS_AFTER_CRASHES:
+                self.violations.append(f"{task} run {run} on {worker.id} follows {count} crashes")
+
+    def count_crash(self, worker):
+        """Counts the crash of a worker against each task that runs on it."""
+        for task in worker.running:
+            self.crashes[task] = self.crashes.get(task, 0) + 1
 
     def is_gang_complete(self, task, run, members):
         """Returns True if all members of a gang's run are active."""
@@ -100,6 +117,8 @@
         self.late_rate = 0.0
         self.late_seconds = 2.0
         self.unresponsive = False
+        # called without arguments when a task crashes the worker
+        self.crash = self.restart
         self.unanswered_path = ""
         self.fail_all_runs = False
         self.random = random.Random(f"{seed}/{worker_id}")
@@ -117,6 +136,7 @@
 
     def restart(self):
         """Starts a new incarnation under the same id, without runs or other state."""
+        self.fleet.count_crash(self)
         for run in self.running.values():
             run.scope.cancel()
         self.incarnation += 1
@@ -139,6 +159,8 @@
         """Handles one request of the worker interface."""
         if self.unresponsive or request.path == self.unanswered_path:
             await trio.sleep(UNANSWERED_SECONDS)
+        if request.headers.get("x-expect-instance", self.id) != self.id:
+            return self._response("instance", 421)
         call = json.loads(request.body)
         if request.path == "/run-start":
             if self.late_rate and self.random.random() < self.late_rate:
@@ -221,6 +243,10 @@
     async def _run_task(self, task, run, spec):
         """Executes a run until its end; a gang member waits first for the other members."""
         with run.scope:
+            if spec.get("crash"):
+                await trio.sleep(CRASH_DELAY_SECONDS)
+                self.crash()
+                return
             members = spec.get("gang", 0)
             with trio.move_on_after(GANG_START_TIMEOUT_SECONDS) as gang_wait:
                 while members and not self.fleet.is_gang_complete(task, run.number, members):
