The leader's feeds notice a connection that has stalled within 3 s

What callers would see: tasks started on workers whose capacity had shrunk or that were draining, and of jobs that were cancelled, for up to 2.4 s longer than the platform allows. Cause: the feeds of workers and of jobs wait 5 s for a change. Only after that and a margin is the call repeated in another way, so a connection that went silent is noticed up to 5.4 s later; the announcements that hide this for jobs may be lost on stalled connections too. Class of fault: a bound on freshness that follows from the interval of polls, and was longer than what relies on it. Change: both wait 2 s, so that the next way is tried after 2.4 s at the latest. Cost: 0.3 reads a second more for each feed, on the leader only.

--- a/packages/entry/src/ibiscart_entry/coordination/job_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_feed.py
@@ -27,9 +27,9 @@
 LOG = logging.getLogger("ibiscart.jobs")
 # pause after a failed store call; equal to the interval at which an unreachable store is probed
 RETRY_SECONDS = 0.2
-# longest time that a read of the jobs table waits for a change; it may be long
-# because new jobs are announced at once, and each read costs a call of the store
-LONG_POLL_SECONDS = 5.0
+# longest time that a read of the jobs table waits for a change; a connection that has stalled is
+# noticed only after it, and a cancellation whose announcement is lost must be known within 3 s
+LONG_POLL_SECONDS = 2.0
 # interval between two removals of ended jobs; these are kept for minutes, so that a few seconds
 # more do not matter
 REMOVAL_INTERVAL_SECONDS = 5.0
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -25,9 +25,9 @@
 LOG = logging.getLogger("ibiscart.workers")
 # pause after a failed store call; equal to the interval at which an unreachable store is probed
 RETRY_SECONDS = 0.2
-# longest time that a read of the directory waits for a change; it limits the number of reads while
-# nothing changes and delays no change
-LONG_POLL_SECONDS = 5.0
+# longest time that a read of the directory waits for a change; a connection that has stalled is
+# noticed only after it, and a worker that shrinks or drains must be known within 3 s
+LONG_POLL_SECONDS = 2.0
 # pause between two reads of the directory's changes; short compared with the 2 s by which a worker
 # announces its departure in advance
 MIN_POLL_INTERVAL_SECONDS = 0.2
--- a/tests/platform/test_store_failures.py
+++ b/tests/platform/test_store_failures.py
@@ -20,6 +20,8 @@
 # the platform's limit, at its small deployments, for the time from the write of a new
 # configuration to its application by an entry
 MAX_CONFIG_DELAY_SECONDS = 2.0
+# the platform's limit for the time from a cancellation to the last start of a task of the job
+MAX_CANCEL_DELAY_SECONDS = 3.0
 # a link of 10 Mbit/s, that of most entries of the platform's larger deployments
 LINK_BYTES_PER_SECOND = 1_250_000
 
@@ -119,6 +121,27 @@
 
         run_virtual(main)
 
+    def test_cancellation_is_known_in_time_after_all_connections_have_stalled(self):
+        # the leader noticed only after the long poll's 5 s that no answer came; the announcement
+        # was lost on a connection that had stalled too
+        async def main(cancelled_at):
+            async with Deployment() as deployment:
+                await deployment.submit(JOB_ID, job(step(), ms=20_000))
+                await deployment.wait_for_state(JOB_ID, "running")
+                leader = deployment.leader()
+                other = next(entry for entry in deployment.entries.values() if entry != leader)
+                await trio.sleep_until(cancelled_at)
+                deployment.store.stall_open_polls()
+                other.announcer._leadership = mock.Mock(leader_address="")
+                await other.call("DELETE", QUEUE_PATH + JOB_ID)
+                jobs = leader.leader.coordinator._engine.jobs
+                await deployment.wait_until(lambda: jobs[JOB_ID].ended, MAX_CANCEL_DELAY_SECONDS)
+
+        # some of these moments are soon after the beginning of a poll
+        for moment in range(10):
+            with self.subTest(moment=moment):
+                run_virtual(lambda moment=moment: main(6.0 + 0.6 * moment))
+
     def test_compacted_history_is_replaced_by_a_snapshot(self):
         async def main():
             async with Deployment() as deployment:
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -47,6 +47,8 @@
         self._history = []
         self._compacted_version = 0
         self._changed = trio.Event()
+        self._stalled_polls = 0
+        self._polls = 0
         self._nursery = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
@@ -60,6 +62,10 @@
         self._history.clear()
         self._compacted_version = self.version
 
+    def stall_open_polls(self):
+        """Lets the connections of all open long polls stay silent; new ones are answered."""
+        self._stalled_polls = self._polls
+
     def put(self, table, key, value, partition=""):
         """Writes a row, as an operator or a worker does."""
         self._apply({"puts": [_put_document(table, partition, key, value)]})
@@ -155,6 +161,8 @@
     async def _watch_rows(self, query):
         """Returns the changes of a table after a version, once there are some or the wait ends."""
         table, after = query["table"], int(query["after"])
+        self._polls += 1
+        number = self._polls
         with trio.move_on_after(int(query.get("waitMs", 0)) / 1000):
             while not any(
                 changed_at > after and key[0] == table for changed_at, key, _ in self._history
@@ -162,6 +170,8 @@
                 if after < self._compacted_version:
                     break
                 await self._changed.wait()
+        if number <= self._stalled_polls:
+            await trio.sleep(UNANSWERED_SECONDS)
         if after < self._compacted_version:
             return Response.from_json(410, {})
         rows = []
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -21,6 +21,8 @@
 GANG_START_TIMEOUT_SECONDS = 3.0
 MAX_LEASE_MS = 6000
 CLOCK_START_MS = 1000
+# the platform's limit: a capacity that has shrunk counts this much later, 3 s and one heartbeat
+CAPACITY_GRACE_SECONDS = 4.5
 # time from the start of a task that crashes its worker to the crash
 CRASH_DELAY_SECONDS = 0.01
 # the platform's limit: this many starts after this many workers have crashed under a task
@@ -32,7 +34,8 @@
     """All workers; collects violations of the guarantees that hold across workers.
 
     The spec of a task is JSON with ``ms`` (run time in milliseconds), ``fail`` (runs up to this
-    number fail), ``gang`` (number of members) and ``crash`` (the task crashes its worker).
+    number fail), ``gang`` (number of members), ``crash`` (the task crashes its worker) and ``gpu``
+    (its accelerators, for the check of the worker's capacity).
     ``starts`` counts the started runs by task, ``crashes`` the workers that crashed while it ran.
     """
 
@@ -62,6 +65,8 @@
             self.violations.append(
                 f"{task} run {run} on {worker.id} follows an acknowledged completion"
             )
+        if worker.over_capacity:
+            self.violations.append(f"{task} run {run} exceeds the capacity of {worker.id}")
         if self.crashes.get(task, 0) >= MAX_CRASHES:
             count = self._starts_after_crashes[task] = self._starts_after_crashes.get(task, 0) + 1
             if count >= MAX_STARTS_AFTER_CRASHES:
@@ -93,10 +98,11 @@
 
 
 class _ActiveRun:
-    __slots__ = ("number", "scope", "stopping")
+    __slots__ = ("accelerators", "number", "scope", "stopping")
 
-    def __init__(self, number):
+    def __init__(self, number, accelerators):
         self.number = number
+        self.accelerators = accelerators
         self.scope = trio.CancelScope()
         self.stopping = False
 
@@ -114,6 +120,7 @@
         self.id = worker_id
         self.fleet = fleet
         self.accelerators = accelerators
+        self._shrunk_at = -CAPACITY_GRACE_SECONDS
         self.late_rate = 0.0
         self.late_seconds = 2.0
         self.unresponsive = False
@@ -134,6 +141,19 @@
         """Time of the worker's own clock in milliseconds."""
         return int((trio.current_time() - self._started_at) * 1000) + CLOCK_START_MS
 
+    def change_capacity(self, accelerators):
+        """Changes the capacity; the caller registers the worker again."""
+        if accelerators < self.accelerators:
+            self._shrunk_at = trio.current_time()
+        self.accelerators = accelerators
+
+    @property
+    def over_capacity(self):
+        """True if the runs, with those being stopped, exceed a capacity that the leader knows."""
+        used = sum(run.accelerators for run in self.running.values())
+        known = trio.current_time() - self._shrunk_at >= CAPACITY_GRACE_SECONDS
+        return known and used > self.accelerators
+
     def restart(self):
         """Starts a new incarnation under the same id, without runs or other state."""
         self.fleet.count_crash(self)
@@ -235,9 +255,10 @@
         self._extend_leases(call)
         if number <= self.highest_run_by_task.get(task, 0) or current_run is not None:
             return self._response("old")
-        self.running[task] = run = _ActiveRun(number)
+        spec = json.loads(call["spec"])
+        self.running[task] = run = _ActiveRun(number, spec.get("gpu", 0))
         self.fleet.check_start(self, task, number)
-        self._nursery.start_soon(self._run_task, task, run, json.loads(call["spec"]))
+        self._nursery.start_soon(self._run_task, task, run, spec)
         return self._response("")
 
     async def _run_task(self, task, run, spec):
