An entry that has just started takes no outdated configuration from another

What callers would see: a key that was withdrawn is accepted again by an entry that was restarted while it and the entries that it asked were cut off from the store. Cause: any offer newer than nothing counted, however long ago the store had confirmed it; and an entry with a wrong clock could confirm a configuration for the future. Tests: test_an_entry_that_has_just_started_takes_no_outdated_configuration and test_no_confirmation_is_later_than_the_response failed before.

--- a/packages/entry/src/ibiscart_entry/coordination/catalog_exchange.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_exchange.py
@@ -118,8 +118,10 @@
         """Returns (configuration in bytes or None, when it was confirmed), or None without offer.
 
         The first offer of an entry counts whose configuration is newer than version ``after``, or
-        to which the store has confirmed a short time ago that there is none. The entries that are
-        asked wait up to ``wait_seconds`` for a newer one.
+        to which the store has confirmed a short time ago that there is none. With ``after`` None,
+        the caller has no configuration and the store must have confirmed that of the offer, since
+        an outdated one may have keys that were withdrawn before the caller started. The entries
+        that are asked wait up to ``wait_seconds`` for a newer one.
         """
         addresses = iter(self._peer_directory.candidates(self._rng)[:MAX_ENTRIES])
         results = []
@@ -161,8 +163,10 @@
             self._metrics.count("peer_errors", "malformed")
             return None
         # the entry received the request later than it was sent, so this is a lower limit
-        confirmed_at = sent_at - offer.confirmed_before_seconds
-        if offer.document is None and self._clock() - confirmed_at > MAX_OFFER_AGE_SECONDS:
+        now = self._clock()
+        confirmed_at = min(now, sent_at - offer.confirmed_before_seconds)
+        outdated = now - confirmed_at > MAX_OFFER_AGE_SECONDS
+        if outdated and (offer.document is None or after is None):
             self._metrics.count("peer_errors", "outdated")
             self._peer_directory.record_failure(address)
             return None
@@ -173,7 +177,7 @@
         client = self._clients.get(address)
         if client is None:
             client = self._clients[address] = self._connect(address)
-        body = json.dumps({"after": after, "wait_seconds": wait_seconds}).encode()
+        body = json.dumps({"after": after or 0, "wait_seconds": wait_seconds}).encode()
         self._metrics.count("peer_messages", "catalog")
         timeout = wait_seconds + TIMEOUT_SECONDS
         return parse_offer(await client.request("POST", CATALOG_PATH, body=body, timeout=timeout))
--- a/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
@@ -179,7 +179,7 @@
     async def _read_from_peers(self, wait_seconds):
         """Reads the configuration of another entry; returns True if one had a recent one."""
         sent_at = self._clock()
-        version = self.catalog.version if self.catalog is not None else 0
+        version = self.catalog.version if self.catalog is not None else None
         result = await self._peers.fetch(version, wait_seconds)
         if result is None:
             return False
--- a/tests/entry/coordination/test_catalog_exchange.py
+++ b/tests/entry/coordination/test_catalog_exchange.py
@@ -64,6 +64,13 @@
         (document, _), _, _ = self.exchange([60.0], [7], after=3)
         self.assertEqual(b"v7", document)
 
+    def test_an_entry_that_has_just_started_takes_no_outdated_configuration(self):
+        # keys that were withdrawn before its start would be accepted again
+        result, _, _ = self.exchange([MAX_OFFER_AGE_SECONDS + 1], [7], after=None)
+        self.assertIsNone(result)
+        (document, _), _, _ = self.exchange([60.0, 0.5], [7, 8], after=None)
+        self.assertEqual(b"v8", document)
+
     def test_an_entry_that_is_cut_off_confirms_nothing(self):
         # a withdrawn key would be accepted on the word of an entry that cannot know of it
         result, _, failed = self.exchange([MAX_OFFER_AGE_SECONDS + 1] * 3, [3, 3, 3], after=3)
@@ -76,6 +83,11 @@
         self.assertGreaterEqual(-1.0, confirmed_at)
         self.assertLess(seconds, 0.1)
 
+    def test_no_confirmation_is_later_than_the_response(self):
+        # a wrong age of one entry made keys of another valid for as long
+        (_, confirmed_at), seconds, _ = self.exchange([-60.0], [3], after=3)
+        self.assertLessEqual(confirmed_at, seconds)
+
     def test_an_entry_that_is_cut_off_does_not_hold_up_the_next(self):
         (_, confirmed_at), seconds, _ = self.exchange([60.0, 60.0, 0.5], [3, 3, 3], after=3)
         self.assertLess(seconds, 0.1)
