Operators' page: questions for the configuration and their errors

The page lists each reason that is counted; the new counter values had no line, which tests.cli.test_operator_docs reported. peer_errors now has values of its own, so it is one of the counters that the test looks for.

--- a/tests/cli/test_operator_docs.py
+++ b/tests/cli/test_operator_docs.py
@@ -22,8 +22,8 @@
 SOURCES = operator_docs.DIRECTORY.parents[1] / "packages" / "entry" / "src"
 COUNTED = re.compile(r'\.count\(\s*"(\w+)",\s*(f?)"([^"]+)"')
 LITERAL_COUNTERS = set(
-    "append_conflicts claims dropped lists peer_messages retries share_loans target_calls "
-    "target_errors".split()
+    "append_conflicts claims dropped lists peer_errors peer_messages retries share_loans "
+    "target_calls target_errors".split()
 )
 FENCE = re.compile(r"```yaml\n(.*?)```", re.DOTALL)
 START_US = 1_700_000_000_000_000
--- a/tools/operator_docs.py
+++ b/tools/operator_docs.py
@@ -187,13 +187,18 @@
         {
             "announce": "Job ids for the leading entry, on the platform.",
             "store_*": "A call to the store through another entry, on the platform.",
+            "catalog": "A question for a newer configuration, while the store is late.",
             "*": "`heartbeat`, `push` of a record, `commands`, `catch-up`, `loan`.",
         },
     ),
     "peer_errors": (
         "`refused` at replacements is normal. `timeout` between the same two entries: check the "
         "network between their data centres.",
-        {"*": "Error of the connection, or `status_` and the HTTP status."},
+        {
+            "malformed": "The entry's offer of a configuration cannot be read, or it has none yet.",
+            "outdated": "The store has not confirmed the entry's configuration for 2 s.",
+            "*": "Error of the connection, or `status_` and the HTTP status.",
+        },
     ),
     "target_calls": (
         "Nothing.",
