explain names the workers that a task crashed when its job was given up

Cause: the sentence on a failed job knew only ends that workers report, and said of a job that was given up for its crashes that task None failed None times. Change: it names the task, the workers and how many crashed for certain; runs that were lost with their worker are named among the causes of delay. Test: test_job_that_was_given_up_names_the_workers_that_it_crashed failed before.

--- a/packages/cli/src/ibiscart_cli/history.py
+++ b/packages/cli/src/ibiscart_cli/history.py
@@ -65,6 +65,11 @@
             delays = self._delays()
             return f"Completed{'; it lost time: ' + '; '.join(delays) if delays else ''}."
         if outcome == "failed":
+            given_up = [
+                change for change in self._own("Crash evidence changed.") if change.get("given_up")
+            ]
+            if given_up:
+                return self._cause_of_giving_up(given_up[-1])
             failed = [run for run in self._own("Run ended.") if run.get("cause") == "failed"]
             most = max(failed, key=lambda run: run.get("failures", 0), default={})
             workers = sorted({run.get("worker", "") for run in failed})
@@ -74,6 +79,18 @@
             )
         return f"Ended as {outcome}."
 
+    def _cause_of_giving_up(self, line):
+        task, lost = line.get("task"), line.get("lost")
+        changes = [
+            change for change in self._own("Crash evidence changed.") if change.get("task") == task
+        ]
+        workers = sorted({change.get("worker", "") for change in changes})
+        return (
+            f"Failed: {lost} workers were lost while task {task} ran on them "
+            f"({', '.join(workers)}), {line.get('crashed')} of them crashed for certain, so the "
+            "task is taken to crash its workers and is not started again."
+        )
+
     def _cause_of_refusal(self, answer):
         outcome, status = answer.get("outcome"), answer.get("status")
         stored = [*self._own("A write was refused."), *self._own("A write has no answer.")]
@@ -106,7 +123,15 @@
         if max(waits, default=0) >= LONG_WAIT_MS:
             delays.append(f"a unit waited {max(waits)} ms for room")
         causes = [run.get("cause") for run in self._own("Run ended.")]
-        for cause in ("failed", "lost", "lease_expired", "members_missing"):
+        causes_of_delay = (
+            "failed",
+            "lost",
+            "worker_crashed",
+            "worker_vanished",
+            "lease_expired",
+            "members_missing",
+        )
+        for cause in causes_of_delay:
             if cause in causes:
                 delays.append(f"{causes.count(cause)} runs ended with {cause}")
         return delays
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -93,6 +93,27 @@
         self.assertIn("task 0.0.3 failed 2 times", output)
         self.assertIn("w1, w2", output)
 
+    def test_job_that_was_given_up_names_the_workers_that_it_crashed(self):
+        # the sentence said that task None had failed None times
+        changes = [
+            line(
+                number,
+                "e0",
+                "decision: Crash evidence changed.",
+                job=ID,
+                task="0.0.3",
+                worker=f"w{number}",
+                crashed=number,
+                lost=number,
+                given_up=number == 3,
+            )
+            for number in (1, 2, 3)
+        ]
+        end = line(4, "e0", "decision: Job ended.", job=ID, outcome="failed")
+        output = self.call([*changes, end])
+        self.assertIn("3 workers were lost while task 0.0.3 ran", output)
+        self.assertIn("w1, w2, w3", output)
+
     def test_late_job_names_what_delayed_it(self):
         output = self.call(
             [
