Random scenarios with tasks that crash their workers

One job in twenty of tests.platform.fault_scenario crashes each worker that starts it; the worker comes back under another id at its address.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -3,7 +3,6 @@
 import functools
 import json
 import random
-from base64 import b64decode
 from unittest import mock
 
 import trio
@@ -181,6 +180,7 @@
         self.seed = seed
         self.entries = {}
         self.fleet = WorkerFleet()
+        self._addresses = {}
         self._replacements = 0
 
     async def __aenter__(self):
@@ -210,25 +210,23 @@
         """Adds, registers and returns the worker ``w<number>``."""
         return self._add_worker(f"w{number}", f"w{number}:80")
 
-    def address_of(self, name):
-        """Returns the address at which a worker registered."""
-        return json.loads(b64decode(self.store.rows["servers", "", name][0]))["address"]
-
-    def register(self, name, address="", **fields):
+    def register(self, name, **fields):
         """Writes a worker's registration into the store, with ``fields`` changed."""
         worker = self.fleet.workers[name]
-        address = address or f"{name}:80"
+        address = self._addresses[name]
         rack = f"r{int(address.partition(':')[0][1:]) // self._rack_size}"
         self.store.put("servers", name, worker.registration(address, rack=rack, **fields))
 
-    def crash_worker(self, name, address="", back_after_seconds=3.2):
+    def crash_worker(self, name, back_after_seconds=3.2):
         """Crashes a worker; another one is at its address ``back_after_seconds`` later.
 
-        The registration expires 4.5 s after the crash.
+        The registration expires 4.5 s after the crash. Does nothing if it has crashed already.
         """
-        worker = self.fleet.workers.pop(name)
+        worker = self.fleet.workers.pop(name, None)
+        if worker is None:
+            return
         self.fleet.count_crash(worker)
-        address = address or f"{name}:80"
+        address = self._addresses[name]
         self.network.handlers.pop(address)
         for run in worker.running.values():
             run.scope.cancel()
@@ -252,9 +250,10 @@
     def _add_worker(self, name, address):
         """Adds and registers a worker that a task may crash; returns it."""
         worker = WorkerStandIn(self.fleet, name, self.nursery, seed=self.seed)
-        worker.crash = functools.partial(self.crash_worker, name, address)
+        worker.crash = functools.partial(self.crash_worker, name)
+        self._addresses[name] = address
         self.network.handlers[address] = worker.handle
-        self.register(name, address)
+        self.register(name)
         return worker
 
     def start_entry(self, name):
--- a/tests/platform/fault_scenario.py
+++ b/tests/platform/fault_scenario.py
@@ -95,6 +95,8 @@
             steps.append(step(1, 1, after=[0]))
         if rng.random() < 0.1:
             return job(*steps, ms=ms, fail=9), "failed"
+        if rng.random() < 0.05:
+            return job(*steps, ms=ms, crash=True), "failed"
         return job(*steps, ms=ms), "completed"
 
     async def _inject_faults(self, nursery):
@@ -203,6 +205,8 @@
     async def _silence_worker(self, duration_seconds):
         """Leaves all requests to one worker unanswered, for twice the duration."""
         worker = self._random_worker()
+        if worker is None:
+            return
         worker.unresponsive = True
         await trio.sleep(duration_seconds * 2)
         worker.unresponsive = False
@@ -210,13 +214,18 @@
     async def _restart_worker(self, duration_seconds):
         """Restarts one worker, which registers after the duration, but within 1 s."""
         worker = self._random_worker()
+        if worker is None:
+            return
         worker.restart()
         await trio.sleep(min(duration_seconds, 1))
-        self._deployment.register(worker.id)
+        if worker.id in self._deployment.fleet.workers:
+            self._deployment.register(worker.id)
 
     async def _delay_orders(self, duration_seconds):
         """Delays 40% of the start orders to one worker by 1 to 6 s, for the duration."""
         worker = self._random_worker()
+        if worker is None:
+            return
         worker.late_rate, worker.late_seconds = 0.4, self.random.uniform(1, 6)
         await trio.sleep(duration_seconds)
         worker.late_rate = 0.0
@@ -231,7 +240,9 @@
         return self.random.choice(entries) if entries else None
 
     def _random_worker(self):
-        return self.random.choice(list(self._deployment.fleet.workers.values()))
+        """Returns a random worker, or None if all have crashed."""
+        workers = list(self._deployment.fleet.workers.values())
+        return self.random.choice(workers) if workers else None
 
     def _clear_faults(self):
         """Ends all faults and restarts the missing entries."""
@@ -269,9 +280,17 @@
             self.violations.append(f"{job_id} has not ended")
 
     def _check_final_state(self, job_id, state, expected):
-        """Adds a violation unless a job ended as expected or was cancelled by the scenario."""
+        """Adds a violation unless a job ended as expected or was cancelled by the scenario.
+
+        A job may fail once two workers have crashed under one of its tasks, as the platform allows.
+        """
         if state == "cancelled" and job_id in self.cancelled_ids:
             return
+        crashes = self._deployment.fleet.crashes
+        if state == "failed" and any(
+            count >= 2 for task, count in crashes.items() if task.startswith(job_id)
+        ):
+            return
         if state != expected:
             self.violations.append(f"{job_id} is {state}, not {expected}")
 
--- a/tests/platform/test_worker_crashes.py
+++ b/tests/platform/test_worker_crashes.py
@@ -146,10 +146,9 @@
                 for _ in range(3):
                     await deployment.wait_until(lambda: deployment.fleet.active_runs(TASK), 30)
                     worker_id = deployment.fleet.active_runs(TASK)[0][0]
-                    address = deployment.address_of(worker_id)
-                    deployment.register(worker_id, address, state="draining")
+                    deployment.register(worker_id, state="draining")
                     await trio.sleep(1.0)
-                    deployment.crash_worker(worker_id, address, back_after_seconds=0.5)
+                    deployment.crash_worker(worker_id, back_after_seconds=0.5)
                 await deployment.wait_for_state(JOB_ID, "completed", 60)
 
         run_virtual(main)
