Crashes long after a task's start weigh less as evidence against it

What callers would see: jobs shown as failed whose tasks only met several crashes of other causes. The platform allows that once two workers have crashed under a task; callers do not deserve it. Cause: three workers lost at any time of a run counted as conclusive. Several waves of crashes meet some task three times; a task that crashes its workers does so each time after about the same work. Change: three losses count only within 2 s of the start (and two of them certain); otherwise a task is given up with the fifth, two starts fewer than the platform allows. The moment of a loss is when the worker stopped answering. The stand-in of the network now ends open requests to a process that has ended; without that the leader learned of a crash only by a timeout.

--- a/packages/core/src/ibiscart_core/workflow/crash.py
+++ b/packages/core/src/ibiscart_core/workflow/crash.py
@@ -11,20 +11,22 @@
 
 __all__ = ["CrashEvidence"]
 
-# a task is given up when this number of workers was lost while it ran. One crash hits all tasks on
-# the worker; the third can hardly be a coincidence, as a suspect task is kept apart from others
-MAX_LOST_WORKERS = 3
-# part of these that must have crashed for certain while the task ran on them
+# a task is given up when this number of workers was lost while it ran: two starts fewer than the
+# platform allows after three crashes
+MAX_LOST_WORKERS = 5
+# or when this number was lost soon after its start, and a part of them crashed for certain; crashes
+# of other causes rarely meet a task at its start again and again
+MAX_PROMPT_LOSSES = 3
 MIN_CRASHED_WORKERS = 2
-# number of lost workers with which a task is given up without such certainty, as when it crashes
-# each worker before that can confirm the start
-MAX_LOST_WORKERS_UNCERTAIN = 5
+# time from the start of a task to the loss of its worker that counts as soon
+PROMPT_SECONDS = 2.0
 # number of lost workers from which a task shares no worker with any other suspect task, so that a
 # crash tells which of them is the cause
 ISOLATION_LOST_WORKERS = 2
-# delay of the next run of a task with MAX_LOST_WORKERS lost workers without certainty, in which
-# most of them answer again or are replaced; it doubles with each further one
+# delay of the next run of a task with UNCERTAIN_LOST_WORKERS lost workers, few of which crashed for
+# certain; most of them answer again or are replaced meanwhile. It doubles with each further one
 HOLD_SECONDS = 15.0
+UNCERTAIN_LOST_WORKERS = 3
 # a task that ran for this time before its worker was lost is not the cause
 STABLE_RUN_SECONDS = 60.0
 
@@ -36,11 +38,14 @@
     may only have been cut off, or may never have started the task.
     """
 
-    __slots__ = ("_uncertain", "crashed")
+    __slots__ = ("_prompt_crashes", "_uncertain", "crashed")
 
-    def __init__(self, crashed=0, uncertain=()):
+    def __init__(self, crashed=0, prompt_crashes=0, uncertain=()):
         self.crashed = crashed
-        # maps worker ids to (incarnation, whether the worker had confirmed the start)
+        # number of those that crashed soon after the task's start
+        self._prompt_crashes = prompt_crashes
+        # maps worker ids to (incarnation, whether the worker had confirmed the start, whether it
+        # was lost soon after the start)
         self._uncertain = {worker_id: tuple(state) for worker_id, state in uncertain}
 
     @property
@@ -51,8 +56,10 @@
     @property
     def conclusive(self):
         """True if the task is to be given up."""
-        certain = self.crashed >= MIN_CRASHED_WORKERS
-        return self.lost_workers >= (MAX_LOST_WORKERS if certain else MAX_LOST_WORKERS_UNCERTAIN)
+        if self.lost_workers >= MAX_LOST_WORKERS:
+            return True
+        prompt_losses = self._prompt_crashes + sum(state[2] for state in self._uncertain.values())
+        return prompt_losses >= MAX_PROMPT_LOSSES and self.crashed >= MIN_CRASHED_WORKERS
 
     @property
     def isolated(self):
@@ -62,21 +69,23 @@
     @property
     def hold_seconds(self):
         """Delay of the next run in seconds, 0 if it may start at once."""
-        excess = self.lost_workers - MAX_LOST_WORKERS
-        return HOLD_SECONDS * 2**excess if excess >= 0 else 0.0
+        excess = self.lost_workers - UNCERTAIN_LOST_WORKERS
+        if excess < 0 or self.crashed >= MIN_CRASHED_WORKERS:
+            return 0.0
+        return HOLD_SECONDS * 2**excess
 
     @property
     def uncertain_workers(self):
         """Ids of the lost workers that may only have been cut off, or never started the task."""
         return list(self._uncertain)
 
-    def record_loss(self, worker_id, incarnation, *, crashed, started):
+    def record_loss(self, worker_id, incarnation, *, crashed, started, prompt):
         """Records that a worker was lost in an incarnation.
 
         ``crashed`` is True if it has crashed for certain, ``started`` if it had confirmed the start
-        of the task's run.
+        of the task's run, ``prompt`` if it was lost soon after the start.
         """
-        self._uncertain[worker_id] = (incarnation, started)
+        self._uncertain[worker_id] = (incarnation, started, prompt)
         if crashed:
             self.resolve(worker_id, None)
 
@@ -87,22 +96,21 @@
         """
         if worker_id not in self._uncertain:
             return False
-        lost_incarnation, started = self._uncertain[worker_id]
-        if incarnation == lost_incarnation:
-            del self._uncertain[worker_id]
-            return True
-        if not started:
+        lost_incarnation, started, prompt = self._uncertain[worker_id]
+        cut_off = incarnation == lost_incarnation
+        if not cut_off and not started:
             return False
         del self._uncertain[worker_id]
-        self.crashed += 1
+        if not cut_off:
+            self.crashed += 1
+            self._prompt_crashes += prompt
         return True
 
     def to_record(self):
         """Returns the evidence as a JSON-serializable list."""
-        return [self.crashed, sorted(self._uncertain.items())]
+        return [self.crashed, self._prompt_crashes, sorted(self._uncertain.items())]
 
     @classmethod
     def from_record(cls, record):
         """Returns the evidence of the list that ``to_record`` returned."""
-        crashed, uncertain = record
-        return cls(crashed, uncertain)
+        return cls(*record)
--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -397,7 +397,8 @@
 
     def _record_lost_worker(self, worker, unit, index, allocation, cause, now):
         """Adds a worker that was lost to the evidence against a task that ran on it."""
-        unit.record_lost_worker(index, allocation, cause is EndCause.WORKER_CRASHED, now)
+        crashed = cause is EndCause.WORKER_CRASHED
+        unit.record_lost_worker(index, allocation, crashed, worker.unreachable_at, now)
         if cause is EndCause.WORKER_VANISHED:
             worker.record_vanished_run(unit, index, now)
         if unit.hold_seconds:
--- a/packages/core/src/ibiscart_core/workflow/fleet.py
+++ b/packages/core/src/ibiscart_core/workflow/fleet.py
@@ -70,8 +70,8 @@
     until its list of runs has been read, and while it does not answer. ``units_by_run`` maps
     (task key, run) to the unit of the run. ``vanished_runs`` has (unit, index of the task)
     of the runs that were lost while it did not answer, until it is known whether it crashed.
-    ``leaves_at``, ``last_seen_at``, ``suspended_until`` and ``vanished_at`` are in seconds of the
-    monotonic clock.
+    ``leaves_at``, ``last_seen_at``, ``suspended_until``, ``unreachable_at`` (when it stopped
+    answering) and ``vanished_at`` are in seconds of the monotonic clock.
     """
 
     __slots__ = (
@@ -83,6 +83,7 @@
         "reliability",
         "suspended_until",
         "units_by_run",
+        "unreachable_at",
         "used",
         "vanished_at",
         "vanished_runs",
@@ -98,6 +99,7 @@
         self.reliability = Reliability()
         self.leaves_at = None
         self.last_seen_at = None
+        self.unreachable_at = 0.0
         self.vanished_at = 0.0
         self.vanished_runs = []
 
--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from ibiscart_core.workflow.catalog import QueueEntry
-from ibiscart_core.workflow.crash import STABLE_RUN_SECONDS, CrashEvidence
+from ibiscart_core.workflow.crash import PROMPT_SECONDS, STABLE_RUN_SECONDS, CrashEvidence
 from ibiscart_core.workflow.spec import JobSpec
 
 __all__ = ["Allocation", "AllocationState", "EndCause", "Job", "Outcome", "Unit", "UnitState"]
@@ -174,20 +174,30 @@
         evidence = self.crash_evidence.values()
         return max((found.hold_seconds for found in evidence), default=0.0)
 
-    def record_lost_worker(self, index, allocation, crashed, now):
+    def record_lost_worker(self, index, allocation, crashed, unreachable_at, now):
         """Adds the worker of a task's run, which was lost, to the evidence against the task.
 
-        ``crashed`` is True if it has crashed for certain. ``now`` is in seconds of the monotonic
-        clock.
+        ``crashed`` is True if it has crashed for certain. ``unreachable_at``, when it last stopped
+        answering, and ``now`` are in seconds of the monotonic clock.
         """
-        confirmed_at = allocation.confirmed_at
-        if confirmed_at is not None and now - confirmed_at > STABLE_RUN_SECONDS:
+        started = allocation.confirmed_at is not None
+        started_at = allocation.confirmed_at if started else allocation.ordered_at
+        # unknown for a run that an earlier leader ordered
+        run_seconds = None
+        if started_at is not None:
+            # a worker that restarts between two polls is never seen as unreachable
+            lost_at = unreachable_at if unreachable_at >= started_at else now
+            run_seconds = lost_at - started_at
+        if run_seconds is not None and run_seconds > STABLE_RUN_SECONDS:
             self.crash_evidence.pop(index, None)
             return
-        evidence = self.crash_evidence.setdefault(index, CrashEvidence())
-        started = confirmed_at is not None
-        worker_id, incarnation = allocation.worker_id, allocation.incarnation
-        evidence.record_loss(worker_id, incarnation, crashed=crashed, started=started)
+        self.crash_evidence.setdefault(index, CrashEvidence()).record_loss(
+            allocation.worker_id,
+            allocation.incarnation,
+            crashed=crashed,
+            started=started,
+            prompt=run_seconds is not None and run_seconds <= PROMPT_SECONDS,
+        )
 
     def task_key(self, index):
         """Returns the key of a task: (job id, occurrence, step, index)."""
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -369,8 +369,10 @@
             }
             LOG.warning("A worker does not answer.", extra=fields)
         self._failure_reason = reason
-        self._worker.reachable = False
         now = trio.current_time()
+        if self._worker.reachable:
+            self._worker.unreachable_at = now
+        self._worker.reachable = False
         if replaced and (self._worker.units_by_run or self._worker.vanished_runs):
             self._engine.end_lost_runs(self._worker.id, EndCause.WORKER_CRASHED, now, reason)
             self._on_change()
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -228,6 +228,7 @@
         self.fleet.count_crash(worker)
         address = self._addresses[name]
         self.network.handlers.pop(address)
+        self.network.reset_connections(address)
         for run in worker.running.values():
             run.scope.cancel()
         worker.running = {}
