Each loss of one worker that comes back under its id counts as evidence

What callers would see: a worker that one task crashes for ever, where workers restart under their ids and crash before they confirm the start. Cause: such losses were kept by worker id, and each replaced the one before; found by reading. Change: they are kept as a list. Test: test_each_crash_of_one_worker_that_comes_back_under_its_id_counts failed before.

--- a/packages/core/src/ibiscart_core/workflow/crash.py
+++ b/packages/core/src/ibiscart_core/workflow/crash.py
@@ -11,8 +11,8 @@
 
 __all__ = ["CrashEvidence"]
 
-# a task is given up when this number of workers was lost while it ran: two starts fewer than the
-# platform allows after three crashes
+# a task is given up when this number of workers was lost while it ran; the platform allows two more
+# starts after three crashes
 MAX_LOST_WORKERS = 5
 # or when this number was lost soon after its start, and a part of them crashed for certain; crashes
 # of other causes rarely meet a task at its start again and again
@@ -44,9 +44,9 @@
         self.crashed = crashed
         # number of those that crashed soon after the task's start
         self._prompt_crashes = prompt_crashes
-        # maps worker ids to (incarnation, whether the worker had confirmed the start, whether it
-        # was lost soon after the start)
-        self._uncertain = {worker_id: tuple(state) for worker_id, state in uncertain}
+        # (worker id, incarnation, whether the worker had confirmed the start, whether it was lost
+        # soon after the start)
+        self._uncertain = [tuple(loss) for loss in uncertain]
 
     @property
     def lost_workers(self):
@@ -58,7 +58,7 @@
         """True if the task is to be given up."""
         if self.lost_workers >= MAX_LOST_WORKERS:
             return True
-        prompt_losses = self._prompt_crashes + sum(state[2] for state in self._uncertain.values())
+        prompt_losses = self._prompt_crashes + sum(prompt for _, _, _, prompt in self._uncertain)
         return prompt_losses >= MAX_PROMPT_LOSSES and self.crashed >= MIN_CRASHED_WORKERS
 
     @property
@@ -77,7 +77,7 @@
     @property
     def uncertain_workers(self):
         """Ids of the lost workers that may only have been cut off, or never started the task."""
-        return list(self._uncertain)
+        return {worker_id for worker_id, _, _, _ in self._uncertain}
 
     def record_loss(self, worker_id, incarnation, *, crashed, started, prompt):
         """Records that a worker was lost in an incarnation.
@@ -85,32 +85,36 @@
         ``crashed`` is True if it has crashed for certain, ``started`` if it had confirmed the start
         of the task's run, ``prompt`` if it was lost soon after the start.
         """
-        self._uncertain[worker_id] = (incarnation, started, prompt)
-        if crashed:
-            self.resolve(worker_id, None)
+        if crashed and started:
+            self._record_crash(prompt)
+        else:
+            self._uncertain.append((worker_id, incarnation, started, prompt))
 
     def resolve(self, worker_id, incarnation):
         """Decides on a worker that was lost; returns True if the evidence changes.
 
         ``incarnation`` is that in which it answers again, None if it has crashed.
         """
-        if worker_id not in self._uncertain:
-            return False
-        lost_incarnation, started, prompt = self._uncertain[worker_id]
-        cut_off = incarnation == lost_incarnation
-        if not cut_off and not started:
-            return False
-        del self._uncertain[worker_id]
-        if not cut_off:
-            self.crashed += 1
-            self._prompt_crashes += prompt
-        return True
+        losses, self._uncertain = self._uncertain, []
+        for loss in losses:
+            lost_id, lost_incarnation, started, prompt = loss
+            cut_off = incarnation == lost_incarnation
+            if lost_id != worker_id or not (cut_off or started):
+                self._uncertain.append(loss)
+            elif not cut_off:
+                self._record_crash(prompt)
+        return len(self._uncertain) < len(losses)
 
     def to_record(self):
         """Returns the evidence as a JSON-serializable list."""
-        return [self.crashed, self._prompt_crashes, sorted(self._uncertain.items())]
+        return [self.crashed, self._prompt_crashes, self._uncertain]
 
     @classmethod
     def from_record(cls, record):
         """Returns the evidence of the list that ``to_record`` returned."""
         return cls(*record)
+
+    def _record_crash(self, prompt):
+        """Counts a worker that has crashed for certain while the task ran."""
+        self.crashed += 1
+        self._prompt_crashes += prompt
--- a/tests/core/workflow/test_crash.py
+++ b/tests/core/workflow/test_crash.py
@@ -41,6 +41,16 @@
         self.assertFalse(evidence(crashed=1, unstarted=3).conclusive)
         self.assertTrue(evidence(unstarted=5).conclusive)
 
+    def test_each_crash_of_one_worker_that_comes_back_under_its_id_counts(self):
+        # the losses of a worker that crashed before it confirmed the start replaced one another, so
+        # the only worker of a pool was crashed for ever
+        found = CrashEvidence()
+        for incarnation in range(5):
+            found.record_loss("w", incarnation, crashed=True, started=False, prompt=True)
+            found.resolve("w", incarnation + 1)
+        self.assertEqual(5, found.lost_workers)
+        self.assertTrue(found.conclusive)
+
     def test_next_run_is_held_while_it_is_unclear_whether_workers_crashed(self):
         self.assertEqual(0.0, evidence(crashed=1, cut_off=1).hold_seconds)
         self.assertEqual(0.0, evidence(crashed=3, prompt=False).hold_seconds)
