Stand-in: an order that a worker left unanswered ends with the worker's process

Trace: orders for run 1 reached w3 at 27.3 and 27.8 s, while it was set to be silent; both tasks ended and were acknowledged; tasks that crash their worker restarted w3 at 36.3 s and later. The stand-in carries out what it received while silent 30 s later, in the next life too, where neither the lease's deadline, which counts on the clock of the first life, nor the numbers of earlier runs refuse it. A process that has ended has lost its connections, and the stand-in's other late orders heed that already. So the fault is the stand-in's; restarts were too rare before to show it. Change: such an order is refused after a restart; the check is unchanged. Test: test_order_that_a_worker_left_unanswered_ends_with_its_process failed before.

--- a/tests/platform/test_worker_crashes.py
+++ b/tests/platform/test_worker_crashes.py
@@ -1,10 +1,13 @@
 """Tests of tasks that crash their workers, and of tasks that only ran beside them."""
 
+import json
 import unittest
 
 import trio
 
+from ibiscart_entry.server import Request
 from tests.platform.deployment import JOB_ID, Deployment, job, run_virtual, step
+from tests.standins.platform.worker import WorkerFleet, WorkerStandIn
 
 TASK = f"{JOB_ID}.0.0.0"
 
@@ -139,6 +142,24 @@
 
         run_virtual(main)
 
+    def test_order_that_a_worker_left_unanswered_ends_with_its_process(self):
+        # the stand-in carried out orders 30 s later, in the next life of the worker (soak, seed 28)
+        call = {"task": TASK, "run": 1, "spec": "{}", "deadlineMs": 9000, "fence": 1}
+        request = Request("POST", "/run-start", {}, json.dumps(call).encode(), "e0")
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                worker = WorkerStandIn(WorkerFleet(), "w0", nursery)
+                worker.unanswered_path = "/run-start"
+                nursery.start_soon(worker.handle, request)
+                await trio.sleep(29)
+                worker.restart()
+                await trio.sleep(2)
+                self.assertEqual({}, worker.fleet.starts)
+                nursery.cancel_scope.cancel()
+
+        run_virtual(main)
+
     def test_a_draining_worker_that_is_replaced_counts_as_no_crash(self):
         async def main():
             async with Deployment(workers=6) as deployment:
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -177,8 +177,12 @@
 
     async def handle(self, request):
         """Handles one request of the worker interface."""
+        incarnation = self.incarnation
         if self.unresponsive or request.path == self.unanswered_path:
             await trio.sleep(UNANSWERED_SECONDS)
+            if incarnation != self.incarnation:
+                # the process that received the request has ended
+                return self._response("instance", 421)
         if request.headers.get("x-expect-instance", self.id) != self.id:
             return self._response("instance", 421)
         call = json.loads(request.body)
