--- a/packages/core/src/ibiscart_core/workflow/crash.py
+++ b/packages/core/src/ibiscart_core/workflow/crash.py
@@ -4,7 +4,7 @@
 
 Evidence that a task crashes the workers that run it.
 
-A worker that crashes reports no ends, so the cause has to be told from its tasks' histories: other
+A worker that crashes reports no ends, so the cause follows only from its tasks' histories: other
 tasks on the same worker are lost too, and a worker that is only cut off looks like one that has
 crashed until it answers again.
 """
--- a/tests/core/workflow/test_crash.py
+++ b/tests/core/workflow/test_crash.py
@@ -137,7 +137,7 @@
 
     def test_a_task_that_was_lost_twice_shares_no_worker_with_another_suspect(self):
         # tasks that ran beside a task that crashes its workers were placed with it again, and
-        # nothing told which of them was the cause
+        # nothing showed which of them was the cause
         harness = EngineHarness(workers=2)
         first, second = harness.submit("a", step()), harness.submit("b", step())
         harness.run_pass()
