--- a/tests/platform/test_worker_crashes.py
+++ b/tests/platform/test_worker_crashes.py
@@ -57,6 +57,15 @@
 
         self.check_given_up(restart_in_place)
 
+    def test_order_without_an_answer_is_not_sent_to_the_next_life_of_a_worker(self):
+        # a copy of the order started the run once more on a worker that had restarted at once under
+        # its id, so that a task crashed more workers than were counted (soak, seed 28)
+        async def lose_answers(deployment):
+            for worker in deployment.fleet.workers.values():
+                worker.crash, worker.lose_start_answers = worker.restart, True
+
+        self.check_given_up(lose_answers)
+
     def test_crashes_are_counted_although_the_workers_return_after_their_leases(self):
         async def return_late(deployment):
             for name, worker in list(deployment.fleet.workers.items()):
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -111,7 +111,8 @@
     """One worker; ``handle`` answers requests. Faults are attributes that tests set.
 
     ``late_rate`` is the probability that a start order gets no response and is applied
-    ``late_seconds`` later. Requests that arrive while ``unresponsive`` is set, and requests to
+    ``late_seconds`` later. With ``lose_start_answers``, starts take effect without a response.
+    Requests that arrive while ``unresponsive`` is set, and requests to
     the path ``unanswered_path``, get no response within 30 s. With ``fail_all_runs`` every run
     fails.
     """
@@ -128,6 +129,7 @@
         self.crash = self.restart
         self.unanswered_path = ""
         self.fail_all_runs = False
+        self.lose_start_answers = False
         self.random = random.Random(f"{seed}/{worker_id}")
         self.incarnation = 1
         self._wall_clock = wall_clock
@@ -190,7 +192,10 @@
             if self.late_rate and self.random.random() < self.late_rate:
                 self._nursery.start_soon(self._start_run_late, call)
                 await trio.sleep(UNANSWERED_SECONDS)
-            return self._start_run(call)
+            response = self._start_run(call)
+            if self.lose_start_answers:
+                await trio.sleep(UNANSWERED_SECONDS)
+            return response
         if request.path == "/run-stop":
             return self._response(self._check_fence(call) or self._stop_run(call))
         if request.path == "/hold":
