The configuration is read in other ways only when a call to the store is late or has failed

Cause: counted lateness from the sending of the last answered call. A long poll without a change takes 0.8 s, so the next one was late 0.4 s after it was sent, in each cycle of a store in good health: every entry then read the whole configuration over a second connection and asked two others. On a link of 10 Mbit/s a version takes 0.27 s, twice that with the copy, and the calls of callers and of the leader wait behind it. Class of fault: a failure detector whose timeout is shorter than a normal cycle, and failover that loads what it watches. Change: a long poll is late 1.2 s after it was sent; a call that failed is, at once. Tests: test_configuration_is_read_once_while_the_store_answers failed before (5.7 MB instead of 3.1 MB on each entry). The test of stalled connections of all entries passed before; it guards the new condition.

--- a/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
@@ -24,9 +24,9 @@
 # entries that refuse are not asked all the time
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
-# the configuration is read in other ways too when the store has not confirmed it for this time: a
-# long poll and a margin for its response; also the longest duration of one attempt in other ways,
-# after which the next attempt uses new connections
+# the configuration is read in other ways too when the store has not answered a long poll in this
+# time: its wait and a margin for the response; also the longest duration of one attempt in other
+# ways, after which the next attempt uses new connections
 OVERDUE_SECONDS = 1.2
 
 
@@ -46,7 +46,9 @@
         self._changed = trio.Event()
         self._confirmed = trio.Event()
         self._reachable = True
-        self._store_confirmed_at = clock()
+        self._failed = trio.Event()
+        # when the store's answer to the call that is under way becomes late
+        self._overdue_at = 0.0
         self.catalog = None
         self.confirmed_at = None
 
@@ -87,7 +89,7 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Follows the configuration until cancelled."""
         # the first read does not wait for a change
-        self._store_confirmed_at = self._clock() - LONG_POLL_SECONDS
+        self._overdue_at = self._clock() + OVERDUE_SECONDS - LONG_POLL_SECONDS
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follow_store)
             nursery.start_soon(self._read_while_overdue)
@@ -99,6 +101,8 @@
         retry_seconds = RETRY_SECONDS
         while True:
             sent_at = self._clock()
+            if table_version is not None:
+                self._overdue_at = sent_at + OVERDUE_SECONDS
             try:
                 if table_version is None:
                     catalog, table_version = await self._source.read()
@@ -113,6 +117,7 @@
                 if self._reachable:
                     self._reachable = False
                     LOG.warning("The store does not answer.", extra={"cause": error.reason})
+                    self._read_otherwise_at_once()
                 table_version = None
                 await trio.sleep(retry_seconds)
                 retry_seconds = min(MAX_RETRY_SECONDS, 2 * retry_seconds)
@@ -122,17 +127,22 @@
                 self._reachable = True
                 LOG.info("The store answers again.")
             self._apply_confirmed(catalog, sent_at)
-            self._store_confirmed_at = sent_at
+
+    def _read_otherwise_at_once(self):
+        """Makes ``_read_while_overdue`` read the configuration: a call to the store has failed."""
+        self._overdue_at = min(self._overdue_at, self._clock())
+        failed, self._failed = self._failed, trio.Event()
+        failed.set()
 
     async def _read_while_overdue(self):
-        """Reads the configuration in other ways while the store is late to confirm it."""
+        """Reads the configuration in other ways while the store does not answer in time."""
         wait_seconds = 0.0
         retry_seconds = RETRY_SECONDS
         while True:
-            overdue_at = self._store_confirmed_at + OVERDUE_SECONDS
-            if self._clock() < overdue_at:
+            if self._clock() < self._overdue_at:
                 wait_seconds = 0.0
-                await trio.sleep(overdue_at - self._clock())
+                with trio.move_on_after(self._overdue_at - self._clock()):
+                    await self._failed.wait()
             elif await self._read_otherwise(wait_seconds):
                 wait_seconds = LONG_POLL_SECONDS
                 retry_seconds = RETRY_SECONDS
@@ -173,7 +183,7 @@
         except StoreError:
             return False
         self._apply_confirmed(catalog, sent_at)
-        self._store_confirmed_at = max(self._store_confirmed_at, sent_at)
+        self._overdue_at = max(self._overdue_at, sent_at + OVERDUE_SECONDS)
         return True
 
     async def _read_from_peers(self, wait_seconds):
--- a/tests/platform/test_store_failures.py
+++ b/tests/platform/test_store_failures.py
@@ -1,5 +1,6 @@
 """Tests of store failures over the stand-ins, in virtual time."""
 
+import functools
 import unittest
 from unittest import mock
 
@@ -452,14 +453,65 @@
 
                 run_virtual(main)
 
-    async def put_large_configuration(self, deployment, version):
-        """Checks that all entries apply a configuration of 230 KB in time; returns after 0.6 s."""
+    def test_configuration_is_read_once_while_the_store_answers(self):
+        # 0.4 s after each long poll that had brought no change, all entries read the configuration
+        # in the ways meant for a store that does not answer; with a large one on links of
+        # 10 Mbit/s, calls of callers and of the leader waited behind it
+        async def main():
+            async with Deployment(entries=6) as deployment:
+                await trio.sleep(7)
+                names = list(deployment.entries)
+                link = dict.fromkeys(names, LINK_BYTES_PER_SECOND)
+                deployment.network.link_bytes_per_second.update(link)
+                bytes_read = dict.fromkeys(names, 0)
+                largest = 0
+
+                async def handle(request):
+                    nonlocal largest
+                    response = await deployment.store.handle(request)
+                    if request.query.get("table") == "op":
+                        bytes_read[request.remote] += len(response.body)
+                        largest = max(largest, len(response.body))
+                    return response
+
+                deployment.network.handlers["store"] = handle
+                for version in range(10, 20):
+                    await self.put_large_configuration(deployment, version, seconds=1.3)
+                for name, entry in deployment.entries.items():
+                    self.assertLess(bytes_read[name], 10.5 * largest)
+                    self.assertNotIn("peer_messages{catalog}", entry.metrics.render())
+
+        run_virtual(main)
+
+    def test_configuration_is_in_time_after_the_connections_of_all_entries_have_stalled(self):
+        # an offer of another entry, confirmed before the connections stalled, must not keep an
+        # entry from asking the store again
+        async def main(stalled_at):
+            async with Deployment(entries=4) as deployment:
+                await trio.sleep_until(stalled_at)
+                deployment.store.stall_open_polls()
+                deployment.store.put("op", "config", {**CONFIGURATION, "version": 9})
+                catalogs = [entry.catalogs for entry in deployment.entries.values()]
+                await deployment.wait_until(
+                    lambda: all(catalog.catalog.version == 9 for catalog in catalogs),
+                    MAX_CONFIG_DELAY_SECONDS,
+                )
+
+        for moment in range(10):
+            with self.subTest(moment=moment):
+                run_virtual(functools.partial(main, 6.0 + 0.13 * moment))
+
+    async def put_large_configuration(self, deployment, version, seconds=0.6):
+        """Checks that all entries apply a configuration of 230 KB in time.
+
+        Returns after ``seconds``, or as soon as they have.
+        """
         template = CONFIGURATION["routes"][0]
         idle = [{**template, "name": f"i{n}", "pathPrefix": f"/i{n}/"} for n in range(1400)]
         routes = [*CONFIGURATION["routes"], *idle]
         newer = {**CONFIGURATION, "version": version, "routes": routes}
         deployment.store.put("op", "config", newer)
-        next_at = trio.current_time() + 0.6
+        next_at = trio.current_time() + seconds
         catalogs = [entry.catalogs for entry in deployment.entries.values()]
         await deployment.wait_until(
             lambda: all(catalog.catalog.version >= version for catalog in catalogs),
