The store is not asked again for a configuration whose answer is on its way

What callers would see: on links below 7 Mbit/s, versions in force late while large configurations follow one another. Cause: a long poll without a whole answer after 1.2 s counts as late, also while its answer of 300 KB arrives over a slow link; the second read of the same version then shares the link with the first. Change: the HTTP client tells when a response begins; from then on only other entries are asked, whose answer is a tenth as large. Test: test_large_configuration_is_in_time_on_an_entry_with_a_slow_link failed before (2 Mbit/s, 230 KB each 1.5 s, not in force within 2 s).

--- a/packages/entry/src/ibiscart_entry/client.py
+++ b/packages/entry/src/ibiscart_entry/client.py
@@ -78,11 +78,14 @@
         """Address of the server, ``ip:port``."""
         return self._address
 
-    async def request(self, method, target, *, body=b"", headers=(), timeout):
+    async def request(
+        self, method, target, *, body=b"", headers=(), timeout, on_response=lambda: None
+    ):
         """Sends one request and returns the ``Response``.
 
-        ``timeout`` is in seconds and covers the wait for a connection too. Raises
-        ``TransportError``; a request is never sent twice.
+        ``timeout`` is in seconds and covers the wait for a connection too. ``on_response`` is
+        called when the response begins to arrive. Raises ``TransportError``; a request is never
+        sent twice.
         """
         events = self._events(method, target, body, headers)
         sent = False
@@ -92,7 +95,7 @@
                 if connection is None:
                     connection = await self._connect()
                 sent = True
-                return await self._exchange(connection, events)
+                return await self._exchange(connection, events, on_response)
         raise TransportError("timeout", sent)
 
     async def aclose(self):
@@ -133,12 +136,12 @@
         events.append(h11.EndOfMessage())
         return events
 
-    async def _exchange(self, pair, events):
+    async def _exchange(self, pair, events, on_response):
         stream, connection = pair
         keep = False
         try:
             await self._send(stream, connection, events)
-            response = await self._receive(stream, connection)
+            response = await self._receive(stream, connection, on_response)
             keep = self._reusable(connection)
             return response
         except h11.RemoteProtocolError:
@@ -178,7 +181,7 @@
                     return
             raise
 
-    async def _receive(self, stream, connection):
+    async def _receive(self, stream, connection, on_response):
         head = None
         parts = []
         size = 0
@@ -193,6 +196,7 @@
                 connection.receive_data(data)
             elif isinstance(event, h11.Response):
                 head = event
+                on_response()
                 self._check_framing(head)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
--- a/packages/entry/src/ibiscart_entry/coordination/agent.py
+++ b/packages/entry/src/ibiscart_entry/coordination/agent.py
@@ -80,11 +80,11 @@
         """Returns (``Catalog`` or None, version of the table); raises ``StoreError``."""
 
     @abstractmethod
-    async def changes(self, after, wait_seconds):
+    async def changes(self, after, wait_seconds, on_response):
         """Returns (changed ``Catalog`` or None, version of the table) after version ``after``.
 
-        Waits up to ``wait_seconds`` for a change. Raises ``HistoryLost`` when ``read`` is needed
-        instead, and ``StoreError``.
+        Waits up to ``wait_seconds`` for a change. ``on_response`` is called when the answer begins
+        to arrive. Raises ``HistoryLost`` when ``read`` is needed instead, and ``StoreError``.
         """
 
     @abstractmethod
--- a/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
@@ -49,6 +49,7 @@
         self._failed = trio.Event()
         # when the store's answer to the call that is under way becomes late
         self._overdue_at = 0.0
+        self._answer_begun = False
         self.catalog = None
         self.confirmed_at = None
 
@@ -101,6 +102,7 @@
         retry_seconds = RETRY_SECONDS
         while True:
             sent_at = self._clock()
+            self._answer_begun = False
             if table_version is not None:
                 self._overdue_at = sent_at + OVERDUE_SECONDS
             try:
@@ -108,7 +110,7 @@
                     catalog, table_version = await self._source.read()
                 else:
                     catalog, table_version = await self._source.changes(
-                        table_version, LONG_POLL_SECONDS
+                        table_version, LONG_POLL_SECONDS, self._record_answer
                     )
             except HistoryLost:
                 table_version = None
@@ -128,6 +130,10 @@
                 LOG.info("The store answers again.")
             self._apply_confirmed(catalog, sent_at)
 
+    def _record_answer(self):
+        """Records that the store's answer to the call that is under way begins to arrive."""
+        self._answer_begun = True
+
     def _read_otherwise_at_once(self):
         """Makes ``_read_while_overdue`` read the configuration: a call to the store has failed."""
         self._overdue_at = min(self._overdue_at, self._clock())
@@ -154,8 +160,9 @@
     async def _read_otherwise(self, wait_seconds):
         """Asks the store over another connection and the other entries, at the same time.
 
-        The entries wait up to ``wait_seconds`` for a change. Returns True if one of them confirmed
-        the configuration.
+        The store is not asked if its answer is on its way over a slow link, which a second one
+        would only delay. The entries wait up to ``wait_seconds`` for a change. Returns True if one
+        of them confirmed the configuration.
         """
         confirmed = False
         with trio.move_on_after(OVERDUE_SECONDS):
@@ -168,7 +175,8 @@
                         confirmed = True
                         nursery.cancel_scope.cancel()
 
-                nursery.start_soon(attempt, self._read_from_store)
+                if not self._answer_begun:
+                    nursery.start_soon(attempt, self._read_from_store)
                 if self._peers is not None:
                     nursery.start_soon(
                         attempt, functools.partial(self._read_from_peers, wait_seconds)
--- a/tests/entry/test_client.py
+++ b/tests/entry/test_client.py
@@ -219,6 +219,23 @@
 
         trio.run(main)
 
+    def test_caller_is_told_when_the_response_begins(self):
+        # a caller that cannot tell a slow link from a silent server sends the request again
+        begun = trio.Event()
+
+        async def script(stream):
+            await stream.receive_some(65536)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nab")
+            await begun.wait()
+            await stream.send_all(b"cd")
+
+        async def main():
+            async with scripted(script) as (client, _):
+                response = await client.request("GET", "/", timeout=5, on_response=begun.set)
+                self.assertEqual(b"abcd", response.body)
+
+        trio.run(main)
+
     def test_counted_bytes_include_heads(self):
         """Counts without heads would leave out most of a heartbeat or a renewal."""
         metrics = Metrics()
--- a/tests/platform/test_store_failures.py
+++ b/tests/platform/test_store_failures.py
@@ -25,6 +25,8 @@
 MAX_CANCEL_DELAY_SECONDS = 3.0
 # a link of 10 Mbit/s, that of most entries of the platform's larger deployments
 LINK_BYTES_PER_SECOND = 1_250_000
+# a link of 2 Mbit/s
+SLOW_LINK_BYTES_PER_SECOND = 250_000
 
 
 class StoreFailureTest(unittest.TestCase):
@@ -364,7 +366,7 @@
                 self.assertEqual(200, await deployment.submit(JOB_ID, job(step())))
                 source = entry.catalogs._source
                 unresponsive = mock.Mock(read=trio.sleep_forever, fetch=trio.sleep_forever)
-                unresponsive.changes = lambda version, seconds: trio.sleep_forever()
+                unresponsive.changes = lambda *arguments: trio.sleep_forever()
                 entry.catalogs._source, entry.catalogs._peers = unresponsive, None
                 await trio.sleep(1)
                 deployment.store.put("op", "config", revoked)
@@ -501,6 +503,20 @@
             with self.subTest(moment=moment):
                 run_virtual(functools.partial(main, 6.0 + 0.13 * moment))
 
+    def test_large_configuration_is_in_time_on_an_entry_with_a_slow_link(self):
+        # while the answer of the store was on its way, 1.2 s for a version, the entry asked for the
+        # same version over a second connection, and both shared the link
+        async def main():
+            async with Deployment(entries=4) as deployment:
+                await trio.sleep(7)
+                link = dict.fromkeys(deployment.entries, LINK_BYTES_PER_SECOND)
+                link["e1"] = SLOW_LINK_BYTES_PER_SECOND
+                deployment.network.link_bytes_per_second.update(link)
+                for version in range(10, 25):
+                    await self.put_large_configuration(deployment, version, seconds=1.5)
+
+        run_virtual(main)
+
     async def put_large_configuration(self, deployment, version, seconds=0.6):
         """Checks that all entries apply a configuration of 230 KB in time.
 
--- a/tests/standins/fault.py
+++ b/tests/standins/fault.py
@@ -135,7 +135,9 @@
         self.closed = 0
         self.lost = 0
 
-    async def request(self, method, target, *, body=b"", headers=(), timeout):
+    async def request(
+        self, method, target, *, body=b"", headers=(), timeout, on_response=lambda: None
+    ):
         """Returns the handler's response; ``timeout`` is in seconds. Raises ``TransportError``."""
         await trio.lowlevel.checkpoint()
         if self._faults.refuse_connections:
@@ -153,6 +155,7 @@
             done = trio.Event()
             trio.lowlevel.spawn_system_task(self._call_handler, request, outcome, done)
             await done.wait()
+            on_response()
             return self._make_response(outcome)
         raise TransportError("timeout", True)
 
--- a/tests/standins/table.py
+++ b/tests/standins/table.py
@@ -87,8 +87,11 @@
         while name in self._paused:
             await self._paused[name].wait()
 
-    async def deliver(self, sender, address, request, responses):
-        """Delivers a request to its receiver and sends the response to ``responses``."""
+    async def deliver(self, sender, address, request, responses, on_response):
+        """Delivers a request to its receiver and sends the response to ``responses``.
+
+        Calls ``on_response`` when the response begins to pass the links.
+        """
         await self._transmit(sender, address, len(request.body))
         await trio.sleep(self.latency + self.request_delay(sender, address, request))
         await self.wait_running(address)
@@ -99,6 +102,8 @@
         if not responses.statistics().open_receive_channels:
             # the sender has closed the connection, so the response does not use the links
             return
+        if (address, sender) not in self.blocked:
+            on_response()
         await self._transmit(address, sender, len(response.body))
         await trio.sleep(self.latency)
         await self.wait_running(address)
@@ -132,7 +137,9 @@
         self._sender = sender
         self._limit = trio.CapacityLimiter(max_connections)
 
-    async def request(self, method, target, *, body=b"", headers=(), timeout):
+    async def request(
+        self, method, target, *, body=b"", headers=(), timeout, on_response=lambda: None
+    ):
         """Returns the receiver's response; ``timeout`` is in seconds. Raises ``TransportError``."""
         network, sender = self._network, self._sender
         with trio.move_on_after(timeout):
@@ -141,7 +148,7 @@
                 raise TransportError("refused", False)
             async with self._limit:
                 request = Request(method, target, dict(headers), body, sender)
-                response = await self._exchange(request)
+                response = await self._exchange(request, on_response)
             await network.wait_running(sender)
             return response
         # a sender that was paused past its deadline times out, even if the response has arrived
@@ -151,7 +158,7 @@
     async def aclose(self):
         pass
 
-    async def _exchange(self, request):
+    async def _exchange(self, request, on_response):
         """Sends a request and returns the receiver's response."""
         network = self._network
         key = (self._sender, self.address)
@@ -162,7 +169,7 @@
         open_requests.add(send)
         try:
             with receive:
-                network.start_delivery(self._sender, self.address, request, send)
+                network.start_delivery(self._sender, self.address, request, send, on_response)
                 return await receive.receive()
         except trio.EndOfChannel:
             raise TransportError("truncated", True) from None
