A start order is sent again only to a worker in the same life that lacks the run

Cause: an order without an answer was repeated blindly, as a hedge after 0.15 s and in three attempts. The run number makes copies idempotent only within one life of the worker: the next life knows neither the run nor the fencing token, and its clock accepts the deadline. Class of fault: a retry that relies on memory which the receiver loses. Change: a copy follows a read of the worker's status, on the connections for orders. A listed run has started; another incarnation, or no answer, gets no copy. The first order is sent as before. Looked for elsewhere: stops bar run numbers and are harmless in any life; leases are extended by polls, which are sent without a deadline after a failed one; acknowledgements follow a status of at most 0.1 s.

--- a/packages/core/src/ibiscart_core/workflow/report.py
+++ b/packages/core/src/ibiscart_core/workflow/report.py
@@ -50,6 +50,11 @@
         self.ended = tuple(ended)
         self.incarnation = incarnation
 
+    def has_run(self, task_key, run):
+        """Returns True if the run is on the worker, or has ended there."""
+        reports = (*self.running, *self.ended)
+        return any(report.task_key == task_key and report.run == run for report in reports)
+
 
 class StartResult(Enum):
     """Result of a start order.
--- a/packages/entry/src/ibiscart_entry/coordination/agent.py
+++ b/packages/entry/src/ibiscart_entry/coordination/agent.py
@@ -39,6 +39,10 @@
         when a run ends, after ``wait_seconds`` at the latest. Raises ``AgentError``.
         """
 
+    @abstractmethod
+    async def read_status(self, fencing_token):
+        """Returns the ``WorkerStatus``; extends and acknowledges nothing; raises ``AgentError``."""
+
     @abstractmethod
     async def start(self, fencing_token, task_key, run, payload, checkpoint, deadline_ms):
         """Starts run number ``run`` of a task.
--- a/packages/entry/src/ibiscart_entry/coordination/hedge.py
+++ b/packages/entry/src/ibiscart_entry/coordination/hedge.py
@@ -30,30 +30,31 @@
         """Returns the seconds after which an unanswered call is sent again."""
         return max(MIN_DELAY_SECONDS, DELAY_LATENCIES * self._latency_seconds)
 
-    async def call(self, attempt, is_answer):
+    async def call(self, attempt, is_answer, repeat=None):
         """Returns (result, whether one of the attempts got no answer).
 
-        ``attempt`` is an async function that makes the call once; ``is_answer`` returns False for
-        the result of an attempt without an answer. The first answer counts, and ends the other
-        attempt; without any, the result of the first attempt to end.
+        ``attempt`` is an async function that makes the call once, ``repeat`` one that makes it
+        again, ``attempt`` by default; ``is_answer`` returns False for the result of an attempt
+        without an answer. The first answer counts, and ends the other attempt; without any, the
+        result of the first attempt to end.
         """
-        race = _Race(attempt, is_answer)
+        race = _Race(is_answer)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._attempt, race)
+            nursery.start_soon(self._attempt, race, attempt)
             with trio.move_on_after(self.delay_seconds):
                 await race.finished.wait()
             if not race.finished.is_set():
                 race.attempts += 1
-                nursery.start_soon(self._attempt, race)
+                nursery.start_soon(self._attempt, race, repeat or attempt)
                 await race.finished.wait()
             nursery.cancel_scope.cancel()
         result = race.answer if race.answered else race.results[0]
         return result, race.attempts > race.answered
 
-    async def _attempt(self, race):
-        """Makes one attempt of a race."""
+    async def _attempt(self, race, make_call):
+        """Makes one attempt of a race by the async function ``make_call``."""
         sent_at = self._clock()
-        result = await race.attempt()
+        result = await make_call()
         race.results.append(result)
         if race.is_answer(result):
             seconds = self._clock() - sent_at
@@ -67,10 +68,9 @@
 class _Race:
     """Attempts at one call; ``answered`` counts those with an answer."""
 
-    __slots__ = ("answer", "answered", "attempt", "attempts", "finished", "is_answer", "results")
+    __slots__ = ("answer", "answered", "attempts", "finished", "is_answer", "results")
 
-    def __init__(self, attempt, is_answer):
-        self.attempt = attempt
+    def __init__(self, is_answer):
         self.is_answer = is_answer
         self.attempts = 1
         self.results = []
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -163,9 +163,11 @@
         for attempt in range(MAX_START_ATTEMPTS):
             if not order.awaits_answer or self._worker_clock_ms is None:
                 return
+            call = self._repeat_start if attempt else self._call_start
             (result, clock_ms), unanswered = await self._hedge.call(
-                functools.partial(self._call_start, order),
+                functools.partial(call, order),
                 lambda response: response[0] is not StartResult.UNKNOWN,
+                functools.partial(self._repeat_start, order),
             )
             self._record_clock(clock_ms)
             self._metrics.count("orders", result.value)
@@ -258,6 +260,23 @@
             self._lease_deadline_ms(sent_at),
         )
 
+    async def _repeat_start(self, order):
+        """Orders a start again unless the worker has the run; returns as ``_call_start`` does.
+
+        A worker that has restarted since does not know the run, so a copy would run the task again.
+        """
+        try:
+            status = await self._agent.read_status(self._leadership.epoch)
+        except AgentError as error:
+            return (StartResult.FENCED if error.fenced else StartResult.UNKNOWN), None
+        if status.incarnation not in (None, order.allocation.incarnation):
+            return StartResult.WRONG_INCARNATION, None
+        if status.has_run(order.task_key, order.run):
+            return StartResult.STARTED, status.clock_ms
+        if not order.awaits_answer:
+            return StartResult.UNKNOWN, None
+        return await self._call_start(order)
+
     async def _call_stop(self, stop_order):
         """Orders a stop once; returns the ``AgentError``, or None if the worker confirmed it."""
         try:
--- a/tests/entry/coordination/test_hedge.py
+++ b/tests/entry/coordination/test_hedge.py
@@ -1,5 +1,6 @@
 """Tests of the second copy of a call whose response is overdue."""
 
+import functools
 import unittest
 
 import trio
@@ -47,6 +48,24 @@
     def test_the_second_copy_outlives_a_failure_of_the_first(self):
         self.assertEqual(("b", True), self.play((0.3, None), (0.4, "b"))[0])
 
+    def test_the_second_copy_is_made_by_its_own_function(self):
+        made = []
+
+        async def attempt(name, seconds, result):
+            made.append(name)
+            await trio.sleep(seconds)
+            return result
+
+        async def main():
+            return await CallHedge().call(
+                functools.partial(attempt, "first", 0.6, None),
+                lambda result: result is not None,
+                functools.partial(attempt, "repeat", 0.01, "b"),
+            )
+
+        self.assertEqual(("b", True), run_virtual(main))
+        self.assertEqual(["first", "repeat"], made)
+
     def test_slow_answers_delay_the_second_copy(self):
         """Guards against twice the load on a leader that is slow to read the responses."""
         hedge = CallHedge()
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -41,6 +41,26 @@
 
         run_virtual(main)
 
+    def test_order_without_an_answer_is_not_sent_again_to_a_worker_that_has_the_run(self):
+        # six orders for one run went to a worker whose answers were lost
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                worker = deployment.fleet.workers["w0"]
+                worker.lose_start_answers = True
+                orders = 0
+
+                async def handle(request):
+                    nonlocal orders
+                    orders += request.path == "/run-start"
+                    return await worker.handle(request)
+
+                deployment.network.handlers["w0:80"] = handle
+                await deployment.submit(JOB_ID, job(step(), ms=4000))
+                await deployment.wait_for_state(JOB_ID, "completed", 6)
+                self.assertEqual(1, orders)
+
+        run_virtual(main)
+
     def test_a_gang_starts_soon_although_some_orders_get_no_answer(self):
         """Replays workers that leave some orders unanswered while a gang preempts small tasks.
 
