A worker that restarted while idle keeps its run for the longest lease that it grants

What callers would see: a task that runs twice at the same time. Cause: leases are deadlines on the worker's clock, which begins anew when the worker restarts under its id. Change: the expiry that the leader assumes counts with the longest lease if the worker's clock was read longer ago than a poll takes; the same bound holds for leases of an earlier leader. Nothing changes where the longest lease is 6 s, and only orders to idle workers elsewhere. Not covered: a restart within 3 s of the last answer that no open poll notices. Test: test_run_on_a_worker_that_restarted_while_idle_does_not_start_again_during_its_lease fails without the new bound (run 2 overlaps with run 1).

--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -37,8 +37,8 @@
 
     ``directory`` is the ``WorkerDirectory``, ``catalogs`` the ``CatalogWatch``.
     ``connect_agent`` returns the ``WorkerAgent`` for an address and a worker id.
-    ``lease_seconds`` is the duration of a run's lease. ``retention_seconds`` is how long the
-    state of an ended job can be queried.
+    ``lease_limit_seconds`` is the longest lease that a worker grants. ``retention_seconds`` is
+    how long the state of an ended job can be queried.
     ``directory_ttl_seconds`` is the shortest time for which the worker directory keeps the
     registration of a worker that has stopped renewing it.
     """
@@ -52,7 +52,7 @@
         connect_agent,
         metrics,
         *,
-        lease_seconds,
+        lease_limit_seconds,
         retention_seconds,
         directory_ttl_seconds,
         wall_clock=time.time,
@@ -69,7 +69,7 @@
             leadership,
             metrics,
             self._read_with_retries,
-            lease_seconds=lease_seconds,
+            lease_limit_seconds=lease_limit_seconds,
             directory_ttl_seconds=directory_ttl_seconds,
             on_change=self._request_pass,
             on_fenced=self._request_leadership_check,
--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -16,7 +16,6 @@
 from ibiscart_entry.coordination.catalog_exchange import CATALOG_PATH, CatalogServer
 from ibiscart_entry.coordination.leader import Leader
 from ibiscart_entry.coordination.leadership import Leadership
-from ibiscart_entry.coordination.session import LEASE_SECONDS
 from ibiscart_entry.server import HttpServer, Response
 from ibiscart_schema.generated.settings_pb2 import ServerSettings
 
@@ -107,7 +106,7 @@
             catalogs,
             connect_agent,
             metrics,
-            lease_seconds=min(LEASE_SECONDS, settings.lease_limit_seconds),
+            lease_limit_seconds=settings.lease_limit_seconds,
             retention_seconds=settings.retention_seconds,
             directory_ttl_seconds=DIRECTORY_TTL_HEARTBEATS * settings.worker_heartbeat_seconds,
         )
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -14,7 +14,7 @@
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_entry.coordination.agent import AgentError
 
-__all__ = ["LEASE_SECONDS", "WorkerSession"]
+__all__ = ["WorkerSession", "max_lease_seconds"]
 
 LOG = logging.getLogger("ibiscart.session")
 # longest lease of a run; it covers the election of a new leader and its first calls
@@ -29,6 +29,10 @@
 # longest delay of a poll's response while a run is being stopped: a run that the worker does not
 # have ends with the first list that was read after its stop, and the worker reports no event for it
 STOPPING_POLL_SECONDS = 0.2
+# age of the worker's clock, as last read, from which the worker may have restarted unnoticed: a
+# long poll with a margin for its response reads it more often. A deadline that counts from the
+# clock of an earlier incarnation makes the worker grant its longest lease
+MAX_CLOCK_AGE_SECONDS = LONG_POLL_SECONDS + 1.0
 # interval at which leases are extended while the leader loads the jobs
 LOADING_POLL_SECONDS = 1.0
 # pause after a failed poll; a start that gets no response or misses its deadline has no pause after
@@ -57,7 +61,7 @@
     """Extends the leases of one worker and sends starts and stops to it.
 
     ``leadership`` provides the fencing token, ``hedge`` repeats orders without an answer.
-    ``lease_seconds`` is the duration of a run's lease.
+    ``lease_limit_seconds`` is the longest lease that a worker grants.
     ``on_change`` is called after each change of the engine, ``on_fenced`` when the worker has seen
     a higher fencing token.
     """
@@ -70,7 +74,7 @@
         leadership,
         hedge,
         *,
-        lease_seconds,
+        lease_limit_seconds,
         on_change,
         on_fenced,
         metrics,
@@ -80,7 +84,8 @@
         self._engine = engine
         self._leadership = leadership
         self._hedge = hedge
-        self._lease_seconds = lease_seconds
+        self._lease_seconds = min(LEASE_SECONDS, lease_limit_seconds)
+        self._lease_limit_seconds = lease_limit_seconds
         self._on_change = on_change
         self._on_fenced = on_fenced
         self._metrics = metrics
@@ -413,7 +418,9 @@
 
     def _extend_lease_expiry(self, now):
         """Moves ``expires_at`` to the latest expiry of a lease that is extended now."""
-        expires_at = now + self._lease_seconds * CLOCK_SLOWNESS + MAX_STATUS_AGE_SECONDS
+        clock_is_recent = now - self._worker_clock_read_at <= MAX_CLOCK_AGE_SECONDS
+        seconds = self._lease_seconds if clock_is_recent else self._lease_limit_seconds
+        expires_at = now + seconds * CLOCK_SLOWNESS + MAX_STATUS_AGE_SECONDS
         self._expires_at = max(self._expires_at, expires_at)
 
     def _may_acknowledge(self, now):
@@ -424,3 +431,14 @@
         """Returns after ``wake`` is called, at once if it was called before."""
         await self._wakeup.wait()
         self._wakeup = trio.Event()
+
+
+def max_lease_seconds(lease_limit_seconds):
+    """Returns how many seconds a lease may last that an earlier leader granted before now.
+
+    It may have extended leases without a confirmed write, or have ordered a start with a deadline
+    for which the worker grants its longest lease.
+    """
+    lease_seconds = min(LEASE_SECONDS, lease_limit_seconds)
+    unconfirmed = MAX_UNCONFIRMED_SECONDS + lease_seconds * CLOCK_SLOWNESS
+    return max(unconfirmed, lease_limit_seconds * CLOCK_SLOWNESS)
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -13,11 +13,7 @@
 from ibiscart_core.workflow.fleet import WorkerInfo
 from ibiscart_core.workflow.job import EndCause
 from ibiscart_entry.coordination.hedge import CallHedge
-from ibiscart_entry.coordination.session import (
-    CLOCK_SLOWNESS,
-    MAX_UNCONFIRMED_SECONDS,
-    WorkerSession,
-)
+from ibiscart_entry.coordination.session import WorkerSession, max_lease_seconds
 from ibiscart_entry.table import HistoryLost, StoreError
 
 __all__ = ["WorkerFeed"]
@@ -37,8 +33,9 @@
     """Adds the workers to the engine and opens their sessions, for one term of leadership.
 
     ``connect_agent`` returns the ``WorkerAgent`` for an address and a worker id.
-    ``lease_seconds`` is the duration of a run's lease. A registration that is removed sooner
-    than ``directory_ttl_seconds`` after its last change has not expired but was withdrawn.
+    ``lease_limit_seconds`` is the longest lease that a worker grants. A registration that is
+    removed sooner than ``directory_ttl_seconds`` after its last change has not expired but was
+    withdrawn.
     ``read_with_retries`` calls a function until the store responds. ``on_change`` is called
     after each change of the engine, ``on_fenced`` when a worker has seen a higher fencing token.
     """
@@ -52,7 +49,7 @@
         metrics,
         read_with_retries,
         *,
-        lease_seconds,
+        lease_limit_seconds,
         directory_ttl_seconds,
         on_change,
         on_fenced,
@@ -63,7 +60,7 @@
         self._leadership = leadership
         self._metrics = metrics
         self._read_with_retries = read_with_retries
-        self._lease_seconds = lease_seconds
+        self._lease_limit_seconds = lease_limit_seconds
         self._directory_ttl_seconds = directory_ttl_seconds
         self._on_change = on_change
         self._on_fenced = on_fenced
@@ -128,7 +125,8 @@
                 if self._engine.fleet.get(allocation.worker_id) is None:
                     info = WorkerInfo(allocation.worker_id, "", allocation.incarnation, Resources())
                     self._engine.fleet.add(info).registered = False
-                    expires_at = trio.current_time() + self._max_lease_seconds()
+                    seconds = max_lease_seconds(self._lease_limit_seconds)
+                    expires_at = trio.current_time() + seconds
                     self._assumed_lease_expiry[allocation.worker_id] = expires_at
 
     def send_start(self, order):
@@ -222,7 +220,7 @@
             self._engine,
             self._leadership,
             self._hedge,
-            lease_seconds=self._lease_seconds,
+            lease_limit_seconds=self._lease_limit_seconds,
             on_change=self._on_change,
             on_fenced=self._on_fenced,
             metrics=self._metrics,
@@ -234,8 +232,5 @@
     def _assume_leases(self, session):
         """Assumes that runs of the session's worker have leases that an earlier leader granted."""
         if session.has_runs:
-            session.assume_lease(trio.current_time() + self._max_lease_seconds())
-
-    def _max_lease_seconds(self):
-        """Returns how many seconds a lease that an earlier leader granted may still last."""
-        return MAX_UNCONFIRMED_SECONDS + self._lease_seconds * CLOCK_SLOWNESS
+            seconds = max_lease_seconds(self._lease_limit_seconds)
+            session.assume_lease(trio.current_time() + seconds)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -130,7 +130,7 @@
             self.catalogs,
             lambda address, worker: PlatformAgent(connect(address), connect(address), worker),
             self.metrics,
-            lease_seconds=6.0,
+            lease_limit_seconds=deployment.lease_limit_seconds,
             retention_seconds=120.0,
             directory_ttl_seconds=3.0,
             wall_clock=lambda: deployment.now_ms() / 1000,
@@ -174,8 +174,17 @@
 class Deployment:
     """Store, workers and entries, within ``async with Deployment() as deployment``."""
 
-    def __init__(self, entries=3, workers=4, rack_size=2, seed=1, key_revocation_seconds=None):
+    def __init__(
+        self,
+        entries=3,
+        workers=4,
+        rack_size=2,
+        seed=1,
+        key_revocation_seconds=None,
+        lease_limit_seconds=6.0,
+    ):
         self.key_revocation_seconds = key_revocation_seconds
+        self.lease_limit_seconds = lease_limit_seconds
         self._entry_count, self._worker_count, self._rack_size = entries, workers, rack_size
         self.seed = seed
         self.entries = {}
@@ -251,6 +260,7 @@
     def _add_worker(self, name, address):
         """Adds and registers a worker that a task may crash; returns it."""
         worker = WorkerStandIn(self.fleet, name, self.nursery, seed=self.seed)
+        worker.lease_limit_ms = int(self.lease_limit_seconds * 1000)
         worker.crash = functools.partial(self.crash_worker, name)
         self._addresses[name] = address
         self.network.handlers[address] = worker.handle
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -120,6 +120,23 @@
                     play = functools.partial(main, silent_seconds, kill_leader)
                     self.assertEqual(1, run_virtual(play))
 
+    def test_run_on_a_worker_that_restarted_while_idle_does_not_start_again_during_its_lease(self):
+        # the order's deadline counted from the clock of the worker's earlier incarnation, so its
+        # lease lasted longer than the leader assumed when the worker stopped answering
+        async def main():
+            async with Deployment(workers=2, lease_limit_seconds=10.0) as deployment:
+                await trio.sleep(20)
+                for worker in deployment.fleet.workers.values():
+                    worker.restart()
+                await deployment.submit(JOB_ID, job(step(1, 8), ms=9500))
+                await deployment.wait_for_state(JOB_ID, "running")
+                worker = next(w for w in deployment.fleet.workers.values() if w.running)
+                worker.unresponsive = True
+                await deployment.wait_for_state(JOB_ID, "completed", 60)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
     def test_runs_of_an_unresponsive_worker_end_with_their_leases(self):
         # calls that the worker did not answer extended the lease expiry that the leader assumed,
         # so the run never ended
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -19,7 +19,6 @@
 UNANSWERED_SECONDS = 30.0
 STOP_DELAY_SECONDS = 0.1
 GANG_START_TIMEOUT_SECONDS = 3.0
-MAX_LEASE_MS = 6000
 CLOCK_START_MS = 1000
 # the platform's limit: a capacity that has shrunk counts this much later, 3 s and one heartbeat
 CAPACITY_GRACE_SECONDS = 4.5
@@ -128,6 +127,7 @@
         # called without arguments when a task crashes the worker
         self.crash = self.restart
         self.unanswered_path = ""
+        self.lease_limit_ms = 6000
         self.fail_all_runs = False
         self.lose_start_answers = False
         self.random = random.Random(f"{seed}/{worker_id}")
@@ -238,9 +238,10 @@
         return ""
 
     def _extend_leases(self, call):
-        """Extends all leases to a call's deadline, at most ``MAX_LEASE_MS`` from now."""
+        """Extends all leases to a call's deadline, at most ``lease_limit_ms`` from now."""
         requested_ms = call.get("deadlineMs", 0)
-        self._deadline_ms = max(self._deadline_ms, min(requested_ms, self.clock_ms + MAX_LEASE_MS))
+        limit_ms = self.clock_ms + self.lease_limit_ms
+        self._deadline_ms = max(self._deadline_ms, min(requested_ms, limit_ms))
 
     async def _start_run_late(self, call):
         """Applies a start order after ``late_seconds``, unless the worker restarts before."""
