Stand-in: a late order ends with the process of a worker that a task has crashed

Trace: the order for run 1 reached w1 at 13.778 s and was to be carried out 4.05 s later; another task crashed w1 at 13.788; run 2 started on w1-1 at 17.568; at 17.831 the stand-in of w1, whose process had ended, started run 1. The check is unchanged. Change: a crash ends the incarnation in both cases, by one method.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -234,13 +234,10 @@
         worker = self.fleet.workers.pop(name, None)
         if worker is None:
             return
-        self.fleet.count_crash(worker)
+        worker.end_process()
         address = self._addresses[name]
         self.network.handlers.pop(address)
         self.network.reset_connections(address)
-        for run in worker.running.values():
-            run.scope.cancel()
-        worker.running = {}
         self.nursery.start_soon(self._replace_worker, name, address, back_after_seconds)
 
     async def _replace_worker(self, name, address, back_after_seconds):
--- a/tests/platform/test_fault_scenario.py
+++ b/tests/platform/test_fault_scenario.py
@@ -14,8 +14,9 @@
 from tests.platform.deployment import Deployment, job, run_virtual, step
 from tests.platform.fault_scenario import run_scenario
 
-# 818: a job accepted while a new leader loaded its state was never run
-SEEDS = (*range(6), 818)
+# 818: a job accepted while a new leader loaded its state was never run; 4103: the stand-in of a
+# crashed worker carried out an order
+SEEDS = (*range(6), 818, 4103)
 
 
 class FaultScenarioTest(unittest.TestCase):
--- a/tests/platform/test_worker_crashes.py
+++ b/tests/platform/test_worker_crashes.py
@@ -169,6 +169,22 @@
 
         run_virtual(main)
 
+    def test_late_order_ends_with_the_process_of_a_crashed_worker(self):
+        # the stand-in carried out an order 4 s after its process had crashed, while the next run of
+        # the task was active on the worker in its place (random faults, seed 4103)
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                worker = deployment.fleet.workers["w0"]
+                worker.late_rate, worker.late_seconds = 1.0, 4.0
+                await deployment.submit(JOB_ID, job(step(), ms=6000))
+                await trio.sleep(1)
+                deployment.crash_worker("w0", back_after_seconds=1.0)
+                await deployment.wait_for_state(JOB_ID, "completed", 20)
+                self.assertEqual({TASK: 1}, deployment.fleet.starts)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
     def test_a_draining_worker_that_is_replaced_counts_as_no_crash(self):
         async def main():
             async with Deployment(workers=6) as deployment:
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -158,11 +158,16 @@
 
     def restart(self):
         """Starts a new incarnation under the same id, without runs or other state."""
+        self.end_process()
+        self._reset()
+
+    def end_process(self):
+        """Ends the process without notice, with its runs and the orders not yet carried out."""
         self.fleet.count_crash(self)
         for run in self.running.values():
             run.scope.cancel()
+        self.running = {}
         self.incarnation += 1
-        self._reset()
 
     def registration(self, address, service="pool", rack="r0", state="ready"):
         """Returns the row by which the worker registers in the store."""
