A job announced to a leader that is just ending raises no error

What callers would see: status 500 for a job that was stored, if it was accepted on the leading entry in the moment in which that entry's leadership ended. Cause: the entry's submission started a task in the nursery of the coordinator from outside of it; that nursery refuses new tasks once its own have ended, a few steps before the leader forgets its coordinator. Class of fault: a task that uses the nursery of another; the coordinator now gets a message and starts its tasks itself. The other uses of a stored nursery are calls of its own tasks.

--- a/packages/entry/src/ibiscart_entry/coordination/announcer.py
+++ b/packages/entry/src/ibiscart_entry/coordination/announcer.py
@@ -47,7 +47,7 @@
         The id is dropped when the queue is full.
         """
         if self._leader.coordinator is not None:
-            self._leader.coordinator.read_announced_jobs([job_id])
+            self._leader.coordinator.announce([job_id])
             return
         try:
             self._send.send_nowait(job_id)
@@ -71,7 +71,7 @@
     async def handle(self, request):
         """Passes the announcement of another entry to the coordinator, if this entry leads."""
         if self._leader.coordinator is not None:
-            self._leader.coordinator.read_announced_jobs(_parse_job_ids(request.body))
+            self._leader.coordinator.announce(_parse_job_ids(request.body))
         return Response.from_json(200, {})
 
     async def _call(self, address, job_ids):
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -30,6 +30,9 @@
 # shortest time between two writes of the numbers of pending jobs; callers may see numbers that
 # are up to 2 s old
 PENDING_INTERVAL_SECONDS = 0.5
+# most announcements that wait to be read; the jobs of further ones are read later, from the changes
+# of the jobs table
+MAX_QUEUED_ANNOUNCEMENTS = 500
 
 
 class Coordinator:
@@ -84,6 +87,9 @@
             log_event=self._log_event,
         )
         self._nursery = None
+        self._announcements, self._received_announcements = trio.open_memory_channel(
+            MAX_QUEUED_ANNOUNCEMENTS
+        )
         self._pass_requested = trio.Event()
         self._leadership_check_requested = trio.Event()
         self._written_pending_counts = None
@@ -98,6 +104,7 @@
                 self._workers.begin()
                 nursery.start_soon(self._jobs.follow, jobs_version)
                 nursery.start_soon(self._workers.follow, workers_version)
+                nursery.start_soon(self._read_announced_jobs, nursery)
                 nursery.start_soon(self._follow_catalog)
                 nursery.start_soon(self._verify_leadership)
                 nursery.start_soon(self._jobs.remove_expired)
@@ -118,11 +125,21 @@
             "workers": sum(worker.reachable for worker in engine.fleet.workers.values()),
         }
 
-    def read_announced_jobs(self, job_ids):
-        """Starts reading the jobs with these ids, which were just accepted or cancelled."""
-        for job_id in job_ids:
-            if self._nursery is not None:
-                self._nursery.start_soon(self._jobs.read_job, job_id)
+    def announce(self, job_ids):
+        """Makes this coordinator read jobs that were just accepted or cancelled.
+
+        Has no effect once the coordinator is ending.
+        """
+        try:
+            self._announcements.send_nowait(job_ids)
+        except trio.WouldBlock:
+            self._metrics.count("dropped", "announcement")
+
+    async def _read_announced_jobs(self, nursery):
+        """Reads the announced jobs, each in a task of ``nursery``, until cancelled."""
+        async for job_ids in self._received_announcements:
+            for job_id in job_ids:
+                nursery.start_soon(self._jobs.read_job, job_id)
 
     async def _load(self, session_nursery):
         """Loads the workers and the jobs from the store while it renews the leadership.
--- a/tests/platform/test_leader_failures.py
+++ b/tests/platform/test_leader_failures.py
@@ -169,6 +169,21 @@
 
         run_virtual(main)
 
+    def test_submission_is_accepted_while_the_leadership_is_being_lost(self):
+        # the job was stored, but its announcement to a coordinator whose tasks had just ended
+        # raised an error, so the caller got status 500 (random faults, seed 4489)
+        async def main():
+            async with Deployment(entries=1) as deployment:
+                entry = deployment.leader()
+                coordinator = entry.leader.coordinator
+                await entry.leader.resign()
+                await trio.sleep(0.1)
+                # as between the end of the coordinator's tasks and that of the leadership
+                entry.leader._coordinator = coordinator
+                self.assertEqual(200, await deployment.submit(JOB_ID, job(step()), entry=entry))
+
+        run_virtual(main)
+
     def test_resigned_leader_is_replaced_within_half_a_second(self):
         async def main():
             async with Deployment() as deployment:
