A task that completed while its worker was silent does not run again

What callers saw: work that had run was run again, and paid for twice, after its worker had not answered for longer than its lease. Cause: the run is given up when its lease has ended. When the worker answers again, the success that it lists belongs to no allocation, so it was ignored, and acknowledged, before the next run was even ordered. Class of fault: an answer that comes after the wait for it is thrown away. Change: a reported success of any run completes its task, unless the task lasts or the job has ended; a later run is stopped.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -310,6 +310,8 @@
         """
         unit = worker.units_by_run.get((end.task_key, end.run))
         if unit is None:
+            if end.cause is EndCause.DONE:
+                self._apply_late_completion(worker, end)
             return
         if end.cause is EndCause.DONE:
             worker.reliability.record_success(now)
@@ -322,6 +324,32 @@
         cause, checkpoint = end.cause, end.checkpoint
         self._end_run(worker, unit, end.task_key, end.run, cause, checkpoint, "reported", now)
 
+    def _apply_late_completion(self, worker, end):
+        """Applies the success of a run that was given up while its worker did not answer.
+
+        The task has run, so it does not run again; a later run of it is stopped.
+        """
+        job_id, occurrence, step, index = end.task_key
+        job = self.jobs.get(job_id)
+        unit = job.unit_of(occurrence, step, index) if job is not None and not job.ended else None
+        if unit is None or unit.state is UnitState.DONE or unit.spec.long_running:
+            return
+        unit.state = UnitState.DONE
+        self.unsaved_job_ids[job_id] = True
+        self._log_event(
+            "run_ended",
+            job=job_id,
+            task=".".join(map(str, end.task_key[1:])),
+            run=end.run,
+            worker=worker.id,
+            cause=end.cause.value,
+            reason="reported_late",
+            failures=unit.failures,
+        )
+        for allocated_index in list(unit.allocations):
+            self._request_stop(unit, allocated_index, "completed_earlier")
+        self._update_outcome(job)
+
     def _record_duration(self, worker, unit, index, now):
         """Records the run time of a task that completed in its first run, within its rack.
 
--- a/tests/platform/test_fault_scenario.py
+++ b/tests/platform/test_fault_scenario.py
@@ -16,8 +16,9 @@
 
 # 818: a job accepted while a new leader loaded its state was never run; 4103: the stand-in of a
 # crashed worker carried out an order; 4355: crashes were not counted under changing leaders; 4489:
-# an announcement to a coordinator that was ending raised an error
-SEEDS = (*range(6), 818, 4103, 4355, 4489)
+# an announcement to a coordinator that was ending raised an error; 6317: a task that had completed
+# while its worker was silent ran again
+SEEDS = (*range(6), 818, 4103, 4355, 4489, 6317)
 
 
 class FaultScenarioTest(unittest.TestCase):
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -120,6 +120,23 @@
                     play = functools.partial(main, silent_seconds, kill_leader)
                     self.assertEqual(1, run_virtual(play))
 
+    def test_task_that_completed_while_its_worker_was_silent_does_not_run_again(self):
+        # the end of a run that had been given up was ignored, and acknowledged, although the worker
+        # reported it before the next run began (random faults, seed 6317)
+        async def main(workers, starts):
+            async with Deployment(workers=workers) as deployment:
+                worker = await deployment.occupy_worker(3000)
+                worker.unresponsive = True
+                await trio.sleep(10)
+                worker.unresponsive = False
+                await deployment.wait_for_state(JOB_ID, "completed", 1.5)
+                self.assertEqual([starts], list(deployment.fleet.starts.values()))
+
+        # without another worker, and with one on which the task has started again
+        for workers, starts in ((1, 1), (2, 2)):
+            with self.subTest(workers=workers):
+                run_virtual(functools.partial(main, workers, starts))
+
     def test_run_on_a_worker_that_restarted_while_idle_does_not_start_again_during_its_lease(self):
         # the order's deadline counted from the clock of the worker's earlier incarnation, so its
         # lease lasted longer than the leader assumed when the worker stopped answering
