--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -334,6 +334,9 @@
         unit = job.unit_of(occurrence, step, index) if job is not None and not job.ended else None
         if unit is None or unit.state is UnitState.DONE or unit.spec.long_running:
             return
+        if end.run > unit.run:
+            # this leader ordered no such run
+            return
         unit.state = UnitState.DONE
         self.unsaved_job_ids[job_id] = True
         self._log_event(
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -14,7 +14,7 @@
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_entry.coordination.agent import AgentError
 
-__all__ = ["WorkerSession", "max_lease_seconds"]
+__all__ = ["WorkerSession", "remaining_lease_seconds"]
 
 LOG = logging.getLogger("ibiscart.session")
 # longest lease of a run; it covers the election of a new leader and its first calls
@@ -433,8 +433,8 @@
         self._wakeup = trio.Event()
 
 
-def max_lease_seconds(lease_limit_seconds):
-    """Returns how many seconds a lease may last that an earlier leader granted before now.
+def remaining_lease_seconds(lease_limit_seconds):
+    """Returns how many seconds a lease that an earlier leader granted may last from now on.
 
     It may have extended leases without a confirmed write, or have ordered a start with a deadline
     for which the worker grants its longest lease.
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -13,7 +13,7 @@
 from ibiscart_core.workflow.fleet import WorkerInfo
 from ibiscart_core.workflow.job import EndCause
 from ibiscart_entry.coordination.hedge import CallHedge
-from ibiscart_entry.coordination.session import WorkerSession, max_lease_seconds
+from ibiscart_entry.coordination.session import WorkerSession, remaining_lease_seconds
 from ibiscart_entry.table import HistoryLost, StoreError
 
 __all__ = ["WorkerFeed"]
@@ -125,7 +125,7 @@
                 if self._engine.fleet.get(allocation.worker_id) is None:
                     info = WorkerInfo(allocation.worker_id, "", allocation.incarnation, Resources())
                     self._engine.fleet.add(info).registered = False
-                    seconds = max_lease_seconds(self._lease_limit_seconds)
+                    seconds = remaining_lease_seconds(self._lease_limit_seconds)
                     expires_at = trio.current_time() + seconds
                     self._assumed_lease_expiry[allocation.worker_id] = expires_at
 
@@ -232,5 +232,5 @@
     def _assume_leases(self, session):
         """Assumes that runs of the session's worker have leases that an earlier leader granted."""
         if session.has_runs:
-            seconds = max_lease_seconds(self._lease_limit_seconds)
+            seconds = remaining_lease_seconds(self._lease_limit_seconds)
             session.assume_lease(trio.current_time() + seconds)
