--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""An entry of another writer in ``servers``, whose address can't be read as a host name."""
+"""A draining runner that is cut off from the store while the store forgets its history."""
 
 import asyncio
 import sys
@@ -7,73 +7,37 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from deployment import Deployment, main  # noqa: E402
+from deployment import Deployment, double_runs, main  # noqa: E402
 
-STEPS = [{"count": 2, "cpu": 1000, "memMb": 512, "gpu": 1, "estimateMs": 1000}]
-FIRST_JOB = "00000000000000a1"
-LATER_JOBS = [f"{number:x}0000000000000b{number:x}" for number in range(1, 6)]
-# of a service that no configuration names; U+FFFD stands where bytes could not be decoded
-FOREIGN_ENTRY = {
-    "service": "archiv", "address": "k\ufffdln-7:8080", "zone": "salt-lake", "version": "v1",
-    "slots": 8, "state": "ready", "coldLeftMs": 0, "labels": ["a", "r9-1"],
-    "capacity": {"cpu": 32000, "memMb": 65536, "gpu": 8}, "clockMs": 482113, "seq": 4,
-    "born": 1_770_000_000_000,
-}
-READABLE_ADDRESS = "127.0.0.1:9"
-RESTART_S = 1.0
-FINISH_S = 14
-WATCH_S = 3.5
+JOB = "5c0e7a21d94b36f8"
+RUN_MS = 20_000
+DRAIN_MS = 12_000
+CUT_S = 5.0
 
 
 async def case(trouble, record):
-    ends = []
-
-    async def restart(deployment):
-        """Starts each entry process again after it has ended by itself."""
-        while True:
-            await asyncio.sleep(0.1)
-            for entry in deployment.entries:
-                code = entry.process.poll()
-                if code is not None:
-                    ends.append(entry.name)
-                    deployment.note(f"{entry.name} has ended by itself, exit code {code}")
-                    await asyncio.sleep(RESTART_S)
-                    entry.start(deployment.run)
-                    deployment.processes.append(entry.process)
-
     async with Deployment(record) as deployment:
-        supervisor = asyncio.create_task(restart(deployment))
-        assert await deployment.submit(FIRST_JOB, STEPS, {"ms": 1000}) == 200
+        step = {"count": 4, "cpu": 13000, "memMb": 19000, "gpu": 2, "estimateMs": RUN_MS}
+        assert await deployment.submit(JOB, [step], {"ms": RUN_MS}) == 200
         await asyncio.sleep(3)
-        assert await deployment.state(FIRST_JOB) == "completed"
-        address = FOREIGN_ENTRY["address"] if trouble else READABLE_ADDRESS
-        deployment.note(f"another writer's entry in servers, address {address!r}")
-        await deployment.put("servers", "x-00c0ffee", {**FOREIGN_ENTRY, "address": address})
+        starts = [event for event in deployment.events() if event["event"] == "start"]
+        assert len(starts) == 4
+        runner = starts[0]["runner"]
+        await deployment.drain_runner(runner, DRAIN_MS)
         await asyncio.sleep(1.0)
-        jobs = []
-        for job in LATER_JOBS:
-            for _ in range(20):
-                if await deployment.submit(job, STEPS, {"ms": 1000}) == 200:
-                    jobs.append(job)
-                    break
-                await asyncio.sleep(0.5)
-        deployment.note(f"end of the traffic; accepted: {jobs}")
-        await asyncio.sleep(FINISH_S)
-        states = {job: await deployment.state(job) for job in jobs}
-        before = len([e for e in deployment.events() if e["event"] == "start"])
-        await asyncio.sleep(WATCH_S)
-        starts = [e for e in deployment.events() if e["event"] == "start"]
-        supervisor.cancel()
-        breaks = [
-            f"job {job}, accepted, is {state} {FINISH_S} s after the end of the traffic, and no "
-            f"runner starts anything for {WATCH_S} s"
-            for job, state in states.items()
-            if state != "completed" and len(starts) == before
-        ]
-        if len(ends) >= 3 and len(set(ends)) >= 2:
-            breaks.append(f"{len(ends)} ends of entry processes by themselves, on {len(set(ends))} "
-                          f"of {len(deployment.entries)} machines")
-        return breaks
+        if trouble:
+            await deployment.cut_runner(runner, "store")
+            await asyncio.sleep(2.2)
+            await deployment.fault(forget=True)
+            await asyncio.sleep(CUT_S - 2.2)
+            await deployment.cut_runner(runner, "none")
+        await asyncio.sleep(20)
+        await deployment.state(JOB)
+        for event in deployment.events():
+            if event["event"] in ("start", "end", "cut", "lapse", "draining"):
+                text = {name: value for name, value in event.items() if name not in ("at", "born")}
+                deployment.note(f"at {deployment.at(event):.3f}: {text}")
+        return double_runs(deployment.events())
 
 
 main(case, FOLDER / "record.txt")
