--- a/tools/operator_docs.py
+++ b/tools/operator_docs.py
@@ -172,6 +172,11 @@
             "*": "Error of the connection, or the worker's refusal.",
         },
     ),
+    "task_errors": (
+        "A fault of the product: the log has a line with the kind and the traceback; please report "
+        "it. Only that worker, job or request is affected.",
+        {"*": "Kind of the task that ended, such as `worker`."},
+    ),
     "store_errors": (
         "See [outages](outages.md).",
         {
