An unexpected error in one job costs this job alone

Callers saw no job run at all: one job whose row, record or data raised an error while it was read, added, planned, started, recorded or removed ended the leading process, and each leader after it met the same job.

Cause: the leader handles all jobs in one loop and one nursery, and nothing confined an error to the job in which it occurred. A progress record was decoded outside of any check.

A start whose job could not be recorded is not sent. A job that cannot be loaded is set aside until the next term and is never taken for a new one; callers see its last recorded state. Each error is logged with the job's id and counted (task_errors of kind job).

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -9,6 +9,7 @@
 from ibiscart_core.workflow.job import AllocationState, EndCause, Outcome, UnitState
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_core.workflow.scheduler import Scheduler
+from ibiscart_core.workflow.suspension import Suspensions
 
 __all__ = ["Engine", "StartOrder", "StopOrder"]
 
@@ -72,9 +73,18 @@
     ``unsaved_job_ids`` has the ids of jobs whose record is to be written, in order of change. Times
     named ``now`` are in seconds of the monotonic clock.
     ``log_event`` is called with (event, fields) for each change an operator may ask about.
+
+    An unexpected error in the planning of one job suspends the planning of this job for a growing
+    time; its runs go on, and their ends are applied. ``on_job_error`` is called with the id of the
+    job and the error.
     """
 
-    def __init__(self, catalog=None, log_event=lambda event, **fields: None):
+    def __init__(
+        self,
+        catalog=None,
+        log_event=lambda event, **fields: None,
+        on_job_error=lambda job_id, error: None,
+    ):
         self.fleet = Fleet()
         self.jobs = {}
         self.catalog = catalog
@@ -82,6 +92,8 @@
         self._scheduler = Scheduler(self.fleet)
         self._stops = []
         self._log_event = log_event
+        self._on_job_error = on_job_error
+        self._suspensions = Suspensions()
 
     def add_job(self, job, now=0.0):
         """Adds an accepted job; allocates the resources of the runs on its record.
@@ -107,7 +119,10 @@
         """Applies a configuration; ends the jobs that have failed or completed by its limits."""
         self.catalog = catalog
         for job in list(self.jobs.values()):
-            self._update_outcome(job)
+            try:
+                self._update_outcome(job)
+            except Exception as error:
+                self._on_job_error(job.id, error)
 
     def cancel(self, job_id):
         """Cancels a job; returns False if the job is unknown or has already ended."""
@@ -121,6 +136,28 @@
     def remove_job(self, job_id):
         """Removes an ended job without allocations."""
         self.jobs.pop(job_id, None)
+        self._suspensions.discard(job_id)
+
+    def discard_job(self, job_id):
+        """Removes a job that could not be added, with the allocations that it has so far.
+
+        Workers that report runs of it get orders to stop them.
+        """
+        self.remove_job(job_id)
+        self.unsaved_job_ids.pop(job_id, None)
+        for worker in self.fleet.workers.values():
+            for task_key, run in list(worker.units_by_run):
+                if task_key[0] == job_id:
+                    worker.release(task_key, run)
+            worker.vanished_runs = [
+                (unit, index) for unit, index in worker.vanished_runs if unit.job.id != job_id
+            ]
+
+    def suspend_job(self, job_id, error, now):
+        """Leaves a job out of planning for a growing time after an unexpected ``error``."""
+        seconds = self._suspensions.suspend(job_id, now)
+        self._on_job_error(job_id, error)
+        self._log_event("job_suspended", job=job_id, seconds=seconds, reason=type(error).__name__)
 
     def count_pending_jobs(self):
         """Returns the number of accepted jobs without a started task, by queue name."""
@@ -202,17 +239,18 @@
         ``now_ms`` are in Unix milliseconds.
         """
         earliest_ms = None
-        for job in self.jobs.values():
+        for job in self._planned_jobs(now).values():
             if job.ended:
                 continue
-            for unit in job.create_due_units(now_ms):
-                unit.ready_at = now
-            if job.spec.scheduled:
-                following_ms = job.next_due_ms(now_ms)
-                if following_ms is not None:
-                    earliest_ms = (
-                        following_ms if earliest_ms is None else min(earliest_ms, following_ms)
-                    )
+            try:
+                following_ms = self._create_due_units(job, now, now_ms)
+            except Exception as error:
+                self.suspend_job(job.id, error, now)
+                continue
+            if following_ms is not None:
+                earliest_ms = (
+                    following_ms if earliest_ms is None else min(earliest_ms, following_ms)
+                )
         return earliest_ms
 
     def checkpoint_leaving_runs(self, now):
@@ -240,7 +278,13 @@
         """
         orders = []
         if self.catalog is not None:
-            starts, stops = self._scheduler.plan(self.jobs, self.catalog, now, now_ms)
+            starts, stops = self._scheduler.plan(
+                self._planned_jobs(now),
+                self.catalog,
+                now,
+                now_ms,
+                lambda job, error: self.suspend_job(job.id, error, now),
+            )
             for stop in stops:
                 self._log_event(
                     "unit_preempted",
@@ -252,10 +296,53 @@
                 for index in list(stop.unit.allocations):
                     self._request_stop(stop.unit, index, "preempted")
             for start in starts:
-                orders.extend(self._start_unit(start, now))
+                try:
+                    orders.extend(self._start_unit(start, now))
+                except Exception as error:
+                    self._withdraw_start(start.unit, start.allocations)
+                    self.suspend_job(start.unit.job.id, error, now)
         stop_orders, self._stops = self._stops, []
         return orders, stop_orders
 
+    def withdraw_unrecorded(self, orders):
+        """Returns the start orders whose jobs are recorded; withdraws the others.
+
+        A job is not recorded while its id is in ``unsaved_job_ids``. Must be called before any of
+        the orders is sent.
+        """
+        recorded = []
+        for order in orders:
+            if order.unit.job.id not in self.unsaved_job_ids:
+                recorded.append(order)
+            else:
+                self._withdraw_start(order.unit, {order.index: order.allocation})
+        return recorded
+
+    def _planned_jobs(self, now):
+        """Returns the jobs by id, without those that are left out of planning at ``now``."""
+        if not self._suspensions:
+            return self.jobs
+        return {
+            job_id: job
+            for job_id, job in self.jobs.items()
+            if not self._suspensions.suspended(job_id, now)
+        }
+
+    def _create_due_units(self, job, now, now_ms):
+        """Creates the due units of a job; returns when its next occurrence is due, or None."""
+        for unit in job.create_due_units(now_ms):
+            unit.ready_at = now
+        return job.next_due_ms(now_ms) if job.spec.scheduled else None
+
+    def _withdraw_start(self, unit, allocations):
+        """Ends the runs of planned starts for which no order was sent."""
+        for index, allocation in allocations.items():
+            worker = self.fleet.get(allocation.worker_id)
+            if worker is not None:
+                worker.release(unit.task_key(index), unit.run)
+            if unit.allocations.get(index) is allocation:
+                unit.end_task(index, EndCause.LOST)
+
     def _start_unit(self, start, now):
         """Begins the run of a ``StartDecision``; returns a ``StartOrder`` for each task."""
         unit = start.unit
--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -255,16 +255,20 @@
     def load_record(self, record):
         """Restores the state that ``to_record`` returned."""
         _, done, self.run, self.failures, self.checkpoint, allocations, *rest = record
+        _check_types(int, self.run, self.failures)
+        _check_types(str, self.checkpoint)
         if done:
             self.state = UnitState.DONE
             return
         evidence, started, *_ = (*rest, (), ())
         for index, row in evidence:
             self.crash_evidence[index] = CrashEvidence.from_record(row)
-        self.allocations = {
-            index: Allocation(worker_id, incarnation)
-            for index, worker_id, incarnation in allocations
-        }
+        for index, worker_id, incarnation in allocations:
+            _check_types(str, worker_id)
+            _check_types(int, incarnation)
+            if index not in self.task_indexes:
+                raise ValueError(f"the step has no task {index}")
+            self.allocations[index] = Allocation(worker_id, incarnation)
         for index in started:
             self.allocations[index].started = True
         if self.allocations:
@@ -420,7 +424,7 @@
         return record
 
     def load_record(self, record):
-        """Restores the state that ``to_record`` returned."""
+        """Restores the state that ``to_record`` returned; another value raises an error."""
         self.started = record.get("started", False)
         for name, rows in record["units"].items():
             occurrence, step_index = map(int, name.split("."))
@@ -456,3 +460,10 @@
         if step.gang:
             return [Unit(self, occurrence, step_index, 0, step.tasks)]
         return [Unit(self, occurrence, step_index, index, 1) for index in range(step.tasks)]
+
+
+def _check_types(expected, *values):
+    """Raises ``ValueError`` unless the type of each value is ``expected``."""
+    for value in values:
+        if type(value) is not expected:
+            raise ValueError(f"{value!r:.40} is not of type {expected.__name__}")
--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -68,12 +68,12 @@
         self.ranking = JobRanking()
         self._future_starts = FutureStarts(self.ranking)
 
-    def plan(self, jobs, catalog, now, now_ms):
+    def plan(self, jobs, catalog, now, now_ms, on_job_error):
         """Returns (starts, stops) for the waiting units of ``jobs``.
 
         ``now`` is in seconds of the monotonic clock, ``now_ms`` in Unix milliseconds. The
         decisions are not applied to the fleet; their resources count as used within this call
-        only.
+        only. ``on_job_error`` is called with each job that cannot be planned, and the error.
         """
         starts, stops = [], []
         self._drop_obsolete_reservations(jobs, now)
@@ -83,10 +83,10 @@
             if queue is not None and not job.ended:
                 by_pool.setdefault(queue.pool, []).append((job, queue))
         for pool, queued_jobs in by_pool.items():
-            self._plan_pool(pool, queued_jobs, catalog, now, now_ms, starts, stops)
+            self._plan_pool(pool, queued_jobs, catalog, now, now_ms, starts, stops, on_job_error)
         return starts, stops
 
-    def _plan_pool(self, pool, queued_jobs, catalog, now, now_ms, starts, stops):
+    def _plan_pool(self, pool, queued_jobs, catalog, now, now_ms, starts, stops, on_job_error):
         """Adds the decisions for one pool to ``starts`` and ``stops``.
 
         ``queued_jobs`` has pairs (job, queue) of the jobs in the pool.
@@ -96,13 +96,17 @@
         guaranteed_jobs = _guaranteed_jobs(queued_jobs, catalog)
         ranks = {}
         for job, queue in queued_jobs:
-            rank = self.ranking.rank(job, queue, total_capacity, now, now_ms)
+            try:
+                rank = self.ranking.rank(job, queue, total_capacity, now, now_ms)
+            except Exception as error:
+                on_job_error(job, error)
+                continue
             ranks[job.id] = (queue.priority, rank)
             units = _waiting_units(job, now)
             if units:
                 guaranteed = job.id in guaranteed_jobs
                 sort_key = (0, job.accepted_ms) if guaranteed else (1, -rank.score)
-                waiting.append((sort_key, job.accepted_ms, job.id, units))
+                waiting.append((sort_key, job.accepted_ms, job.id, job, units))
         if not waiting:
             return
         workers = self._fleet.usable(pool, now)
@@ -110,29 +114,31 @@
         free_share = _free_pool_share(free_capacity, total_capacity)
         blocked_keys = set()
         promise_budget = PromiseBudget(workers)
-        for _, _, job_id, units in sorted(waiting, key=lambda item: item[:3]):
-            for unit in units:
-                equivalence_key = _equivalence_key(unit)
-                if equivalence_key in blocked_keys:
-                    continue
-                # while half of the pool is free, no empty workers are reserved for urgent units
-                urgent = free_share >= SPREAD_FREE_SHARE
-                urgent = urgent or ranks[job_id][0] == URGENT_PRIORITY
-                any_rack = self._may_use_any_rack(unit, pool, free_share, now)
-                ends_at = now + self.ranking.expected_run_seconds(unit)
-                chosen = free_capacity.find_workers(unit, any_rack, urgent, ends_at)
-                if chosen is not None:
-                    free_capacity.allocate(unit, chosen)
-                    self._reservations.pop(unit.key, None)
-                    self._future_starts.discard(unit)
-                    reason = "guaranteed" if job_id in guaranteed_jobs else "ordered"
-                    starts.append(StartDecision(unit, _make_allocations(unit, chosen), reason))
-                elif not self._preempt(unit, free_capacity, guaranteed_jobs, ranks, now, stops):
-                    blocked_keys.add(equivalence_key)
-                    if promise_budget.allows(unit):
-                        future = self._future_starts.find(unit, free_capacity, any_rack, now)
-                        if future is not None and promise_budget.spend(future):
-                            free_capacity.promise(future.worker_ids, future.starts_at)
+        for _, _, job_id, job, units in sorted(waiting, key=lambda item: item[:3]):
+            # while half of the pool is free, no empty workers are reserved for urgent units
+            urgent = free_share >= SPREAD_FREE_SHARE or ranks[job_id][0] == URGENT_PRIORITY
+            try:
+                for unit in units:
+                    equivalence_key = _equivalence_key(unit)
+                    if equivalence_key in blocked_keys:
+                        continue
+                    any_rack = self._may_use_any_rack(unit, pool, free_share, now)
+                    ends_at = now + self.ranking.expected_run_seconds(unit)
+                    chosen = free_capacity.find_workers(unit, any_rack, urgent, ends_at)
+                    if chosen is not None:
+                        free_capacity.allocate(unit, chosen)
+                        self._reservations.pop(unit.key, None)
+                        self._future_starts.discard(unit)
+                        reason = "guaranteed" if job_id in guaranteed_jobs else "ordered"
+                        starts.append(StartDecision(unit, _make_allocations(unit, chosen), reason))
+                    elif not self._preempt(unit, free_capacity, guaranteed_jobs, ranks, now, stops):
+                        blocked_keys.add(equivalence_key)
+                        if promise_budget.allows(unit):
+                            future = self._future_starts.find(unit, free_capacity, any_rack, now)
+                            if future is not None and promise_budget.spend(future):
+                                free_capacity.promise(future.worker_ids, future.starts_at)
+            except Exception as error:
+                on_job_error(job, error)
 
     def _free_capacity(self, pool, workers, queued_jobs, total_capacity, now):
         """Returns the ``PoolCapacity`` of the usable ``workers`` of a pool."""
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -5,6 +5,7 @@
 Work of the leader: loads the state, then plans, records and carries out decisions.
 """
 
+import functools
 import logging
 import time
 
@@ -15,6 +16,7 @@
 from ibiscart_entry.coordination.leadership import HEARTBEAT_SECONDS, LeadershipLost
 from ibiscart_entry.coordination.record import PENDING_KEY, encode
 from ibiscart_entry.coordination.worker_feed import WorkerFeed
+from ibiscart_entry.isolation import record_error, run_isolated
 from ibiscart_entry.table import StoreError
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
@@ -64,7 +66,8 @@
         self._catalogs = catalogs
         self._metrics = metrics
         self._wall_clock = wall_clock
-        self._engine = Engine(catalogs.catalog, self._log_event)
+        on_job_error = functools.partial(record_error, metrics, "job")
+        self._engine = Engine(catalogs.catalog, self._log_event, on_job_error)
         self._workers = WorkerFeed(
             self._engine,
             directory,
@@ -85,6 +88,7 @@
             on_loaded=self._workers.add_unregistered_workers,
             on_change=self._request_pass,
             log_event=self._log_event,
+            on_job_error=on_job_error,
         )
         self._nursery = None
         self._announcements, self._received_announcements = trio.open_memory_channel(
@@ -139,7 +143,9 @@
         """Reads the announced jobs, each in a task of ``nursery``, until cancelled."""
         async for job_ids in self._received_announcements:
             for job_id in job_ids:
-                nursery.start_soon(self._jobs.read_job, job_id)
+                nursery.start_soon(
+                    run_isolated, self._metrics, "job", job_id, self._jobs.read_job, job_id
+                )
 
     async def _load(self, session_nursery):
         """Loads the workers and the jobs from the store while it renews the leadership.
@@ -221,6 +227,7 @@
                 self._workers.send_stop(stop)
             last_applied_ends = self._workers.last_applied_ends()
             writes = [*self._jobs.collect_writes(now), *self._collect_pending_count_writes(now)]
+            orders = self._engine.withdraw_unrecorded(orders)
             if writes or now >= heartbeat_at:
                 await self._leadership.commit(writes)
                 heartbeat_at = trio.current_time() + HEARTBEAT_SECONDS
--- a/packages/entry/src/ibiscart_entry/coordination/job_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_feed.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from ibiscart_core.workflow.suspension import Suspensions
 from ibiscart_entry.coordination.record import (
     JOBS_TABLE,
     PROGRESS_TABLE,
@@ -42,6 +43,10 @@
     how long the rows of ended jobs are kept. ``on_loaded`` is called with each job that has a
     progress record, before it is added to the engine; ``on_change`` after each change of the
     engine. ``log_event`` logs an event with its fields.
+
+    An unexpected error in one job is passed to ``on_job_error`` with the job's id. A job that
+    cannot be loaded is set aside until the next term: it is not run, and without its record it
+    must not be taken for a new one. Callers see its last recorded state and can cancel it.
     """
 
     def __init__(
@@ -54,6 +59,7 @@
         on_loaded,
         on_change,
         log_event,
+        on_job_error,
     ):
         self._engine = engine
         self._table = table
@@ -62,8 +68,11 @@
         self._on_loaded = on_loaded
         self._on_change = on_change
         self._log_event = log_event
+        self._on_job_error = on_job_error
         self._ended_at = {}
         self._removed_job_ids = []
+        self._set_aside_ids = set()
+        self._unrecordable = Suspensions()
 
     async def load(self):
         """Reads all jobs with their progress records into the engine.
@@ -79,8 +88,8 @@
             nursery.start_soon(read, JOBS_TABLE)
             nursery.start_soon(read, PROGRESS_TABLE)
         progress_rows = snapshots[PROGRESS_TABLE].rows
-        progress_records = {row.key.partition("/")[2]: decode(row.value) for row in progress_rows}
-        self._apply_rows(snapshots[JOBS_TABLE].rows, progress_records)
+        progress_values = {row.key.partition("/")[2]: row.value for row in progress_rows}
+        self._apply_rows(snapshots[JOBS_TABLE].rows, progress_values)
         return snapshots[JOBS_TABLE].version
 
     async def follow(self, version):
@@ -116,15 +125,25 @@
     def collect_writes(self, now):
         """Returns the writes that record all changes of jobs since the last call.
 
-        ``now`` is monotonic seconds.
+        A job whose record cannot be built stays in ``unsaved_job_ids`` of the engine. ``now`` is
+        monotonic seconds.
         """
         writes = []
-        for job_id in self._engine.unsaved_job_ids:
-            job = self._engine.jobs[job_id]
-            writes.append(progress_write(job))
-            if job.ended:
-                self._ended_at.setdefault(job_id, now)
-        self._engine.unsaved_job_ids.clear()
+        unsaved_job_ids = self._engine.unsaved_job_ids
+        for job_id in list(unsaved_job_ids):
+            if self._unrecordable.suspended(job_id, now):
+                continue
+            job = self._engine.jobs.get(job_id)
+            if job is not None:
+                try:
+                    writes.append(progress_write(job))
+                except Exception as error:
+                    self._unrecordable.suspend(job_id, now)
+                    self._engine.suspend_job(job_id, error, now)
+                    continue
+                if job.ended:
+                    self._ended_at.setdefault(job_id, now)
+            del unsaved_job_ids[job_id]
         # progress records are removed after the rows of their jobs: a job without a progress
         # record would appear never to have run
         for job_id in self._removed_job_ids:
@@ -148,32 +167,52 @@
                     LOG.warning("A job was not removed.", extra={"cause": error.reason})
                     break
                 del self._ended_at[job_id]
-                self._engine.remove_job(job_id)
                 self._removed_job_ids.append(job_id)
+                self._unrecordable.discard(job_id)
+                try:
+                    self._engine.remove_job(job_id)
+                except Exception as error:
+                    self._on_job_error(job_id, error)
 
-    def _apply_rows(self, rows, progress_records=None):
+    def _apply_rows(self, rows, progress_values=None):
         """Adds the jobs that the engine does not have yet and cancels those marked as cancelled.
 
-        ``rows`` are of the jobs table, ``progress_records`` are by job id. A job without a progress
-        record is logged as accepted.
+        ``rows`` are of the jobs table, ``progress_values`` the encoded progress records by job id.
+        A job without a progress record is logged as accepted.
         """
         jobs, cancelled = jobs_from_rows(rows)
         now = trio.current_time()
         for job_id, job in jobs.items():
-            if job_id in self._engine.jobs:
+            if job_id in self._engine.jobs or job_id in self._set_aside_ids:
                 continue
-            record = (progress_records or {}).get(job_id)
-            if record is not None:
-                job.load_record(record)
-                self._on_loaded(job)
-            if job.ended:
-                self._ended_at[job_id] = now
-            self._engine.add_job(job, now)
-            if record is None:
-                self._log_accepted(job)
+            try:
+                self._add_job(job, (progress_values or {}).get(job_id), now)
+            except Exception as error:
+                self._set_aside(job_id, error)
         for job_id in cancelled:
-            if self._engine.cancel(job_id):
-                self._ended_at[job_id] = now
+            try:
+                if self._engine.cancel(job_id) or job_id in self._set_aside_ids:
+                    self._ended_at.setdefault(job_id, now)
+            except Exception as error:
+                self._on_job_error(job_id, error)
+
+    def _add_job(self, job, progress_value, now):
+        """Adds a job to the engine, in the state of its encoded progress record unless None."""
+        if progress_value is not None:
+            job.load_record(decode(progress_value))
+            self._on_loaded(job)
+        if job.ended:
+            self._ended_at[job.id] = now
+        self._engine.add_job(job, now)
+        if progress_value is None:
+            self._log_accepted(job)
+
+    def _set_aside(self, job_id, error):
+        """Leaves out a job that cannot be added until the next term."""
+        self._set_aside_ids.add(job_id)
+        self._engine.discard_job(job_id)
+        self._on_job_error(job_id, error)
+        self._log_event("job_set_aside", job=job_id, reason=type(error).__name__)
 
     def _log_accepted(self, job):
         """Logs that a job was accepted, with its account, queue and steps."""
