--- a/packages/entry/src/ibiscart_entry/coordination/leadership.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leadership.py
@@ -76,6 +76,11 @@
         self.confirmed_at = None
         self.leader_address = ""
 
+    @property
+    def name(self):
+        """Returns the name of this entry."""
+        return self._entry_name
+
     @property
     def unconfirmed_seconds(self):
         """Returns the seconds since the store last confirmed the leadership, or infinity."""
@@ -88,9 +93,13 @@
         """Returns the number of this leadership, the fencing token of its calls to workers."""
         return self._row.epoch
 
-    async def campaign(self):
-        """Returns as soon as this entry leads."""
+    async def campaign(self, pause_seconds=0.0):
+        """Returns as soon as this entry leads.
+
+        For ``pause_seconds`` it lets other entries go first.
+        """
         last_seen_version, changed_at = None, self._clock()
+        eligible_at = changed_at + pause_seconds
         extra_timeout_seconds = self._campaign_delay_seconds + self._rng.uniform(
             0, MAX_JITTER_SECONDS
         )
@@ -115,7 +124,8 @@
             if version != last_seen_version:
                 last_seen_version, changed_at = version, now
             own_restart = stored.node == self._entry_name and stored.holder != self._process_id
-            if not stored.holder or own_restart or now - changed_at >= timeout_seconds:
+            vacant = not stored.holder or own_restart or now - changed_at >= timeout_seconds
+            if vacant and now >= eligible_at:
                 if await self._acquire(stored, version):
                     return
                 last_seen_version = None
