A job's record takes several rows where one is too small, and a refused one costs its job alone

Causes: one row held the record of a whole job whatever its size; a commit of 90 rows heeded the bound on entries, not the 1 MB of a call; a refusal for good (400, 413) was treated like a missing answer.

A larger one is compressed and split over further rows, which are written in one transaction with the leader's row. Commits are batched by bytes as well as by rows. A transaction that the store refuses for good is divided until the refused record is found; its job is suspended, its starts are not sent, and it is recorded again after a growing pause. A job of over 10,000 tasks in all steps and occurrences, or one whose own row is too large, is refused with its field and bound; the bound of 1,000 tasks a step is gone.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -304,19 +304,20 @@
         stop_orders, self._stops = self._stops, []
         return orders, stop_orders
 
-    def withdraw_unrecorded(self, orders):
-        """Returns the start orders whose jobs are recorded; withdraws the others.
+    def withdraw_starts(self, orders, job_ids):
+        """Returns the start orders of other jobs than ``job_ids``; withdraws the others.
 
-        A job is not recorded while its id is in ``unsaved_job_ids``. Must be called before any of
-        the orders is sent.
+        Must be called before any of the orders is sent.
         """
-        recorded = []
+        if not job_ids:
+            return orders
+        remaining = []
         for order in orders:
-            if order.unit.job.id not in self.unsaved_job_ids:
-                recorded.append(order)
-            else:
+            if order.unit.job.id in job_ids:
                 self._withdraw_start(order.unit, {order.index: order.allocation})
-        return recorded
+            else:
+                remaining.append(order)
+        return remaining
 
     def _planned_jobs(self, now):
         """Returns the jobs by id, without those that are left out of planning at ``now``."""
--- a/packages/core/src/ibiscart_core/workflow/spec.py
+++ b/packages/core/src/ibiscart_core/workflow/spec.py
@@ -10,8 +10,9 @@
 
 __all__ = ["JobSpec", "StepSpec"]
 
-# limits the size of a row in the store: a running step of 1,000 tasks takes about 50 KiB
-MAX_TASKS_PER_STEP = 1000
+# tasks of all steps in all occurrences; limits the job's record, which is written in one
+# transaction, and the tasks that are kept in memory
+MAX_TASKS = 10_000
 MAX_STEPS = 100
 # limits the tasks of a scheduled job that are kept in memory
 MAX_OCCURRENCES = 1000
@@ -179,10 +180,8 @@
         if not 1 <= len(self.steps) <= MAX_STEPS:
             raise _field_error("steps", len(self.steps), f"1 to {MAX_STEPS} steps")
         for step_index, step in enumerate(self.steps):
-            if not 1 <= step.tasks <= MAX_TASKS_PER_STEP:
-                raise _field_error(
-                    f"steps[{step_index}].tasks", step.tasks, f"1 to {MAX_TASKS_PER_STEP}"
-                )
+            if not 1 <= step.tasks <= MAX_TASKS:
+                raise _field_error(f"steps[{step_index}].tasks", step.tasks, f"1 to {MAX_TASKS}")
             if not 0 <= step.estimate_ms <= MAX_ESTIMATE_MS:
                 raise _field_error(
                     f"steps[{step_index}].estimate_ms", step.estimate_ms, f"0 to {MAX_ESTIMATE_MS}"
@@ -195,6 +194,10 @@
                 raise _field_error(
                     f"steps[{step_index}].after", list(step.after), "indexes of earlier steps"
                 )
+        tasks = sum(step.tasks for step in self.steps) * self.occurrence_count
+        if tasks > MAX_TASKS:
+            bound = f"up to {MAX_TASKS} tasks of all steps in all occurrences"
+            raise _field_error("steps", f"{tasks} tasks", bound)
 
 
 def _field_error(field, value, bound):
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -13,7 +13,11 @@
 
 from ibiscart_core.workflow.engine import Engine
 from ibiscart_entry.coordination.job_feed import JobFeed
-from ibiscart_entry.coordination.leadership import HEARTBEAT_SECONDS, LeadershipLost
+from ibiscart_entry.coordination.leadership import (
+    HEARTBEAT_SECONDS,
+    LeadershipLost,
+    WriteGroup,
+)
 from ibiscart_entry.coordination.record import PENDING_KEY, encode
 from ibiscart_entry.coordination.worker_feed import WorkerFeed
 from ibiscart_entry.isolation import record_error, run_isolated
@@ -172,7 +176,7 @@
     async def _renew_leadership(self):
         """Renews the leadership once per heartbeat until cancelled."""
         while True:
-            await self._leadership.commit([])
+            await self._leadership.commit()
             await trio.sleep(HEARTBEAT_SECONDS)
 
     async def _read_with_retries(self, call):
@@ -226,10 +230,12 @@
             for stop in stops:
                 self._workers.send_stop(stop)
             last_applied_ends = self._workers.last_applied_ends()
-            writes = [*self._jobs.collect_writes(now), *self._collect_pending_count_writes(now)]
-            orders = self._engine.withdraw_unrecorded(orders)
-            if writes or now >= heartbeat_at:
-                await self._leadership.commit(writes)
+            groups = [*self._jobs.collect_writes(now), *self._collect_pending_count_writes(now)]
+            orders = self._engine.withdraw_starts(orders, self._engine.unsaved_job_ids)
+            if groups or now >= heartbeat_at:
+                rejected = await self._leadership.commit(groups)
+                self._jobs.apply_commit(groups, rejected, trio.current_time())
+                orders = self._engine.withdraw_starts(orders, {group.job_id for group in rejected})
                 heartbeat_at = trio.current_time() + HEARTBEAT_SECONDS
                 self._metrics.observe("commit_seconds", "", trio.current_time() - now)
             self._workers.confirm_recorded(last_applied_ends)
@@ -248,7 +254,7 @@
         return orders, stops
 
     def _collect_pending_count_writes(self, now):
-        """Returns the write of the numbers of pending jobs by queue, as a list.
+        """Returns the ``WriteGroup`` of the numbers of pending jobs by queue, as a list.
 
         The list is empty if the numbers have not changed or were written a short time ago.
         """
@@ -259,7 +265,7 @@
         ):
             return []
         self._written_pending_counts, self._pending_counts_written_at = pending, now
-        return [TableWrite(key=PENDING_KEY, value=encode(pending))]
+        return [WriteGroup([TableWrite(key=PENDING_KEY, value=encode(pending))])]
 
     def _log_event(self, event, **fields):
         """Logs a decision with the leader's epoch and the version of the configuration."""
--- a/packages/entry/src/ibiscart_entry/coordination/job_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_feed.py
@@ -10,17 +10,19 @@
 import trio
 
 from ibiscart_core.workflow.suspension import Suspensions
+from ibiscart_entry.coordination.leadership import WriteGroup
 from ibiscart_entry.coordination.record import (
     JOBS_TABLE,
     PROGRESS_TABLE,
     cancel_key,
-    decode,
+    decode_progress,
     job_key,
     jobs_from_rows,
-    progress_key,
-    progress_write,
+    progress_deletes,
+    progress_writes,
+    split_progress_key,
 )
-from ibiscart_entry.table import HistoryLost, StoreError
+from ibiscart_entry.table import HistoryLost, StoreError, TransactionRejected
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
 __all__ = ["JobFeed"]
@@ -73,6 +75,8 @@
         self._removed_job_ids = []
         self._set_aside_ids = set()
         self._unrecordable = Suspensions()
+        # numbers of the further rows of progress records, by job id
+        self._part_counts = {}
 
     async def load(self):
         """Reads all jobs with their progress records into the engine.
@@ -87,8 +91,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(read, JOBS_TABLE)
             nursery.start_soon(read, PROGRESS_TABLE)
-        progress_rows = snapshots[PROGRESS_TABLE].rows
-        progress_values = {row.key.partition("/")[2]: row.value for row in progress_rows}
+        progress_values = self._sort_progress_rows(snapshots[PROGRESS_TABLE].rows)
         self._apply_rows(snapshots[JOBS_TABLE].rows, progress_values)
         return snapshots[JOBS_TABLE].version
 
@@ -123,12 +126,12 @@
         self._on_change()
 
     def collect_writes(self, now):
-        """Returns the writes that record all changes of jobs since the last call.
+        """Returns the ``WriteGroup`` objects that record all changes of jobs since the last call.
 
         A job whose record cannot be built stays in ``unsaved_job_ids`` of the engine. ``now`` is
         monotonic seconds.
         """
-        writes = []
+        groups = []
         unsaved_job_ids = self._engine.unsaved_job_ids
         for job_id in list(unsaved_job_ids):
             if self._unrecordable.suspended(job_id, now):
@@ -136,20 +139,56 @@
             job = self._engine.jobs.get(job_id)
             if job is not None:
                 try:
-                    writes.append(progress_write(job))
+                    writes = progress_writes(
+                        job, self._table.max_value_bytes, self._part_counts.get(job_id, 0)
+                    )
                 except Exception as error:
-                    self._unrecordable.suspend(job_id, now)
-                    self._engine.suspend_job(job_id, error, now)
+                    self._suspend(job_id, error, now)
                     continue
+                groups.append(WriteGroup(writes, job_id))
                 if job.ended:
                     self._ended_at.setdefault(job_id, now)
             del unsaved_job_ids[job_id]
         # progress records are removed after the rows of their jobs: a job without a progress
         # record would appear never to have run
         for job_id in self._removed_job_ids:
-            writes.append(TableWrite(key=progress_key(job_id), delete=True))
+            part_count = self._part_counts.pop(job_id, 0)
+            groups.append(WriteGroup(progress_deletes(job_id, part_count)))
         self._removed_job_ids.clear()
-        return writes
+        return groups
+
+    def apply_commit(self, groups, rejected, now):
+        """Applies the outcome of a commit of ``groups``, of which the store rejected some.
+
+        A job whose record was rejected is suspended, and recorded again later.
+        """
+        for group in groups:
+            if group.job_id in self._engine.jobs and group not in rejected:
+                self._part_counts[group.job_id] = group.part_count
+        for group in rejected:
+            if group.job_id in self._engine.jobs:
+                self._engine.unsaved_job_ids[group.job_id] = True
+                self._suspend(group.job_id, TransactionRejected(group.rejection), now)
+
+    def _suspend(self, job_id, error, now):
+        """Leaves out a job that cannot be recorded for a growing time."""
+        self._unrecordable.suspend(job_id, now)
+        self._engine.suspend_job(job_id, error, now)
+
+    def _sort_progress_rows(self, rows):
+        """Returns (value, values of the further rows) of each progress record by job id."""
+        values, parts = {}, {}
+        for row in rows:
+            job_id, number = split_progress_key(row.key)
+            if number is None:
+                values[job_id] = row.value
+            else:
+                parts.setdefault(job_id, {})[number] = row.value
+        self._part_counts = {job_id: max(numbers) + 1 for job_id, numbers in parts.items()}
+        return {
+            job_id: (value, [part for _, part in sorted(parts.get(job_id, {}).items())])
+            for job_id, value in values.items()
+        }
 
     async def remove_expired(self):
         """Removes the rows of jobs whose retention time is over, until cancelled."""
@@ -177,8 +216,8 @@
     def _apply_rows(self, rows, progress_values=None):
         """Adds the jobs that the engine does not have yet and cancels those marked as cancelled.
 
-        ``rows`` are of the jobs table, ``progress_values`` the encoded progress records by job id.
-        A job without a progress record is logged as accepted.
+        ``rows`` are of the jobs table. ``progress_values`` has the arguments of ``decode_progress``
+        by job id. A job without a progress record is logged as accepted.
         """
         jobs, cancelled = jobs_from_rows(rows)
         now = trio.current_time()
@@ -196,15 +235,15 @@
             except Exception as error:
                 self._on_job_error(job_id, error)
 
-    def _add_job(self, job, progress_value, now):
-        """Adds a job to the engine, in the state of its encoded progress record unless None."""
-        if progress_value is not None:
-            job.load_record(decode(progress_value))
+    def _add_job(self, job, progress_values, now):
+        """Adds a job to the engine, in the state of its progress record unless it has none."""
+        if progress_values is not None:
+            job.load_record(decode_progress(*progress_values))
             self._on_loaded(job)
         if job.ended:
             self._ended_at[job.id] = now
         self._engine.add_job(job, now)
-        if progress_value is None:
+        if progress_values is None:
             self._log_accepted(job)
 
     def _set_aside(self, job_id, error):
--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -21,7 +21,7 @@
     progress_key,
     visible_state,
 )
-from ibiscart_entry.table import StoreError, TableConflict
+from ibiscart_entry.table import StoreError, TableConflict, TransactionRejected
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
 __all__ = ["JobService"]
@@ -57,7 +57,9 @@
         """Stores a job; returns ``accepted``, or ``known`` when it was stored before."""
         spec.check()
         job = Job(job_id, account, queue.name, spec, self._now_ms(), queue)
-        write = TableWrite(key=job_key(job_id), value=encode(job.to_document()), expected_version=0)
+        value = encode(job.to_document())
+        self._check_size(value, spec)
+        write = TableWrite(key=job_key(job_id), value=value, expected_version=0)
         try:
             await self._write(write, job_id)
         except TableConflict as conflict:
@@ -158,6 +160,9 @@
                     message = "the job is not stored; retry later"
                     raise IbiscartError(ErrorKind.STORE_UNAVAILABLE, message) from None
                 LOG.warning("A write has no answer.", extra=fields)
+            except TransactionRejected as rejection:
+                message = f"the store does not take the job: {rejection.reason}"
+                raise IbiscartError(ErrorKind.BAD_REQUEST, message) from None
             except TableConflict as conflict:
                 if may_be_applied and conflict.rows[0].value == write.value:
                     return
@@ -168,6 +173,23 @@
             ErrorKind.COMMIT_UNKNOWN, "the job may be stored; send the same request again"
         )
 
+    def _check_size(self, value, spec):
+        """Raises ``IbiscartError`` if the store takes no row with ``value``, that of a job."""
+        bound = self._table.max_value_bytes
+        if len(value) > bound:
+            document = spec.to_document()
+            payload_bytes, steps_bytes = len(encode(spec.payload)), len(encode(document["steps"]))
+            field, size = max(
+                ("spec", payload_bytes), ("steps", steps_bytes), key=lambda pair: pair[1]
+            )
+            raise IbiscartError(
+                ErrorKind.BAD_FIELD,
+                f"{field} is too large; shorten it",
+                field=field,
+                value=f"{size} bytes",
+                bound=f"up to {bound} bytes of the whole job, as it is stored",
+            )
+
     def _check_owner(self, document, account):
         """Raises ``IbiscartError`` if the job of ``document`` belongs to another account."""
         if document["account"] != account:
--- a/packages/entry/src/ibiscart_entry/coordination/leadership.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leadership.py
@@ -10,10 +10,10 @@
 import trio
 
 from ibiscart_entry.coordination.record import LEADER_KEY, LeaderRow
-from ibiscart_entry.table import StoreError, TableConflict
+from ibiscart_entry.table import StoreError, TableConflict, TransactionRejected
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
-__all__ = ["Leadership", "LeadershipLost"]
+__all__ = ["Leadership", "LeadershipLost", "WriteGroup"]
 
 LOG = logging.getLogger("ibiscart.leadership")
 # interval at which an idle leader writes the leader's row
@@ -31,14 +31,47 @@
 MAX_JITTER_SECONDS = 0.2
 # mean pause after a commit without a response; about ten times the store's latency
 RETRY_SECONDS = 0.1
-# the store accepts at most 100 rows and conditions in one transaction
-MAX_WRITES_PER_COMMIT = 90
+# bytes of a transaction besides the keys and values of its writes, for each write
+WRITE_OVERHEAD_BYTES = 100
+# entries that the leader's row takes in a transaction, and the upper bound of its bytes
+LEADER_ROW_ENTRIES = 2
+LEADER_ROW_BYTES = 2000
+# size aimed at for a transaction: a commit is also sent through other entries, whose requests have
+# up to 262,144 bytes
+BATCH_BYTES = 200_000
 
 
 class LeadershipLost(Exception):  # noqa: N818 - an expected change, not a failure
     """Another entry leads, or may lead."""
 
 
+class WriteGroup:
+    """``TableWrite`` messages that take effect together; ``job_id`` names the job they record.
+
+    ``rejection`` is why the store rejected them, empty if it did not.
+    """
+
+    __slots__ = ("job_id", "rejection", "writes")
+
+    def __init__(self, writes, job_id=""):
+        self.writes = writes
+        self.job_id = job_id
+        self.rejection = ""
+
+    @property
+    def part_count(self):
+        """Number of rows that remain besides the first."""
+        return sum(not write.delete for write in self.writes) - 1
+
+    @property
+    def size(self):
+        """Upper bound of the bytes that the writes take in a transaction."""
+        return sum(
+            len(write.value) * 4 // 3 + len(write.key) + WRITE_OVERHEAD_BYTES
+            for write in self.writes
+        )
+
+
 class Leadership:
     """Campaigns for the leader's row and makes writes that are conditional on that row.
 
@@ -131,18 +164,54 @@
                 last_seen_version = None
             await trio.sleep(POLL_SECONDS * self._rng.uniform(0.8, 1.0))
 
-    async def commit(self, writes):
-        """Applies ``TableWrite`` messages and retries until the outcome is known.
+    async def commit(self, groups=()):
+        """Applies ``WriteGroup`` objects, several at once, and retries until the outcome is known.
 
-        Raises ``LeadershipLost`` when another entry has written the leader's row.
+        Returns the set of the groups that the store rejects for good. Raises ``LeadershipLost``
+        when another entry has written the leader's row.
         """
+        rejected = set()
         async with self._lock:
-            writes = list(writes)
-            while True:
-                await self._commit_batch(writes[:MAX_WRITES_PER_COMMIT])
-                writes = writes[MAX_WRITES_PER_COMMIT:]
-                if not writes:
-                    return
+            for batch in self._make_batches(groups):
+                await self._commit_accepted(batch, rejected)
+        return rejected
+
+    def _make_batches(self, groups):
+        """Yields lists of groups, each for one transaction; one empty list without any group."""
+        batch, rows, size = [], 0, 0
+        for group in groups:
+            rows += len(group.writes)
+            size += group.size
+            if batch and (size > BATCH_BYTES or not self._fits(rows, size)):
+                yield batch
+                batch, rows, size = [], len(group.writes), group.size
+            batch.append(group)
+        yield batch
+
+    def _fits(self, rows, size):
+        """Returns True if one transaction takes writes of ``size`` bytes and the leader's row."""
+        # the leader's row is a write with a condition
+        return (
+            rows <= self._table.max_transaction_rows - LEADER_ROW_ENTRIES
+            and size <= self._table.max_transaction_bytes - LEADER_ROW_BYTES
+        )
+
+    async def _commit_accepted(self, batch, rejected):
+        """Commits the groups of a batch; adds those that the store rejects to ``rejected``."""
+        try:
+            if len(batch) == 1 and not self._fits(len(batch[0].writes), batch[0].size):
+                raise TransactionRejected("too_large")
+            await self._commit_batch([write for group in batch for write in group.writes])
+        except TransactionRejected as rejection:
+            if not batch:
+                raise
+            if len(batch) == 1:
+                batch[0].rejection = rejection.reason
+                rejected.add(batch[0])
+                return
+            middle = len(batch) // 2
+            await self._commit_accepted(batch[:middle], rejected)
+            await self._commit_accepted(batch[middle:], rejected)
 
     async def check(self):
         """Raises ``LeadershipLost`` if the leader's row names another process or epoch.
@@ -203,7 +272,7 @@
     async def _commit_batch(self, writes):
         """Applies the writes and the leader's row in one transaction.
 
-        Repeats it until the outcome is known.
+        Repeats it until the outcome is known. Raises ``TransactionRejected``.
         """
         row = self._row
         new_row = LeaderRow(row.node, row.holder, row.address, row.epoch, row.batch + 1)
--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -7,6 +7,7 @@
 
 import json
 import logging
+import zlib
 
 from ibiscart_core.workflow.job import Job, Outcome
 from ibiscart_schema.generated.store_pb2 import TableWrite
@@ -21,11 +22,14 @@
     "LeaderRow",
     "cancel_key",
     "decode",
+    "decode_progress",
     "encode",
     "job_key",
     "jobs_from_rows",
+    "progress_deletes",
     "progress_key",
-    "progress_write",
+    "progress_writes",
+    "split_progress_key",
     "visible_state",
 ]
 
@@ -41,6 +45,13 @@
 RUNNING = "running"
 QUEUED = "queued"
 CANCEL_SUFFIX = "~cancel"
+# precedes the number in the key of a further row of a progress record
+PART_SEPARATOR = "~"
+# compression level of a record that needs several rows: the fastest, as records are written often
+COMPRESSION_LEVEL = 1
+# bounds of a record that takes several rows: one of the largest job takes a few MB
+MAX_PARTS = 1000
+MAX_RECORD_BYTES = 64_000_000
 
 
 def encode(value):
@@ -75,10 +86,68 @@
     return f"{PROGRESS_TABLE}/{job_id}"
 
 
-def progress_write(job):
-    """Returns the write that records the state of a job's runs."""
+def split_progress_key(key):
+    """Returns (job id, number of the further row) of a progress row; the number may be None."""
+    job_id, _, number = key.partition("/")[2].partition(PART_SEPARATOR)
+    return job_id, int(number) if number.isdecimal() else None
+
+
+def progress_writes(job, max_value_bytes, part_count=0):
+    """Returns the writes that record the state of a job's runs; they must take effect together.
+
+    A record of more than ``max_value_bytes`` is compressed and split over further rows. Those of
+    the ``part_count`` present ones that it does not need are deleted.
+    """
     record = {"account": job.account, **job.to_record()}
-    return TableWrite(key=progress_key(job.id), value=encode(record))
+    value = encode(record)
+    parts = []
+    if len(value) > max_value_bytes:
+        compressed = zlib.compress(value, COMPRESSION_LEVEL)
+        parts = [
+            compressed[start : start + max_value_bytes]
+            for start in range(0, len(compressed), max_value_bytes)
+        ]
+        del record["units"]
+        value = encode({**record, "parts": len(parts)})
+    return [
+        TableWrite(key=progress_key(job.id), value=value),
+        *(TableWrite(key=_part_key(job.id, n), value=part) for n, part in enumerate(parts)),
+        *(TableWrite(key=_part_key(job.id, n), delete=True) for n in range(len(parts), part_count)),
+    ]
+
+
+def progress_deletes(job_id, part_count):
+    """Returns the writes that delete a progress record with ``part_count`` further rows."""
+    keys = [progress_key(job_id), *(_part_key(job_id, n) for n in range(part_count))]
+    return [TableWrite(key=key, delete=True) for key in keys]
+
+
+def decode_progress(value, parts):
+    """Returns the progress record of its row's ``value`` and the values of its further rows.
+
+    Raises ``ValueError`` if it cannot be decoded.
+    """
+    record = decode(value)
+    if not isinstance(record, dict):
+        raise ValueError("the progress record is no object")
+    if "parts" not in record:
+        return record
+    count = record["parts"]
+    if type(count) is not int or not 0 < count <= min(len(parts), MAX_PARTS):
+        raise ValueError(f"the record has {len(parts)} further rows instead of {count!r:.20}")
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(b"".join(parts[:count]), MAX_RECORD_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"the further rows cannot be read: {error}") from None
+    if not decompressor.eof:
+        raise ValueError("the further rows are incomplete or too large")
+    return decode(data)
+
+
+def _part_key(job_id, number):
+    """Returns the key of a further row of a progress record."""
+    return f"{progress_key(job_id)}{PART_SEPARATOR}{number:03}"
 
 
 def jobs_from_rows(rows):
--- a/packages/entry/src/ibiscart_entry/coordination/relay.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay.py
@@ -14,7 +14,13 @@
 from ibiscart_entry.coordination.record import LEADER_KEY
 from ibiscart_entry.coordination.relay_message import RELAY_PATH, parse_response, write_document
 from ibiscart_entry.coordination.stall_detector import StallDetector
-from ibiscart_entry.table import FollowedTable, HistoryLost, StoreError, TableConflict
+from ibiscart_entry.table import (
+    FollowedTable,
+    HistoryLost,
+    StoreError,
+    TableConflict,
+    TransactionRejected,
+)
 
 __all__ = ["RelayTable"]
 
@@ -83,6 +89,16 @@
         """
         return self._reachable
 
+    @property
+    def max_value_bytes(self):
+        """Largest size of a row's value in bytes."""
+        return self._direct_table.max_value_bytes
+
+    @property
+    def max_transaction_bytes(self):
+        """Largest size of a transaction in bytes, as it is sent."""
+        return self._direct_table.max_transaction_bytes
+
     async def wait_answering(self):
         """Returns as soon as the store is reachable."""
         if not self._reachable:
@@ -239,7 +255,7 @@
             self._stall_detector.begin_call()
         try:
             value = await call_direct()
-        except (TableConflict, HistoryLost) as result:
+        except (TableConflict, TransactionRejected, HistoryLost) as result:
             value = result
         except StoreError as error:
             self._hedge_at_once_until = self._clock() + IMMEDIATE_HEDGE_SECONDS
--- a/packages/entry/src/ibiscart_entry/coordination/relay_message.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay_message.py
@@ -7,7 +7,14 @@
 
 from base64 import b64decode, b64encode
 
-from ibiscart_entry.table import Changes, HistoryLost, Row, StoreError, TableConflict
+from ibiscart_entry.table import (
+    Changes,
+    HistoryLost,
+    Row,
+    StoreError,
+    TableConflict,
+    TransactionRejected,
+)
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
 __all__ = [
@@ -18,6 +25,7 @@
     "history_lost_document",
     "parse_response",
     "parse_write",
+    "rejection_document",
     "rows_document",
     "write_document",
 ]
@@ -46,6 +54,11 @@
     return {"history_lost": str(error)}
 
 
+def rejection_document(rejection):
+    """Returns the response to a transaction that failed with ``TransactionRejected``."""
+    return {"rejected": rejection.reason}
+
+
 def error_document(error):
     """Returns the response to a call that failed with ``StoreError``."""
     return {"error": error.reason, "sent": error.sent}
@@ -54,12 +67,14 @@
 def parse_response(operation, document):
     """Returns the result of a relayed call; raises the ``StoreError`` that the response states.
 
-    ``TableConflict`` and ``HistoryLost`` are returned, not raised.
+    ``TableConflict``, ``TransactionRejected`` and ``HistoryLost`` are returned, not raised.
     """
     if "error" in document:
         raise StoreError(document["error"], document["sent"])
     if "conflict" in document:
         return TableConflict([_parse_row(row) for row in document["conflict"]])
+    if "rejected" in document:
+        return TransactionRejected(str(document["rejected"]))
     if "history_lost" in document:
         return HistoryLost(document["history_lost"])
     rows = [_parse_row(row) for row in document["rows"]]
--- a/packages/entry/src/ibiscart_entry/coordination/relay_server.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay_server.py
@@ -13,10 +13,11 @@
     error_document,
     history_lost_document,
     parse_write,
+    rejection_document,
     rows_document,
 )
 from ibiscart_entry.server import Response
-from ibiscart_entry.table import HistoryLost, StoreError, TableConflict
+from ibiscart_entry.table import HistoryLost, StoreError, TableConflict, TransactionRejected
 
 __all__ = ["RelayServer"]
 
@@ -38,6 +39,8 @@
             document = await operation(**call)
         except TableConflict as conflict:
             document = conflict_document(conflict)
+        except TransactionRejected as rejection:
+            document = rejection_document(rejection)
         except HistoryLost as history_lost:
             document = history_lost_document(history_lost)
         except StoreError as error:
--- a/packages/entry/src/ibiscart_entry/table.py
+++ b/packages/entry/src/ibiscart_entry/table.py
@@ -15,6 +15,7 @@
     "StoreError",
     "Table",
     "TableConflict",
+    "TransactionRejected",
 ]
 
 
@@ -41,6 +42,17 @@
         self.rows = rows
 
 
+class TransactionRejected(Exception):  # noqa: N818 - a result of the protocol, not a failure
+    """The table service will never apply a transaction as it is; ``reason`` is its status.
+
+    The transaction is too large or has a value that the service does not accept.
+    """
+
+    def __init__(self, reason):
+        super().__init__(reason)
+        self.reason = reason
+
+
 class Row:
     """A row of the table; ``version`` changes with each write of the row."""
 
@@ -67,8 +79,9 @@
     async def transact(self, writes, *, low_priority=False):
         """Applies all ``TableWrite`` messages or none; returns the rows with new versions.
 
-        Raises ``TableConflict`` when a row has another version than expected, and
-        ``StoreError`` when there is no valid answer.
+        Raises ``TableConflict`` when a row has another version than expected,
+        ``TransactionRejected`` when the writes are never accepted, and ``StoreError`` when there is
+        no valid answer.
         """
 
 
@@ -92,8 +105,15 @@
 
     The rows of one part are written one transaction after another, and a transaction stays
     within one part. Changes are followed by table.
+
+    ``max_value_bytes`` is the largest size of a row's value, ``max_transaction_bytes`` that of a
+    transaction as it is sent, ``max_transaction_rows`` its largest number of rows and conditions.
     """
 
+    max_value_bytes = 49_152
+    max_transaction_bytes = 1_000_000
+    max_transaction_rows = 100
+
     @abstractmethod
     async def snapshot(self, table, on_page=lambda: None):
         """Returns ``Changes`` with all rows of a table; later changes have a higher version.
--- a/tests/platform/test_job_isolation.py
+++ b/tests/platform/test_job_isolation.py
@@ -95,7 +95,7 @@
         self.check_other_jobs(Unit, "begin_run", 0)
 
     def test_job_whose_record_cannot_be_built(self):
-        self.assertEqual("queued", self.check_other_jobs(job_feed, "progress_write", 0))
+        self.assertEqual("queued", self.check_other_jobs(job_feed, "progress_writes", 0))
 
     def test_job_whose_acceptance_cannot_be_logged(self):
         self.check_other_jobs(job_feed.JobFeed, "_log_accepted")
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -8,7 +8,7 @@
 
 import json
 import random
-from base64 import b64encode
+from base64 import b64decode, b64encode
 
 import trio
 
@@ -19,6 +19,9 @@
 # longer than every client timeout, so that the response is lost without a connection error
 UNANSWERED_SECONDS = 30.0
 MAX_HISTORY_LENGTH = 5000
+# bounds on the entries and bytes of one call
+MAX_CALL_ENTRIES = 100
+MAX_CALL_BYTES = 1_000_000
 
 
 class PlatformStore:
@@ -28,8 +31,9 @@
     all callers get status 503; those of ``unanswered_callers`` get no response within 30 s.
     ``drop_answer_rate`` is the probability that a write takes effect without a response;
     ``late_rate`` that it gets no response and takes effect ``late_seconds`` later, if its
-    expected versions still match. ``delay`` delays every request, in seconds. ``calls``
-    counts the requests by path.
+    expected versions still match. ``delay`` delays every request, in seconds. A transaction with
+    a row of ``refused_rows`` gets status 400, as one beyond the store's bounds does. ``calls``
+    counts the requests by path, ``rejected`` the transactions with such a status.
     """
 
     def __init__(self, seed=0):
@@ -43,7 +47,11 @@
         self.late_rate = 0.0
         self.late_seconds = 2.0
         self.random = random.Random(seed)
+        self.refused_rows = set()
+        self.max_value_bytes = 65536
+        self.max_call_bytes = MAX_CALL_BYTES
         self.calls = {}
+        self.rejected = 0
         self._history = []
         self._compacted_version = 0
         self._changed = trio.Event()
@@ -84,7 +92,12 @@
         if self.down or request.remote in self.refused_callers:
             return Response.from_json(503, {})
         if request.path == "/rows-tx":
-            return await self._transact(json.loads(request.body))
+            call = json.loads(request.body)
+            status = self._check_bounds(call, len(request.body))
+            if status != 200:
+                self.rejected += 1
+                return Response.from_json(status, {})
+            return await self._transact(call)
         if request.path == "/rows-get":
             return self._get_rows(request.query)
         if request.path == "/rows-parts":
@@ -97,6 +110,21 @@
             return await self._watch_rows(request.query)
         return Response.from_json(404, {})
 
+    def _check_bounds(self, call, size):
+        """Returns the status of a transaction of ``size`` bytes by the store's bounds, or 200."""
+        if size > self.max_call_bytes:
+            return 413
+        if sum(len(call.get(name, ())) for name in ("expected", "puts", "remove")) > (
+            MAX_CALL_ENTRIES
+        ):
+            return 400
+        for row in call.get("puts", ()):
+            if (row["table"], row["key"]) in self.refused_rows:
+                return 400
+            if len(b64decode(row["value"])) > self.max_value_bytes:
+                return 400
+        return 200
+
     async def _transact(self, call):
         """Applies a transaction unless an expected version differs; returns the ``Response``."""
         if self.late_rate and self._nursery and self.random.random() < self.late_rate:
