--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -1,5 +1,6 @@
 """A complete deployment in one process in virtual time: store, workers and entries."""
 
+import contextlib
 import functools
 import json
 import random
@@ -128,7 +129,7 @@
             self.table,
             PlatformDirectory(self.table),
             self.catalogs,
-            lambda address, worker: PlatformAgent(connect(address), connect(address), worker),
+            functools.partial(deployment.connect_agent, connect),
             self.metrics,
             lease_limit_seconds=deployment.lease_limit_seconds,
             retention_seconds=120.0,
@@ -172,7 +173,11 @@
 
 
 class Deployment:
-    """Store, workers and entries, within ``async with Deployment() as deployment``."""
+    """Store, workers and entries, within ``async with Deployment() as deployment``.
+
+    ``wrap_agent`` is called with an agent and the id of its worker, and returns the agent by which
+    leaders call that worker.
+    """
 
     def __init__(
         self,
@@ -182,6 +187,7 @@
         seed=1,
         key_revocation_seconds=None,
         lease_limit_seconds=6.0,
+        wrap_agent=lambda agent, worker: agent,
     ):
         self.key_revocation_seconds = key_revocation_seconds
         self.lease_limit_seconds = lease_limit_seconds
@@ -189,12 +195,23 @@
         self.seed = seed
         self.entries = {}
         self.fleet = WorkerFleet()
+        self._wrap_agent = wrap_agent
         self._addresses = {}
         self._replacements = 0
 
     async def __aenter__(self):
-        self._nursery_manager = trio.open_nursery()
-        self.nursery = await self._nursery_manager.__aenter__()
+        async with contextlib.AsyncExitStack() as stack:
+            self.nursery = await stack.enter_async_context(trio.open_nursery())
+            await self._start()
+            self._exit_stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *error):
+        self.nursery.cancel_scope.cancel()
+        await self._exit_stack.aclose()
+
+    async def _start(self):
+        """Starts all processes and waits for a leader."""
         self.network = Network(self.nursery, latency=0.001)
         self.store = PlatformStore(self.seed)
         await self.nursery.start(self.store.run)
@@ -205,11 +222,11 @@
         for number in range(self._entry_count):
             self.start_entry(f"e{number}")
         await self.wait_until(lambda: self.leader() is not None)
-        return self
 
-    async def __aexit__(self, *error):
-        self.nursery.cancel_scope.cancel()
-        await self._nursery_manager.__aexit__(None, None, None)
+    def connect_agent(self, connect, address, worker):
+        """Returns the agent by which a leader calls the worker with an id at an address."""
+        agent = PlatformAgent(connect(address), connect(address), worker)
+        return self._wrap_agent(agent, worker)
 
     def now_ms(self):
         """Returns the Unix time in milliseconds that the deployment's clocks show."""
