Workers: an unexpected error concerns the worker in whose task it occurs

Cause: polls, starts, stops and connections of all workers run in the nursery of the leader's term, and registrations in the task that follows the directory; an error that is neither AgentError nor StoreError ended the term and the process, and the same value then ended each next leader. Change: each of these tasks is confined to its worker (isolation, kind worker, named by the worker's id). The session begins again with new connections after a pause that doubles until it outlasts all leases; meanwhile its worker is unreachable, no lease is extended, and its runs end only with their leases. A start with such an error counts as unanswered, a stop is sent again when the session is back. The directory goes on being followed. A deadline that cannot be computed no longer moves the expected expiry of leases.

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -13,6 +13,7 @@
 from ibiscart_core.workflow.job import EndCause
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_entry.coordination.agent import AgentError
+from ibiscart_entry.isolation import run_isolated
 
 __all__ = ["WorkerSession", "remaining_lease_seconds"]
 
@@ -52,6 +53,9 @@
 # pause before a failed stop is sent again; a call may fail at once, for example when the connection
 # is refused, and would then be repeated without a break; half the timeout of a call
 STOP_RETRY_SECONDS = 0.3
+# pause after the first unexpected error; it doubles with each further one, until it outlasts all
+# leases, so that even runs that cannot be stopped end
+MIN_RESTART_SECONDS = 0.25
 # leases are not extended when the last confirmed write of the leader's row is older: another entry
 # may lead and rely on their expiry
 MAX_UNCONFIRMED_SECONDS = 6.0
@@ -60,6 +64,10 @@
 class WorkerSession:
     """Extends the leases of one worker and sends starts and stops to it.
 
+    An unexpected error in any of these tasks is logged and counted; the session then begins again
+    with new connections after a pause, in which the worker counts as unreachable.
+
+    ``connect_agent`` returns the ``WorkerAgent`` for an address and a worker id.
     ``leadership`` provides the fencing token, ``hedge`` repeats orders without an answer.
     ``lease_limit_seconds`` is the longest lease that a worker grants.
     ``on_change`` is called after each change of the engine, ``on_fenced`` when the worker has seen
@@ -69,7 +77,7 @@
     def __init__(
         self,
         worker,
-        agent,
+        connect_agent,
         engine,
         leadership,
         hedge,
@@ -80,7 +88,8 @@
         metrics,
     ):
         self._worker = worker
-        self._agent = agent
+        self._connect_agent = connect_agent
+        self._agent = None
         self._engine = engine
         self._leadership = leadership
         self._hedge = hedge
@@ -102,6 +111,10 @@
         self._expires_at = 0.0
         self._address = worker.info.address
         self._scope = trio.CancelScope()
+        # cancelled when an order ends with an unexpected error
+        self._attempt = trio.CancelScope()
+        # set while the session is connected
+        self._connected = trio.Event()
 
     @property
     def address(self):
@@ -147,27 +160,96 @@
 
         Until the event ``loaded``, when the engine has the runs on record, it only extends leases.
         """
+        longest_pause = self._lease_limit_seconds * CLOCK_SLOWNESS + MAX_STATUS_AGE_SECONDS
+        longest_pause += RETRY_SECONDS
+        pause_seconds = MIN_RESTART_SECONDS
+        with self._scope:
+            while True:
+                started_at = trio.current_time()
+                with trio.CancelScope() as self._attempt:
+                    await self._run_isolated(self._follow, loaded)
+                now = trio.current_time()
+                if now - started_at > longest_pause:
+                    pause_seconds = MIN_RESTART_SECONDS
+                await self._wait_disconnected(now + pause_seconds)
+                pause_seconds = min(2 * pause_seconds, longest_pause)
+
+    async def send_start(self, order):
+        """Sends a ``StartOrder`` until its outcome is known or the attempts are exhausted."""
+        if not await self._run_isolated(self._send_start, order):
+            self._disconnect()
+
+    async def send_stop(self, stop_order):
+        """Sends a ``StopOrder`` until the worker has confirmed it or the allocation is released."""
+        while not await self._run_isolated(self._send_stop, stop_order):
+            self._disconnect()
+            if stop_order.allocation is None:
+                return
+            await self._connected.wait()
+
+    async def _run_isolated(self, function, *args):
+        """Awaits a function; returns False if it ended with an unexpected error."""
+        return await run_isolated(self._metrics, "worker", self._worker.id, function, *args)
+
+    async def _follow(self, loaded):
+        """Connects to the worker and polls it until cancelled; for ``loaded`` see ``run``."""
+        self._agent = self._connect_agent(self._address, self._worker.id)
+        self._connected.set()
         try:
-            with self._scope:
-                with trio.move_on_after(LOADING_POLL_SECONDS):
-                    await loaded.wait()
-                while not loaded.is_set():
-                    await self._extend_leases(loaded)
-                await self._poll_worker(0.0)
-                while True:
-                    await self._poll_when_needed()
+            with trio.move_on_after(LOADING_POLL_SECONDS):
+                await loaded.wait()
+            while not loaded.is_set():
+                await self._extend_leases(loaded)
+            await self._poll_worker(0.0)
+            while True:
+                await self._poll_when_needed()
         finally:
             with trio.CancelScope(shield=True):
                 await self._agent.aclose()
 
-    async def send_start(self, order):
-        """Sends a ``StartOrder`` until its outcome is known or the attempts are exhausted."""
+    def _disconnect(self):
+        """Makes ``run`` begin again after a pause."""
+        if self._connected.is_set():
+            self._connected = trio.Event()
+        self._attempt.cancel()
+
+    async def _wait_disconnected(self, restart_at):
+        """Waits until ``restart_at``; the worker's runs end when their leases have expired."""
+        self._disconnect()
+        # the error may have been caused by the clock
+        self._worker_clock_ms = None
+        self._answered_at = None
+        with trio.CancelScope(deadline=restart_at):
+            await self._run_isolated(self._end_runs_with_leases)
+        await trio.sleep_until(restart_at)
+
+    async def _end_runs_with_leases(self):
+        """Marks the worker as unreachable, and ends its runs once their leases have expired."""
+        self._mark_unreachable("error", replaced=False)
+        await trio.sleep_until(self._expires_at + RETRY_SECONDS)
+        self._mark_unreachable("error", replaced=False)
+
+    async def _send_start(self, order):
+        """Sends a ``StartOrder`` and applies its result; an error leaves the order unanswered."""
+        self.wake()
+        try:
+            result = await self._request_start(order)
+        except Exception:
+            self._apply_start_result(order, StartResult.UNKNOWN)
+            raise
+        if result is not None:
+            self._apply_start_result(order, result)
+
+    async def _request_start(self, order):
+        """Sends a ``StartOrder`` until its outcome is known or the attempts are exhausted.
+
+        Returns the ``StartResult``, None if the run no longer waits for it.
+        """
         result = StartResult.UNKNOWN
         any_unanswered = False
-        self.wake()
         for attempt in range(MAX_START_ATTEMPTS):
             if not order.awaits_answer or self._worker_clock_ms is None:
-                return
+                return None
             call = self._repeat_start if attempt else self._call_start
             (result, clock_ms), unanswered = await self._hedge.call(
                 functools.partial(call, order),
@@ -187,6 +269,10 @@
             # a start request without a response may still take effect, even if a later one was
             # refused
             result = StartResult.UNKNOWN
+        return result
+
+    def _apply_start_result(self, order, result):
+        """Applies the ``StartResult`` of a ``StartOrder`` to the engine."""
         if result is not StartResult.STARTED:
             LOG.warning(
                 "A start was not taken.",
@@ -201,7 +287,7 @@
         self._engine.apply_start_result(order, result, trio.current_time())
         self._on_change()
 
-    async def send_stop(self, stop_order):
+    async def _send_stop(self, stop_order):
         """Sends a ``StopOrder`` until the worker has confirmed it or the allocation is released."""
         while (
             stop_order.allocation is None
@@ -249,8 +335,9 @@
             return None
         if self._leadership.unconfirmed_seconds >= MAX_UNCONFIRMED_SECONDS:
             return None
+        deadline_ms = self._lease_deadline_ms(now)
         self._extend_lease_expiry(now)
-        return self._lease_deadline_ms(now)
+        return deadline_ms
 
     async def _call_start(self, order):
         """Orders a start once; returns (``StartResult``, worker's clock in ms or None)."""
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -13,7 +13,9 @@
 from ibiscart_core.workflow.fleet import WorkerInfo
 from ibiscart_core.workflow.job import EndCause
 from ibiscart_entry.coordination.hedge import CallHedge
+from ibiscart_entry.coordination.leadership import LeadershipLost
 from ibiscart_entry.coordination.session import WorkerSession, remaining_lease_seconds
+from ibiscart_entry.isolation import record_error, run_isolated
 from ibiscart_entry.table import HistoryLost, StoreError
 
 __all__ = ["WorkerFeed"]
@@ -21,6 +23,8 @@
 LOG = logging.getLogger("ibiscart.workers")
 # pause after a failed store call; equal to the interval at which an unreachable store is probed
 RETRY_SECONDS = 0.2
+# pause after an unexpected error in following the directory
+RESTART_SECONDS = 1.0
 # longest time that a read of the directory waits for a change; a connection that has stalled is
 # noticed only after it, and a worker that shrinks or drains must be known within 3 s
 LONG_POLL_SECONDS = 2.0
@@ -68,6 +72,7 @@
         self._hedge = CallHedge()
         self._assumed_lease_expiry = {}
         self._nursery = None
+        self._version = None
         self._loaded = trio.Event()
 
     async def load(self):
@@ -94,12 +99,28 @@
         self._loaded.set()
 
     async def follow(self, version):
-        """Applies the changes of the directory after ``version`` until cancelled."""
+        """Applies the changes of the directory after ``version`` until cancelled.
+
+        Raises ``LeadershipLost``. An unexpected error in the changes of one worker concerns this
+        worker alone.
+        """
+        self._version = version
+        while True:
+            passed = (LeadershipLost,)
+            await run_isolated(
+                self._metrics, "worker", "directory", self._follow_changes, passed=passed
+            )
+            await trio.sleep(RESTART_SECONDS)
+
+    async def _follow_changes(self):
+        """Applies the changes of the directory until cancelled."""
         while True:
             try:
-                infos, version = await self._directory.changes(version, LONG_POLL_SECONDS)
+                infos, self._version = await self._directory.changes(
+                    self._version, LONG_POLL_SECONDS
+                )
             except HistoryLost:
-                snapshot, version = await self._read_with_retries(self._directory.snapshot)
+                snapshot, self._version = await self._read_with_retries(self._directory.snapshot)
                 removed = set(self._engine.fleet.workers) - set(snapshot)
                 infos = {**snapshot, **dict.fromkeys(removed)}
             except StoreError as error:
@@ -107,10 +128,10 @@
                 await trio.sleep(RETRY_SECONDS)
                 continue
             for worker_id, info in infos.items():
-                if info is None:
-                    self._apply_removal(worker_id)
-                else:
-                    self._apply_registration(worker_id, info)
+                try:
+                    self._apply_change(worker_id, info)
+                except Exception as error:
+                    record_error(self._metrics, "worker", worker_id, error)
             if infos:
                 self._on_change()
             await trio.sleep(MIN_POLL_INTERVAL_SECONDS)
@@ -159,22 +180,35 @@
         Ends the runs of workers without a session once their leases have expired. ``now`` is
         monotonic seconds.
         """
-        fleet = self._engine.fleet
-        for worker_id, worker in list(fleet.workers.items()):
+        for worker in list(self._engine.fleet.workers.values()):
             if worker.registered:
                 continue
-            session = self._sessions.get(worker_id)
-            expires_at = self._assumed_lease_expiry.get(worker_id, 0.0)
-            if session is None and worker.units_by_run and now > expires_at:
-                cause = EndCause.WORKER_VANISHED
-                self._engine.end_lost_runs(worker_id, cause, now, "lease_expired")
-                self._on_change()
-            if not worker.units_by_run and not (session and worker.may_return(now)):
-                if session is not None:
-                    session.close()
-                    del self._sessions[worker_id]
-                self._assumed_lease_expiry.pop(worker_id, None)
-                fleet.remove(worker_id)
+            try:
+                self._remove_departed_worker(worker, now)
+            except Exception as error:
+                record_error(self._metrics, "worker", worker.id, error)
+
+    def _remove_departed_worker(self, worker, now):
+        """Removes an unregistered worker if it has no runs, after the expiry of their leases."""
+        session = self._sessions.get(worker.id)
+        expires_at = self._assumed_lease_expiry.get(worker.id, 0.0)
+        if session is None and worker.units_by_run and now > expires_at:
+            cause = EndCause.WORKER_VANISHED
+            self._engine.end_lost_runs(worker.id, cause, now, "lease_expired")
+            self._on_change()
+        if not worker.units_by_run and not (session and worker.may_return(now)):
+            if session is not None:
+                session.close()
+                del self._sessions[worker.id]
+            self._assumed_lease_expiry.pop(worker.id, None)
+            self._engine.fleet.remove(worker.id)
+
+    def _apply_change(self, worker_id, info):
+        """Applies the ``WorkerInfo`` of a worker, None if it has left."""
+        if info is None:
+            self._apply_removal(worker_id)
+        else:
+            self._apply_registration(worker_id, info)
 
     def _apply_registration(self, worker_id, info):
         """Adds or updates a worker and opens a session if it has none with this address."""
@@ -216,7 +250,7 @@
         """Opens a session with a worker, whose runs may have leases of an earlier leader."""
         session = WorkerSession(
             worker,
-            self._connect_agent(worker.info.address, worker.id),
+            self._connect_agent,
             self._engine,
             self._leadership,
             self._hedge,
