Session: an order that finds no clock of its worker is not lost

Callers saw: a job that stays queued for good. Cause: while a record is written, the worker's session may begin again (another address, an unexpected error, a new incarnation) and know no clock until its first poll. The order was then dropped without a result, and its run waited for an answer to an order that nobody had sent; the worker answers, so no lease ends it. Change: such an order counts as not sent, and as unanswered from its second attempt on.

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -248,8 +248,12 @@
         result = StartResult.UNKNOWN
         any_unanswered = False
         for attempt in range(MAX_START_ATTEMPTS):
-            if not order.awaits_answer or self._worker_clock_ms is None:
+            if not order.awaits_answer:
                 return None
+            if self._worker_clock_ms is None:
+                # the session has begun again, or the worker has
+                result = StartResult.UNKNOWN if attempt else StartResult.NOT_SENT
+                break
             call = self._repeat_start if attempt else self._call_start
             (result, clock_ms), unanswered = await self._hedge.call(
                 functools.partial(call, order),
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -243,6 +243,12 @@
         rack = f"r{int(address.partition(':')[0][1:]) // self._rack_size}"
         self.store.put("servers", name, worker.registration(address, rack=rack, **fields))
 
+    def move_worker(self, name, address):
+        """Registers a worker at another address, at which it answers too."""
+        self.network.handlers[address] = self.fleet.workers[name].handle
+        self._addresses[name] = address
+        self.register(name)
+
     def crash_worker(self, name, back_after_seconds=3.2):
         """Crashes a worker; another one is at its address ``back_after_seconds`` later.
 
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -41,6 +41,36 @@
 
         run_virtual(main)
 
+    def test_order_that_finds_no_clock_of_its_worker_is_not_lost(self):
+        # the order was dropped without a result when its worker had changed its address meanwhile,
+        # and the task waited for a start that nobody sent
+        async def main():
+            async with Deployment(workers=1, entries=1) as deployment:
+                worker = deployment.fleet.workers["w0"]
+                entry = deployment.first_entry().name
+
+                def delay(sender, address, request):
+                    return 1.0 if (sender, request.path) == (entry, "/rows-tx") else 0.0
+
+                deployment.network.request_delay = delay
+                await deployment.submit(JOB_ID, job(step(), ms=500))
+                planned = functools.partial(self.has_planned_run, deployment)
+                await deployment.wait_until(planned)
+                worker.unanswered_path = "/hold"
+                deployment.move_worker("w0", "w0:81")
+                await trio.sleep(3)
+                self.assertFalse(worker.highest_run_by_task)
+                worker.unanswered_path = ""
+                await deployment.wait_for_state(JOB_ID, "completed", 15)
+
+        run_virtual(main)
+
+    @staticmethod
+    def has_planned_run(deployment):
+        """Returns True once the leader's engine has a run on a worker."""
+        engine = deployment.leader().leader.coordinator._engine
+        return any(worker.units_by_run for worker in engine.fleet.workers.values())
+
     def test_order_without_an_answer_is_not_sent_again_to_a_worker_that_has_the_run(self):
         # six orders for one run went to a worker whose answers were lost
         async def main():
