--- a/packages/core/src/ibiscart_core/resource.py
+++ b/packages/core/src/ibiscart_core/resource.py
@@ -7,7 +7,10 @@
 
 from ibiscart_schema.generated.types_pb2 import Resources as ResourcesMessage
 
-__all__ = ["Resources"]
+__all__ = ["MAX_AMOUNT", "Resources"]
+
+# largest amount of a resource that the ``Resources`` message can hold
+MAX_AMOUNT = 2**32 - 1
 
 
 class Resources:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,9 +1,11 @@
 """Tests of decoding configuration, worker registrations, jobs and task names."""
 
 import json
+import math
 import unittest
 
 from ibiscart_core.error import IbiscartError
+from ibiscart_core.value import InvalidValueError
 from ibiscart_core.workflow.job import EndCause
 from ibiscart_core.workflow.spec import JobSpec
 from ibiscart_platform.agent import _parse_end, format_task_name, parse_task_name
@@ -12,6 +14,7 @@
 from ibiscart_platform.front import parse_job
 from tests.platform.deployment import CONFIGURATION
 
+HUGE = 10**399
 WORKER = {
     "service": "pool",
     "address": "10.0.0.1:80",
@@ -67,6 +70,31 @@
             ):
                 parse_worker("w", json.dumps(registration))
 
+    def test_registration_with_an_unusable_value_is_rejected(self):
+        """Guards against leaders that ended, one after another, at such an entry."""
+        capacity = WORKER["capacity"]
+        invalid_fields = [
+            *({"address": a} for a in ("127.0.0.1\ufffd:9", "a..b:80", "a" * 64 + ":80", ":80")),
+            *({"address": f"10.0.0.1:{port}"} for port in (0, 70000, -1, "8" * 400)),
+            *({"capacity": {**capacity, "gpu": gpu}} for gpu in (HUGE, -1, 1e308, math.nan, True)),
+            *({"born": born} for born in (HUGE, math.inf, -1, True)),
+            *({"remainingMs": ms} for ms in (HUGE, math.inf, -1)),
+            *({name: "\ud800"} for name in ("service", "zone", "state")),
+            {"labels": ["a"] * 5000},
+            {"labels": ["a", "r" * 5000]},
+            {"labels": ["a", "\ud800"]},
+            {"state": []},
+            {"service": ["pool"]},
+        ]
+        for fields in invalid_fields:
+            with self.subTest(fields=ascii(fields)[:80]), self.assertRaises(InvalidValueError):
+                parse_worker("w", json.dumps({**WORKER, **fields}))
+        for data in (b"[" * 100_000, b'{"a":' * 500 + b"1" + b"}" * 500, b"1" * 5000, b"\xff"):
+            with self.subTest(data=data[:10]), self.assertRaises(InvalidValueError):
+                parse_worker("w", data)
+        with self.assertRaises(InvalidValueError):
+            parse_worker("w\ud800", json.dumps(WORKER))
+
     def test_job_is_unchanged_after_it_is_stored_and_read(self):
         body = {
             "spec": "x",
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -6,6 +6,7 @@
 import copy
 import json
 import unittest
+from base64 import b64decode
 
 import trio
 from hypothesis import given, settings
@@ -62,6 +63,19 @@
     "born": 1,
 }
 DEEPLY_NESTED = b"[" * 100_000
+HUGE = 10**399
+# fields of a worker's registration that no use of it can handle
+UNUSABLE_FIELDS = [
+    {"address": "127.0.0.1\ufffd:9"},
+    {"address": "a..b:80"},
+    {"address": "w0:70000"},
+    {"capacity": {"cpu": HUGE, "memMb": HUGE, "gpu": HUGE}},
+    {"capacity": {"cpu": 1, "memMb": 1, "gpu": float("nan")}},
+    {"born": HUGE},
+    {"remainingMs": HUGE, "state": "draining"},
+    {"service": "\ud800"},
+    {"labels": ["a", "\ud800"]},
+]
 
 
 def paths(document, prefix=()):
@@ -92,6 +106,11 @@
     return data[: draw(st.integers(0, len(data)))] if draw(st.integers(0, 9)) == 0 else data
 
 
+def _stored(deployment, table, key, partition=""):
+    """Returns the bytes of a row in a deployment's store."""
+    return b64decode(deployment.store.rows[(table, partition, key)][0])
+
+
 class _Client:
     """Answers each request with the same body."""
 
@@ -231,6 +250,33 @@
 
         run_virtual(main)
 
+    def test_unusable_registrations_stop_no_entry(self):
+        """Replays entries of another writer in the workers' table, one after another."""
+
+        async def main():
+            async with Deployment() as deployment:
+                leader = deployment.leader()
+                registration = json.loads(_stored(deployment, "servers", "w0"))
+                for fields in UNUSABLE_FIELDS:
+                    data = json.dumps({**registration, **fields}).encode()
+                    deployment.store.put("servers", "x-00c0ffee", data)
+                    await trio.sleep(1)
+                for data in (DEEPLY_NESTED, b'{"a":' * 500 + b"1" + b"}" * 500, b"1" * 5000):
+                    deployment.store.put("servers", "x-00c0ffee", data)
+                    await trio.sleep(1)
+                self.assertIs(leader, deployment.leader())
+                deployment.add_worker(9)
+                for number in range(4):
+                    deployment.crash_worker(f"w{number}", back_after_seconds=1000)
+                await deployment.submit(JOB_ID, job(step(2), ms=500))
+                await deployment.wait_for_state(JOB_ID, "completed")
+                deployment.kill_entry(leader.name)
+                await deployment.wait_until(lambda: deployment.leader() is not None)
+                await deployment.submit(OTHER_JOB_ID, job(step(2), ms=500))
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed")
+
+        run_virtual(main)
+
     def test_rows_that_cannot_be_read_stop_no_leader(self):
         """Replays rows of jobs, entries and workers that another writer damaged."""
 
