--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,7 +8,7 @@
 from ibiscart_core.value import InvalidValueError
 from ibiscart_core.workflow.job import EndCause
 from ibiscart_core.workflow.spec import JobSpec
-from ibiscart_platform.agent import _parse_end, format_task_name, parse_task_name
+from ibiscart_platform.agent import PlatformAgent, format_task_name, parse_task_name
 from ibiscart_platform.configuration import parse_catalog
 from ibiscart_platform.directory import parse_worker
 from ibiscart_platform.front import parse_job
@@ -120,9 +120,9 @@
 
     def test_task_name_and_end_cause_are_parsed(self):
         self.assertEqual("ab.1.2.17", format_task_name(parse_task_name("ab.1.2.17")))
-        self.assertEqual(
-            EndCause.MEMBERS_MISSING, _parse_end([5, "ab.0.0.0", 2, "alone", ""]).cause
-        )
+        agent = PlatformAgent(None, None, "w0")
+        end = agent._parse_end([5, "ab.0.0.0", 2, "alone", ""])
+        self.assertEqual(EndCause.MEMBERS_MISSING, end.cause)
 
 
 if __name__ == "__main__":
