A burst of large jobs is served by one leader: bounded passes, limited starts, renewals of their own

Causes, all of them work without a bound between two renewals of the leader's row: - all planned starts were sent at once, thousands of tasks with hedges and time-outs that began before a connection was free; - the renewal was a step of the planning loop, so it waited for passes, records and commits; - each end of a task looked at all units of its job (a list of 500 ends of a job of 8,000 tasks took over 4 s, as a trace of the event loop showed), and a takeover ordered thousands of stops; - jobs that were read, and records that were built, were handled without a checkpoint.

The leader's row is now renewed by a task of its own. Start orders without an answer are limited by flow control: per worker by the time of its answers, in total by the delay of the leader's own tasks; a pass ends when the window is full. Stops are sent in batches of that size. A job counts its units that are not done, so an end looks at its own unit only. Rows are applied and records built with a checkpoint for each job, announced jobs are read by 16 tasks, and a pass creates about 1,000 units at most before it leaves further jobs to the next pass.

The renewal test and the test of the cost of an end fail without their change.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -10,6 +10,7 @@
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_core.workflow.scheduler import Scheduler
 from ibiscart_core.workflow.suspension import Suspensions
+from ibiscart_core.workflow.window import StartWindow
 
 __all__ = ["Engine", "StartOrder", "StopOrder"]
 
@@ -20,21 +21,27 @@
 # time without new work for a worker that refused a start for lack of capacity; by then, the run
 # that uses the capacity has ended or the worker's status lists it
 INSUFFICIENT_CAPACITY_SUSPEND_SECONDS = 0.5
+# new units after which a call of ``create_due_units`` ends, which bounds the length of a pass
+MAX_NEW_UNITS = 1000
 # time before a worker leaves at which its runs with checkpoints are stopped: a stop takes up to
 # 0.9 s, and the end has to be read while the worker still answers
 CHECKPOINT_LEAD_SECONDS = 1.2
 
 
 class StartOrder:
-    """An order to start one task's run, which is on the job's record, on a worker."""
+    """An order to start one task's run, which is on the job's record, on a worker.
 
-    __slots__ = ("allocation", "index", "run", "unit")
+    ``sent_at`` is when it was sent first, in seconds of the monotonic clock, None before.
+    """
+
+    __slots__ = ("allocation", "index", "run", "sent_at", "unit")
 
     def __init__(self, unit, index, allocation):
         self.unit = unit
         self.index = index
         self.allocation = allocation
         self.run = unit.run
+        self.sent_at = None
 
     @property
     def task_key(self):
@@ -94,6 +101,7 @@
         self._log_event = log_event
         self._on_job_error = on_job_error
         self._suspensions = Suspensions()
+        self._start_window = StartWindow()
 
     def add_job(self, job, now=0.0):
         """Adds an accepted job; allocates the resources of the runs on its record.
@@ -212,6 +220,7 @@
         allocation, unit = order.allocation, order.unit
         worker = self.fleet.get(allocation.worker_id)
         if result is StartResult.STARTED:
+            self._start_window.record_answer(order, now)
             self._confirm_start(unit, allocation, now)
             return
         if result in (StartResult.UNKNOWN, StartResult.FENCED):
@@ -233,20 +242,28 @@
             stop.allocation.stop_acknowledged_at = now
 
     def create_due_units(self, now, now_ms):
-        """Creates the units of all steps that are due and whose dependencies are done.
+        """Creates the units of the steps that are due and whose dependencies are done.
 
+        Once there are ``MAX_NEW_UNITS`` new ones, leaves those of further jobs to the next call.
         Returns the time of the next occurrence of any job, None without one. This time and
         ``now_ms`` are in Unix milliseconds.
         """
         earliest_ms = None
+        created = 0
         for job in self._planned_jobs(now).values():
             if job.ended:
                 continue
+            if created >= MAX_NEW_UNITS:
+                return now_ms
             try:
-                following_ms = self._create_due_units(job, now, now_ms)
+                units = job.create_due_units(now_ms)
+                following_ms = job.next_due_ms(now_ms) if job.spec.scheduled else None
             except Exception as error:
                 self.suspend_job(job.id, error, now)
                 continue
+            created += len(units)
+            for unit in units:
+                unit.ready_at = now
             if following_ms is not None:
                 earliest_ms = (
                     following_ms if earliest_ms is None else min(earliest_ms, following_ms)
@@ -278,11 +295,13 @@
         """
         orders = []
         if self.catalog is not None:
+            self._start_window.begin_pass(self.fleet.workers.keys(), now)
             starts, stops = self._scheduler.plan(
                 self._planned_jobs(now),
                 self.catalog,
                 now,
                 now_ms,
+                self._start_window,
                 lambda job, error: self.suspend_job(job.id, error, now),
             )
             for stop in stops:
@@ -301,9 +320,19 @@
                 except Exception as error:
                     self._withdraw_start(start.unit, start.allocations)
                     self.suspend_job(start.unit.job.id, error, now)
+        self._start_window.add(orders)
         stop_orders, self._stops = self._stops, []
         return orders, stop_orders
 
+    @property
+    def order_limit(self):
+        """Number of orders that may be sent at once without a delay of this process's tasks."""
+        return self._start_window.limit
+
+    def record_delay(self, seconds, now):
+        """Limits the starts in flight if the tasks of this process are delayed by ``seconds``."""
+        self._start_window.record_delay(seconds, now)
+
     def withdraw_starts(self, orders, job_ids):
         """Returns the start orders of other jobs than ``job_ids``; withdraws the others.
 
@@ -329,12 +358,6 @@
             if not self._suspensions.suspended(job_id, now)
         }
 
-    def _create_due_units(self, job, now, now_ms):
-        """Creates the due units of a job; returns when its next occurrence is due, or None."""
-        for unit in job.create_due_units(now_ms):
-            unit.ready_at = now
-        return job.next_due_ms(now_ms) if job.spec.scheduled else None
-
     def _withdraw_start(self, unit, allocations):
         """Ends the runs of planned starts for which no order was sent."""
         for index, allocation in allocations.items():
@@ -439,7 +462,7 @@
         )
         for allocated_index in list(unit.allocations):
             self._request_stop(unit, allocated_index, "completed_earlier")
-        self._update_outcome(job)
+        self._update_outcome(job, [unit])
 
     def _record_duration(self, worker, unit, index, now):
         """Records the run time of a task that completed in its first run, within its rack.
@@ -513,7 +536,7 @@
         if cause is not EndCause.DONE and not was_done:
             for index in list(unit.allocations):
                 self._request_stop(unit, index, "member_ended")
-        self._update_outcome(unit.job)
+        self._update_outcome(unit.job, [unit])
 
     def _record_lost_worker(self, worker, unit, index, allocation, cause, now):
         """Adds a worker that was lost to the evidence against a task that ran on it."""
@@ -540,7 +563,7 @@
             unit.retry_at = 0.0
             self.unsaved_job_ids[unit.job.id] = True
             self._log_crash_evidence(unit, index, worker.id)
-            self._update_outcome(unit.job)
+            self._update_outcome(unit.job, [unit])
 
     def _attach_vanished_runs(self, unit, now):
         """Lets the workers that vanished under an earlier leader tell whether they crashed."""
@@ -563,11 +586,14 @@
             given_up=unit.given_up,
         )
 
-    def _update_outcome(self, job):
-        """Ends the job if it has completed or one of its units has no attempts left."""
+    def _update_outcome(self, job, units=None):
+        """Ends the job if it has completed or one of its units has no attempts left.
+
+        ``units`` are those that have changed, None for all.
+        """
         queue = job.accepted_queue if self.catalog is None else self.catalog.queue_of(job)
         # without the job's queue the limit of attempts is unknown, but the job can still complete
-        if job.update_outcome(queue.max_attempts if queue is not None else None):
+        if job.update_outcome(queue.max_attempts if queue is not None else None, units):
             self._handle_job_end(job)
 
     def _handle_job_end(self, job):
--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -102,6 +102,7 @@
     """
 
     __slots__ = (
+        "_state",
         "allocations",
         "checkpoint",
         "crash_evidence",
@@ -114,7 +115,6 @@
         "retry_at",
         "run",
         "size",
-        "state",
         "step",
     )
 
@@ -124,7 +124,7 @@
         self.step = step
         self.first_index = first_index
         self.size = size
-        self.state = UnitState.WAITING
+        self._state = UnitState.WAITING
         self.run = 0
         self.failures = 0
         self.checkpoint = ""
@@ -134,6 +134,17 @@
         self.ready_at = 0.0
         self.retry_at = 0.0
 
+    @property
+    def state(self):
+        """The ``UnitState``; a unit that is done stays so."""
+        return self._state
+
+    @state.setter
+    def state(self, state):
+        if state is UnitState.DONE and self._state is not UnitState.DONE:
+            self.job.record_done(self)
+        self._state = state
+
     @property
     def spec(self):
         """The ``StepSpec`` of this unit's step."""
@@ -285,6 +296,8 @@
     """
 
     __slots__ = (
+        "_steps_done",
+        "_undone",
         "_units",
         "accepted_ms",
         "accepted_queue",
@@ -308,6 +321,10 @@
         self.started = False
         self.record_version = 0
         self._units = {}
+        # numbers of units that are not done, by the keys of ``_units``
+        self._undone = {}
+        # number of these keys whose units are all done
+        self._steps_done = 0
 
     @property
     def ended(self):
@@ -364,8 +381,7 @@
             for step_index, step in enumerate(self.spec.steps):
                 key = (occurrence, step_index)
                 if key not in self._units and self._dependencies_done(occurrence, step):
-                    self._units[key] = self._make_units(occurrence, step_index, step)
-                    created.extend(self._units[key])
+                    created.extend(self._create_units(occurrence, step_index, step))
         return created
 
     def next_due_ms(self, now_ms):
@@ -376,25 +392,29 @@
                 return due
         return None
 
-    def update_outcome(self, max_failures):
+    def record_done(self, unit):
+        """Counts a unit that has just been done."""
+        key = (unit.occurrence, unit.step)
+        self._undone[key] -= 1
+        if not self._undone[key]:
+            self._steps_done += 1
+
+    def update_outcome(self, max_failures, units=None):
         """Sets the outcome if the job has failed or completed; returns True if it was set now.
 
-        The job fails when one unit has ``max_failures`` failed runs, never if ``max_failures`` is
-        None, and when a unit that is not done is given up.
+        ``units`` are those that have changed, None for all. The job fails when one unit has
+        ``max_failures`` failed runs, never if ``max_failures`` is None, and when a unit that is not
+        done is given up.
         """
         if self.ended:
             return False
-        if any(unit.given_up and unit.state is not UnitState.DONE for unit in self.units()):
-            self.outcome = Outcome.FAILED
-            return True
-        if max_failures is not None and any(
-            unit.failures >= max_failures
-            and unit.state is not UnitState.DONE
-            and not unit.spec.long_running
-            for unit in self.units()
-        ):
-            self.outcome = Outcome.FAILED
-            return True
+        for unit in self.units() if units is None else units:
+            if unit.state is UnitState.DONE:
+                continue
+            exhausted = max_failures is not None and unit.failures >= max_failures
+            if unit.given_up or (exhausted and not unit.spec.long_running):
+                self.outcome = Outcome.FAILED
+                return True
         if self._all_done():
             self.outcome = Outcome.COMPLETED
             return True
@@ -428,12 +448,15 @@
         self.started = record.get("started", False)
         for name, rows in record["units"].items():
             occurrence, step_index = map(int, name.split("."))
+            if not 0 <= occurrence < self.spec.occurrence_count:
+                raise ValueError(f"the job has no occurrence {occurrence}")
+            if not 0 <= step_index < len(self.spec.steps):
+                raise ValueError(f"the job has no step {step_index}")
             step = self.spec.steps[step_index]
-            units = self._make_units(occurrence, step_index, step)
+            units = self._create_units(occurrence, step_index, step)
             units_by_first_index = {unit.first_index: unit for unit in units}
             for row in rows:
                 units_by_first_index[row[0]].load_record(row)
-            self._units[(occurrence, step_index)] = units
         if "outcome" in record:
             self.outcome = Outcome(record["outcome"])
 
@@ -443,23 +466,22 @@
 
     def _step_done(self, occurrence, step_index):
         """Returns True if all units of the step are done in the occurrence."""
-        units = self._units.get((occurrence, step_index))
-        return units is not None and all(unit.state is UnitState.DONE for unit in units)
+        return self._undone.get((occurrence, step_index)) == 0
 
     def _all_done(self):
         """Returns True if all steps are done in all occurrences."""
-        steps = range(len(self.spec.steps))
-        return all(
-            self._step_done(occurrence, step_index)
-            for occurrence in range(self.spec.occurrence_count)
-            for step_index in steps
-        )
+        return self._steps_done == self.spec.occurrence_count * len(self.spec.steps)
 
-    def _make_units(self, occurrence, step_index, step):
-        """Returns new units of a step: one unit for a gang, else one for each task."""
+    def _create_units(self, occurrence, step_index, step):
+        """Adds and returns the units of a step: one unit for a gang, else one for each task."""
         if step.gang:
-            return [Unit(self, occurrence, step_index, 0, step.tasks)]
-        return [Unit(self, occurrence, step_index, index, 1) for index in range(step.tasks)]
+            units = [Unit(self, occurrence, step_index, 0, step.tasks)]
+        else:
+            units = [Unit(self, occurrence, step_index, index, 1) for index in range(step.tasks)]
+        key = (occurrence, step_index)
+        self._units[key] = units
+        self._undone[key] = len(units)
+        return units
 
 
 def _check_types(expected, *values):
--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -67,13 +67,15 @@
         self._headrooms = {}
         self.ranking = JobRanking()
         self._future_starts = FutureStarts(self.ranking)
+        self._passes = 0
 
-    def plan(self, jobs, catalog, now, now_ms, on_job_error):
+    def plan(self, jobs, catalog, now, now_ms, start_window, on_job_error):
         """Returns (starts, stops) for the waiting units of ``jobs``.
 
         ``now`` is in seconds of the monotonic clock, ``now_ms`` in Unix milliseconds. The
         decisions are not applied to the fleet; their resources count as used within this call
-        only. ``on_job_error`` is called with each job that cannot be planned, and the error.
+        only. ``start_window`` is the ``StartWindow``. ``on_job_error`` is called with each job that
+        cannot be planned, and the error.
         """
         starts, stops = [], []
         self._drop_obsolete_reservations(jobs, now)
@@ -82,11 +84,21 @@
             queue = catalog.queue_of(job)
             if queue is not None and not job.ended:
                 by_pool.setdefault(queue.pool, []).append((job, queue))
-        for pool, queued_jobs in by_pool.items():
-            self._plan_pool(pool, queued_jobs, catalog, now, now_ms, starts, stops, on_job_error)
+        pools = list(by_pool)
+        if pools:
+            # each pool comes first in turn, as the first ones may use up the window
+            self._passes += 1
+            first = self._passes % len(pools)
+            pools = pools[first:] + pools[:first]
+        for pool in pools:
+            self._plan_pool(
+                pool, by_pool[pool], catalog, now, now_ms, starts, stops, start_window, on_job_error
+            )
         return starts, stops
 
-    def _plan_pool(self, pool, queued_jobs, catalog, now, now_ms, starts, stops, on_job_error):
+    def _plan_pool(
+        self, pool, queued_jobs, catalog, now, now_ms, starts, stops, start_window, on_job_error
+    ):
         """Adds the decisions for one pool to ``starts`` and ``stops``.
 
         ``queued_jobs`` has pairs (job, queue) of the jobs in the pool.
@@ -119,6 +131,8 @@
             urgent = free_share >= SPREAD_FREE_SHARE or ranks[job_id][0] == URGENT_PRIORITY
             try:
                 for unit in units:
+                    if start_window.full:
+                        return
                     equivalence_key = _equivalence_key(unit)
                     if equivalence_key in blocked_keys:
                         continue
@@ -126,6 +140,11 @@
                     ends_at = now + self.ranking.expected_run_seconds(unit)
                     chosen = free_capacity.find_workers(unit, any_rack, urgent, ends_at)
                     if chosen is not None:
+                        if not start_window.allows([capacity.worker.id for capacity, _ in chosen]):
+                            blocked_keys.add(equivalence_key)
+                            continue
+                        for capacity, tasks in chosen:
+                            start_window.plan(capacity.worker.id, tasks)
                         free_capacity.allocate(unit, chosen)
                         self._reservations.pop(unit.key, None)
                         self._future_starts.discard(unit)
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -8,16 +8,13 @@
 import functools
 import logging
 import time
+from collections import deque
 
 import trio
 
 from ibiscart_core.workflow.engine import Engine
 from ibiscart_entry.coordination.job_feed import JobFeed
-from ibiscart_entry.coordination.leadership import (
-    HEARTBEAT_SECONDS,
-    LeadershipLost,
-    WriteGroup,
-)
+from ibiscart_entry.coordination.leadership import LeadershipLost, WriteGroup
 from ibiscart_entry.coordination.record import PENDING_KEY, encode
 from ibiscart_entry.coordination.worker_feed import WorkerFeed
 from ibiscart_entry.isolation import record_error, run_isolated
@@ -39,6 +36,8 @@
 # most announcements that wait to be read; the jobs of further ones are read later, from the changes
 # of the jobs table
 MAX_QUEUED_ANNOUNCEMENTS = 500
+# announced jobs that are read at the same time: as many as the jobs table has partitions
+ANNOUNCEMENT_READERS = 16
 
 
 class Coordinator:
@@ -95,6 +94,8 @@
             on_job_error=on_job_error,
         )
         self._nursery = None
+        # stop orders that wait to be sent
+        self._stops = deque()
         self._announcements, self._received_announcements = trio.open_memory_channel(
             MAX_QUEUED_ANNOUNCEMENTS
         )
@@ -107,12 +108,14 @@
         """Runs all jobs until the leadership is lost; raises ``LeadershipLost``."""
         try:
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._leadership.keep_renewing)
                 jobs_version, workers_version = await self._load(nursery)
                 self._nursery = nursery
                 self._workers.begin()
                 nursery.start_soon(self._jobs.follow, jobs_version)
                 nursery.start_soon(self._workers.follow, workers_version)
-                nursery.start_soon(self._read_announced_jobs, nursery)
+                for _ in range(ANNOUNCEMENT_READERS):
+                    nursery.start_soon(self._read_announced_jobs)
                 nursery.start_soon(self._follow_catalog)
                 nursery.start_soon(self._verify_leadership)
                 nursery.start_soon(self._jobs.remove_expired)
@@ -143,27 +146,22 @@
         except trio.WouldBlock:
             self._metrics.count("dropped", "announcement")
 
-    async def _read_announced_jobs(self, nursery):
-        """Reads the announced jobs, each in a task of ``nursery``, until cancelled."""
+    async def _read_announced_jobs(self):
+        """Reads announced jobs one after another until cancelled."""
         async for job_ids in self._received_announcements:
             for job_id in job_ids:
-                nursery.start_soon(
-                    run_isolated, self._metrics, "job", job_id, self._jobs.read_job, job_id
-                )
+                await run_isolated(self._metrics, "job", job_id, self._jobs.read_job, job_id)
 
     async def _load(self, session_nursery):
-        """Loads the workers and the jobs from the store while it renews the leadership.
+        """Loads the workers and the jobs from the store.
 
         Opens the sessions with the workers in ``session_nursery``. Returns the versions of the jobs
         table and of the worker directory.
         """
         started_at = trio.current_time()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._renew_leadership)
-            workers_version = await self._workers.load()
-            self._workers.open_sessions(session_nursery)
-            jobs_version = await self._jobs.load()
-            nursery.cancel_scope.cancel()
+        workers_version = await self._workers.load()
+        self._workers.open_sessions(session_nursery)
+        jobs_version = await self._jobs.load()
         fields = {
             "epoch": self._leadership.epoch,
             "jobs": len(self._engine.jobs),
@@ -173,12 +171,6 @@
         LOG.info("The state is loaded.", extra=fields)
         return jobs_version, workers_version
 
-    async def _renew_leadership(self):
-        """Renews the leadership once per heartbeat until cancelled."""
-        while True:
-            await self._leadership.commit()
-            await trio.sleep(HEARTBEAT_SECONDS)
-
     async def _read_with_retries(self, call):
         """Returns the result of ``call``, repeated until the store responds.
 
@@ -219,29 +211,42 @@
 
         A start is sent only after it is recorded, so that a later leader knows of its run.
         """
-        heartbeat_at = trio.current_time()
         while True:
-            timeout = min(PASS_INTERVAL_SECONDS, max(0.0, heartbeat_at - trio.current_time()))
-            with trio.move_on_after(timeout):
+            with trio.move_on_after(PASS_INTERVAL_SECONDS):
                 await self._pass_requested.wait()
             self._pass_requested = trio.Event()
             now = trio.current_time()
             orders, stops = self._plan_pass(now)
-            for stop in stops:
-                self._workers.send_stop(stop)
+            self._stops.extend(stops)
+            self._send_stops()
             last_applied_ends = self._workers.last_applied_ends()
-            groups = [*self._jobs.collect_writes(now), *self._collect_pending_count_writes(now)]
-            orders = self._engine.withdraw_starts(orders, self._engine.unsaved_job_ids)
-            if groups or now >= heartbeat_at:
+            groups, unrecorded = await self._jobs.collect_writes(now)
+            groups.extend(self._collect_pending_count_writes(now))
+            if groups:
                 rejected = await self._leadership.commit(groups)
-                self._jobs.apply_commit(groups, rejected, trio.current_time())
-                orders = self._engine.withdraw_starts(orders, {group.job_id for group in rejected})
-                heartbeat_at = trio.current_time() + HEARTBEAT_SECONDS
+                unrecorded |= self._jobs.apply_commit(groups, rejected, trio.current_time())
                 self._metrics.observe("commit_seconds", "", trio.current_time() - now)
             self._workers.confirm_recorded(last_applied_ends)
-            for order in orders:
+            for order in self._engine.withdraw_starts(orders, unrecorded):
+                order.sent_at = trio.current_time()
                 self._workers.send_start(order)
             self._workers.remove_departed_workers(now)
+            await self._measure_delay()
+
+    def _send_stops(self):
+        """Sends the oldest stop orders, as many at once as the process carries out promptly."""
+        for _ in range(min(len(self._stops), self._engine.order_limit)):
+            self._workers.send_stop(self._stops.popleft())
+        if self._stops:
+            self._request_pass()
+
+    async def _measure_delay(self):
+        """Measures how long the ready tasks of this process take, such as the starts just sent."""
+        started_at = trio.current_time()
+        await trio.lowlevel.checkpoint()
+        now = trio.current_time()
+        self._engine.record_delay(now - started_at, now)
+        self._metrics.observe("task_delay_seconds", "", now - started_at)
 
     def _plan_pass(self, now):
         """Returns (``StartOrder`` list, ``StopOrder`` list) of one planning pass."""
--- a/packages/entry/src/ibiscart_entry/coordination/job_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_feed.py
@@ -12,6 +12,7 @@
 from ibiscart_core.workflow.suspension import Suspensions
 from ibiscart_entry.coordination.leadership import WriteGroup
 from ibiscart_entry.coordination.record import (
+    CANCEL_SUFFIX,
     JOBS_TABLE,
     PROGRESS_TABLE,
     cancel_key,
@@ -92,7 +93,7 @@
             nursery.start_soon(read, JOBS_TABLE)
             nursery.start_soon(read, PROGRESS_TABLE)
         progress_values = self._sort_progress_rows(snapshots[PROGRESS_TABLE].rows)
-        self._apply_rows(snapshots[JOBS_TABLE].rows, progress_values)
+        await self._apply_rows(snapshots[JOBS_TABLE].rows, progress_values)
         return snapshots[JOBS_TABLE].version
 
     async def follow(self, version):
@@ -109,7 +110,7 @@
                 continue
             version = changes.version
             if changes.rows:
-                self._apply_rows(changes.rows)
+                await self._apply_rows(changes.rows)
                 self._on_change()
 
     async def read_job(self, job_id):
@@ -122,19 +123,21 @@
             # later
             LOG.warning("A job cannot be read.", extra={"job": job_id, "cause": error.reason})
             return
-        self._apply_rows(rows)
+        await self._apply_rows(rows)
         self._on_change()
 
-    def collect_writes(self, now):
-        """Returns the ``WriteGroup`` objects that record all changes of jobs since the last call.
+    async def collect_writes(self, now):
+        """Returns the changes of jobs since the last call, and the ids of those not recorded.
 
-        A job whose record cannot be built stays in ``unsaved_job_ids`` of the engine. ``now`` is
-        monotonic seconds.
+        The changes are a list of ``WriteGroup`` objects. A job whose record cannot be built stays
+        in ``unsaved_job_ids`` of the engine. ``now`` is monotonic seconds.
         """
-        groups = []
+        groups, unrecorded = [], set()
         unsaved_job_ids = self._engine.unsaved_job_ids
         for job_id in list(unsaved_job_ids):
+            await trio.lowlevel.checkpoint()
             if self._unrecordable.suspended(job_id, now):
+                unrecorded.add(job_id)
                 continue
             job = self._engine.jobs.get(job_id)
             if job is not None:
@@ -144,23 +147,25 @@
                     )
                 except Exception as error:
                     self._suspend(job_id, error, now)
+                    unrecorded.add(job_id)
                     continue
                 groups.append(WriteGroup(writes, job_id))
                 if job.ended:
                     self._ended_at.setdefault(job_id, now)
-            del unsaved_job_ids[job_id]
+            unsaved_job_ids.pop(job_id, None)
         # progress records are removed after the rows of their jobs: a job without a progress
         # record would appear never to have run
         for job_id in self._removed_job_ids:
             part_count = self._part_counts.pop(job_id, 0)
             groups.append(WriteGroup(progress_deletes(job_id, part_count)))
         self._removed_job_ids.clear()
-        return groups
+        return groups, unrecorded
 
     def apply_commit(self, groups, rejected, now):
         """Applies the outcome of a commit of ``groups``, of which the store rejected some.
 
-        A job whose record was rejected is suspended, and recorded again later.
+        A job whose record was rejected is suspended, and recorded again later. Returns the ids of
+        these jobs.
         """
         for group in groups:
             if group.job_id in self._engine.jobs and group not in rejected:
@@ -169,6 +174,7 @@
             if group.job_id in self._engine.jobs:
                 self._engine.unsaved_job_ids[group.job_id] = True
                 self._suspend(group.job_id, TransactionRejected(group.rejection), now)
+        return {group.job_id for group in rejected}
 
     def _suspend(self, job_id, error, now):
         """Leaves out a job that cannot be recorded for a growing time."""
@@ -213,27 +219,31 @@
                 except Exception as error:
                     self._on_job_error(job_id, error)
 
-    def _apply_rows(self, rows, progress_values=None):
+    async def _apply_rows(self, rows, progress_values=None):
         """Adds the jobs that the engine does not have yet and cancels those marked as cancelled.
 
         ``rows`` are of the jobs table. ``progress_values`` has the arguments of ``decode_progress``
         by job id. A job without a progress record is logged as accepted.
         """
-        jobs, cancelled = jobs_from_rows(rows)
-        now = trio.current_time()
-        for job_id, job in jobs.items():
-            if job_id in self._engine.jobs or job_id in self._set_aside_ids:
-                continue
-            try:
-                self._add_job(job, (progress_values or {}).get(job_id), now)
-            except Exception as error:
-                self._set_aside(job_id, error)
-        for job_id in cancelled:
-            try:
-                if self._engine.cancel(job_id) or job_id in self._set_aside_ids:
-                    self._ended_at.setdefault(job_id, now)
-            except Exception as error:
-                self._on_job_error(job_id, error)
+        # a cancelled job is added and cancelled at once, although its rows may be far apart
+        _, cancelled = jobs_from_rows([row for row in rows if row.key.endswith(CANCEL_SUFFIX)])
+        for row in rows:
+            await trio.lowlevel.checkpoint()
+            jobs, marked = jobs_from_rows([row])
+            now = trio.current_time()
+            for job_id, job in jobs.items():
+                if job_id in self._engine.jobs or job_id in self._set_aside_ids:
+                    continue
+                try:
+                    self._add_job(job, (progress_values or {}).get(job_id), now)
+                except Exception as error:
+                    self._set_aside(job_id, error)
+            for job_id in marked | (cancelled & jobs.keys()):
+                try:
+                    if self._engine.cancel(job_id) or job_id in self._set_aside_ids:
+                        self._ended_at.setdefault(job_id, now)
+                except Exception as error:
+                    self._on_job_error(job_id, error)
 
     def _add_job(self, job, progress_values, now):
         """Adds a job to the engine, in the state of its progress record unless it has none."""
--- a/packages/entry/src/ibiscart_entry/coordination/leadership.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leadership.py
@@ -108,6 +108,7 @@
         self._lock = trio.Lock()
         self.confirmed_at = None
         self.leader_address = ""
+        self._committed_at = clock()
 
     @property
     def name(self):
@@ -176,6 +177,17 @@
                 await self._commit_accepted(batch, rejected)
         return rejected
 
+    async def keep_renewing(self):
+        """Writes the leader's row whenever no commit has done so for a heartbeat, until cancelled.
+
+        Raises ``LeadershipLost``.
+        """
+        while True:
+            await trio.sleep(max(0.0, self._committed_at + HEARTBEAT_SECONDS - self._clock()))
+            async with self._lock:
+                if self._clock() >= self._committed_at + HEARTBEAT_SECONDS:
+                    await self._commit_batch([])
+
     def _make_batches(self, groups):
         """Yields lists of groups, each for one transaction; one empty list without any group."""
         batch, rows, size = [], 0, 0
@@ -253,6 +265,7 @@
             if not error.sent or not await self._has_acquired(new_row):
                 return False
         self.confirmed_at = sent_at
+        self._committed_at = self._clock()
         self.leader_address = self._address
         fields = {"epoch": new_row.epoch, "previous": stored.node, "previous_version": version}
         LOG.info("This entry leads.", extra=fields)
@@ -302,6 +315,7 @@
             LOG.info("The commit succeeded.", extra={"tries": attempts, "batch": new_row.batch})
         self._row, self._version = new_row, version
         self.confirmed_at = sent_at
+        self._committed_at = self._clock()
 
     def _leader_row_write(self, leader_row):
         """Returns the ``TableWrite`` that replaces the leader's row if it has not changed."""
--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -13,6 +13,7 @@
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
 __all__ = [
+    "CANCEL_SUFFIX",
     "JOBS_TABLE",
     "LEADER_KEY",
     "NODES_PARTITION",
--- a/tests/core/workflow/test_engine.py
+++ b/tests/core/workflow/test_engine.py
@@ -1,6 +1,7 @@
 """Tests of the outcomes that the engine sets."""
 
 import unittest
+from unittest import mock
 
 from ibiscart_core.workflow.catalog import Catalog
 from ibiscart_core.workflow.job import EndCause, Job, Outcome
@@ -19,6 +20,19 @@
         harness.end_unit(next(job.units()))
         self.assertIs(Outcome.COMPLETED, job.outcome)
 
+    def test_cost_of_the_end_of_a_task_does_not_grow_with_its_job(self):
+        """Guards against a leader that is busy for seconds with the ends of one large job."""
+        harness = EngineHarness()
+        job = harness.submit("a", step(8), step(8))
+        harness.run_pass()
+        units = list(job.units())
+        with mock.patch.object(Job, "units", side_effect=AssertionError("all units are read")):
+            for unit in units[:-1]:
+                harness.end_unit(unit)
+            self.assertIsNone(job.outcome)
+        harness.end_unit(units[-1])
+        self.assertIs(Outcome.COMPLETED, job.outcome)
+
     def test_job_of_a_queue_that_was_removed_completes(self):
         harness = EngineHarness()
         job = harness.submit("a", step())
--- a/tests/core/workflow/test_engine_model.py
+++ b/tests/core/workflow/test_engine_model.py
@@ -81,9 +81,9 @@
 
         update_outcome = Engine._update_outcome
 
-        def update_if_configured(engine, job):
+        def update_if_configured(engine, job, *units):
             if engine.catalog is not None:
-                update_outcome(engine, job)
+                update_outcome(engine, job, *units)
 
         with mock.patch.object(Engine, "apply_catalog", set_catalog):
             with mock.patch.object(Engine, "_update_outcome", update_if_configured):
--- a/tests/platform/test_leader_failures.py
+++ b/tests/platform/test_leader_failures.py
@@ -1,9 +1,11 @@
 """Tests of leader failures over the stand-ins, in virtual time."""
 
 import unittest
+from unittest import mock
 
 import trio
 
+from ibiscart_entry.coordination.job_feed import JobFeed
 from tests.platform.deployment import (
     CONFIGURATION,
     JOB_ID,
@@ -184,6 +186,26 @@
 
         run_virtual(main)
 
+    def test_leadership_is_renewed_while_a_pass_takes_long(self):
+        """Guards against elections that follow one another while the leader has much to do."""
+
+        async def main():
+            async with Deployment() as deployment:
+                leader = deployment.leader()
+                original = JobFeed.collect_writes
+
+                async def collect_writes(feed, now):
+                    await trio.sleep(5)
+                    return await original(feed, now)
+
+                with mock.patch.object(JobFeed, "collect_writes", collect_writes):
+                    for _ in range(100):
+                        await trio.sleep(0.1)
+                        self.assertLess(leader.leadership.unconfirmed_seconds, 0.6)
+                self.assertIs(leader, deployment.leader())
+
+        run_virtual(main)
+
     def test_resigned_leader_is_replaced_within_half_a_second(self):
         async def main():
             async with Deployment() as deployment:
