Engine: a run that a full list of ends leaves out is not taken for absent

Cause: a worker lists 500 ends at a time. A run beyond them is in neither list and was taken for lost: stopped, and started again once the stop was acknowledged, while its end was still to be listed. The stand-in of a worker lists 500 ends at a time, as the platform's workers do.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -164,6 +164,9 @@
         counted_jobs = set()
         for end in status.ended:
             self._apply_end(worker, end, now, counted_jobs)
+        if not status.complete:
+            # a run that is not listed may have ended
+            return
         for key, unit in list(worker.units_by_run.items()):
             if key not in listed:
                 self._apply_missing_run(worker, key, unit, status.incarnation, asked_at, now)
--- a/packages/core/src/ibiscart_core/workflow/report.py
+++ b/packages/core/src/ibiscart_core/workflow/report.py
@@ -38,17 +38,18 @@
 class WorkerStatus:
     """The runs of a worker at one moment; ``clock_ms`` is the worker's clock in milliseconds.
 
-    ``ended`` has the ends that the leader has not acknowledged. ``incarnation`` is None if the
-    worker did not report it.
+    ``ended`` has the ends that the leader has not acknowledged; unless ``complete``, there may be
+    further ones. ``incarnation`` is None if the worker did not report it.
     """
 
-    __slots__ = ("clock_ms", "ended", "incarnation", "running")
+    __slots__ = ("clock_ms", "complete", "ended", "incarnation", "running")
 
-    def __init__(self, clock_ms, running=(), ended=(), incarnation=None):
+    def __init__(self, clock_ms, running=(), ended=(), incarnation=None, complete=True):
         self.clock_ms = clock_ms
         self.running = tuple(running)
         self.ended = tuple(ended)
         self.incarnation = incarnation
+        self.complete = complete
 
     def has_run(self, task_key, run):
         """Returns True if the run is on the worker, or has ended there."""
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -20,6 +20,8 @@
 STOP_DELAY_SECONDS = 0.1
 GANG_START_TIMEOUT_SECONDS = 3.0
 CLOCK_START_MS = 1000
+# the platform's limit: further ends are listed once these are acknowledged
+MAX_LISTED_ENDS = 500
 # the platform's limit: a capacity that has shrunk counts this much later, 3 s and one heartbeat
 CAPACITY_GRACE_SECONDS = 4.5
 # time from the start of a task that crashes its worker to the crash
@@ -333,7 +335,8 @@
             while not self.ended:
                 await self._changed.wait()
         rows = [[task, run.number, "", 100] for task, run in self.running.items()]
-        body = {"clockMs": self.clock_ms, "running": rows, "endedRuns": self.ended}
+        ended = self.ended[:MAX_LISTED_ENDS]
+        body = {"clockMs": self.clock_ms, "running": rows, "endedRuns": ended}
         return Response.from_json(200, {**body, "born": self.incarnation})
 
     async def _expire_leases(self):
