Workers: the read of a draining worker's entry is not the time of its last write

Cause: an entry that is dropped sooner than two heartbeats after its last write shows a departure, but the time at which the entry was read stood for that of the write. Where all entries are read again after a lost history, or a slow or silent store delays the read, the entry that expires later seemed to be withdrawn. Change: a write counts from the time at which an earlier read of the directory did not show it yet; after a lost history it is unknown, and the runs wait for their leases.

--- a/packages/core/src/ibiscart_core/workflow/fleet.py
+++ b/packages/core/src/ibiscart_core/workflow/fleet.py
@@ -70,17 +70,18 @@
     until its list of runs has been read, and while it does not answer. ``units_by_run`` maps
     (task key, run) to the unit of the run. ``vanished_runs`` has (unit, index of the task)
     of the runs that were lost while it did not answer, until it is known whether it crashed.
-    ``leaves_at``, ``last_seen_at``, ``suspended_until``, ``unreachable_at`` (when it stopped
-    answering) and ``vanished_at`` are in seconds of the monotonic clock.
+    ``leaves_at``, ``reported_after``, ``suspended_until``, ``unreachable_at`` (when it stopped
+    answering) and ``vanished_at`` are in seconds of the monotonic clock. The worker wrote its last
+    report after ``reported_after``, which is None if that time is unknown.
     """
 
     __slots__ = (
         "info",
-        "last_seen_at",
         "leaves_at",
         "reachable",
         "registered",
         "reliability",
+        "reported_after",
         "suspended_until",
         "units_by_run",
         "unreachable_at",
@@ -98,7 +99,7 @@
         self.suspended_until = 0.0
         self.reliability = Reliability()
         self.leaves_at = None
-        self.last_seen_at = None
+        self.reported_after = None
         self.unreachable_at = 0.0
         self.vanished_at = 0.0
         self.vanished_runs = []
@@ -132,9 +133,12 @@
             and not self.reliability.is_ejected(now)
         )
 
-    def record_report(self, now):
-        """Records the time of a report, and when a draining worker may leave if known."""
-        self.last_seen_at = now
+    def record_report(self, now, written_after):
+        """Records that a report was read, and when a draining worker may leave if known.
+
+        ``written_after`` is a time before the worker wrote the report, None if none is known.
+        """
+        self.reported_after = written_after
         if self.info.draining and self.info.remaining_ms is not None:
             self.leaves_at = now + self.info.remaining_ms / 1000
 
@@ -144,9 +148,9 @@
         The directory drops the entry of a silent worker after ``silence_seconds``. A draining
         worker whose entry is dropped sooner has ended, together with all its runs.
         """
-        if not self.info.draining or self.last_seen_at is None:
+        if not self.info.draining or self.reported_after is None:
             return False
-        return now - self.last_seen_at < silence_seconds
+        return now - self.reported_after < silence_seconds
 
     def record_vanished_run(self, unit, index, now):
         """Records that a task's run was lost while the worker did not answer."""
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -72,11 +72,15 @@
         self._hedge = CallHedge()
         self._assumed_lease_expiry = {}
         self._nursery = None
+        # version of the directory up to which its changes are known, and a time at which no later
+        # change had been made
         self._version = None
+        self._read_at = None
         self._loaded = trio.Event()
 
     async def load(self):
         """Adds all registered workers to the engine; returns the version of the directory."""
+        self._read_at = trio.current_time()
         infos, version = await self._read_with_retries(self._directory.snapshot)
         for info in infos.values():
             self._engine.fleet.add(info)
@@ -115,12 +119,18 @@
     async def _follow_changes(self):
         """Applies the changes of the directory until cancelled."""
         while True:
+            sent_at, written_after = trio.current_time(), self._read_at
             try:
                 infos, self._version = await self._directory.changes(
                     self._version, LONG_POLL_SECONDS
                 )
+                # a read without a result has waited for one at the directory
+                waited = not infos and trio.current_time() - sent_at >= LONG_POLL_SECONDS
+                self._read_at = sent_at + LONG_POLL_SECONDS if waited else sent_at
             except HistoryLost:
+                self._read_at = written_after = None
                 snapshot, self._version = await self._read_with_retries(self._directory.snapshot)
+                self._read_at = sent_at
                 removed = set(self._engine.fleet.workers) - set(snapshot)
                 infos = {**snapshot, **dict.fromkeys(removed)}
             except StoreError as error:
@@ -129,7 +139,7 @@
                 continue
             for worker_id, info in infos.items():
                 try:
-                    self._apply_change(worker_id, info)
+                    self._apply_change(worker_id, info, written_after)
                 except Exception as error:
                     record_error(self._metrics, "worker", worker_id, error)
             if infos:
@@ -203,14 +213,17 @@
             self._assumed_lease_expiry.pop(worker.id, None)
             self._engine.fleet.remove(worker.id)
 
-    def _apply_change(self, worker_id, info):
-        """Applies the ``WorkerInfo`` of a worker, None if it has left."""
+    def _apply_change(self, worker_id, info, written_after):
+        """Applies the ``WorkerInfo`` of a worker, None if it has left.
+
+        ``written_after`` is a time before the change was made, None if none is known.
+        """
         if info is None:
             self._apply_removal(worker_id)
         else:
-            self._apply_registration(worker_id, info)
+            self._apply_registration(worker_id, info, written_after)
 
-    def _apply_registration(self, worker_id, info):
+    def _apply_registration(self, worker_id, info, written_after):
         """Adds or updates a worker and opens a session if it has none with this address."""
         worker = self._engine.fleet.get(worker_id)
         if worker is None or not worker.registered:
@@ -224,7 +237,7 @@
         elif info.draining and not worker.info.draining:
             LOG.info("A worker is leaving.", extra={"worker": worker_id})
         worker = self._engine.fleet.add(info)
-        worker.record_report(trio.current_time())
+        worker.record_report(trio.current_time(), written_after)
         session = self._sessions.get(worker_id)
         if session is not None and session.address != info.address:
             session.close()
--- a/tests/platform/test_worker_isolation.py
+++ b/tests/platform/test_worker_isolation.py
@@ -138,10 +138,10 @@
     def test_error_in_the_registration_of_one_worker_stops_no_other(self):
         record_report = FleetWorker.record_report
 
-        def fail(worker, now):
+        def fail(worker, now, written_after):
             if worker.id == "w0":
                 raise OverflowError("remaining time")
-            record_report(worker, now)
+            record_report(worker, now, written_after)
 
         async def main():
             with mock.patch.object(FleetWorker, "record_report", fail):
