Workers: an entry that cannot be read shows no departure of its worker

Cause: the directory reported an entry that cannot be read, one that is missing when all are read again, and one that was removed in the same way, and a draining worker was taken to have left. Change: the directory names removed registrations apart from those that cannot be used. The latter leave the worker unregistered: no new work, and its runs go on as long as it answers, else until their leases have ended.

--- a/packages/entry/src/ibiscart_entry/coordination/agent.py
+++ b/packages/entry/src/ibiscart_entry/coordination/agent.py
@@ -65,14 +65,18 @@
 
     @abstractmethod
     async def snapshot(self):
-        """Returns (``WorkerInfo`` by worker id, version); raises ``StoreError``."""
+        """Returns (``WorkerInfo`` by worker id, version); raises ``StoreError``.
+
+        Has no registration that cannot be used.
+        """
 
     @abstractmethod
     async def changes(self, after, wait_seconds):
         """Returns the changes after version ``after``; waits up to ``wait_seconds`` for one.
 
-        The result is (``WorkerInfo`` by worker id, None for removed workers; new version). Raises
-        ``HistoryLost`` when a snapshot is needed instead, and ``StoreError``.
+        The result is (``WorkerInfo`` by worker id, None for a registration that cannot be used; ids
+        of the workers whose registrations were removed; new version). Raises ``HistoryLost`` when a
+        snapshot is needed instead, and ``StoreError``.
         """
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -121,28 +121,31 @@
         while True:
             sent_at, written_after = trio.current_time(), self._read_at
             try:
-                infos, self._version = await self._directory.changes(
+                infos, removed_ids, self._version = await self._directory.changes(
                     self._version, LONG_POLL_SECONDS
                 )
                 # a read without a result has waited for one at the directory
-                waited = not infos and trio.current_time() - sent_at >= LONG_POLL_SECONDS
+                waited = not (infos or removed_ids)
+                waited = waited and trio.current_time() - sent_at >= LONG_POLL_SECONDS
                 self._read_at = sent_at + LONG_POLL_SECONDS if waited else sent_at
             except HistoryLost:
                 self._read_at = written_after = None
                 snapshot, self._version = await self._read_with_retries(self._directory.snapshot)
                 self._read_at = sent_at
-                removed = set(self._engine.fleet.workers) - set(snapshot)
-                infos = {**snapshot, **dict.fromkeys(removed)}
+                missing_ids = set(self._engine.fleet.workers) - set(snapshot)
+                infos, removed_ids = {**snapshot, **dict.fromkeys(missing_ids)}, set()
             except StoreError as error:
                 LOG.warning("The workers cannot be followed.", extra={"cause": error.reason})
                 await trio.sleep(RETRY_SECONDS)
                 continue
             for worker_id, info in infos.items():
-                try:
-                    self._apply_change(worker_id, info, written_after)
-                except Exception as error:
-                    record_error(self._metrics, "worker", worker_id, error)
-            if infos:
+                if info is None:
+                    self._apply_isolated(self._apply_absence, worker_id)
+                else:
+                    self._apply_isolated(self._apply_registration, worker_id, info, written_after)
+            for worker_id in removed_ids:
+                self._apply_isolated(self._apply_removal, worker_id)
+            if infos or removed_ids:
                 self._on_change()
             await trio.sleep(MIN_POLL_INTERVAL_SECONDS)
 
@@ -213,18 +216,18 @@
             self._assumed_lease_expiry.pop(worker.id, None)
             self._engine.fleet.remove(worker.id)
 
-    def _apply_change(self, worker_id, info, written_after):
-        """Applies the ``WorkerInfo`` of a worker, None if it has left.
-
-        ``written_after`` is a time before the change was made, None if none is known.
-        """
-        if info is None:
-            self._apply_removal(worker_id)
-        else:
-            self._apply_registration(worker_id, info, written_after)
+    def _apply_isolated(self, apply, worker_id, *args):
+        """Applies a change of one worker by a function; logs and counts an unexpected error."""
+        try:
+            apply(worker_id, *args)
+        except Exception as error:
+            record_error(self._metrics, "worker", worker_id, error)
 
     def _apply_registration(self, worker_id, info, written_after):
-        """Adds or updates a worker and opens a session if it has none with this address."""
+        """Adds or updates a worker and opens a session if it has none with this address.
+
+        ``written_after`` is a time before the registration was written, None if none is known.
+        """
         worker = self._engine.fleet.get(worker_id)
         if worker is None or not worker.registered:
             fields = {
@@ -247,6 +250,14 @@
         elif not worker.reachable:
             session.wake()
 
+    def _apply_absence(self, worker_id):
+        """Marks a worker without a usable registration as unregistered; its runs may go on."""
+        worker = self._engine.fleet.get(worker_id)
+        if worker is None or not worker.registered:
+            return
+        worker.registered = False
+        LOG.warning("The registration of a worker is missing.", extra={"worker": worker_id})
+
     def _apply_removal(self, worker_id):
         """Marks a worker as unregistered; ends its runs at once if it left after its drain."""
         worker = self._engine.fleet.get(worker_id)
--- a/tests/platform/test_worker_departures.py
+++ b/tests/platform/test_worker_departures.py
@@ -36,6 +36,15 @@
 
         self.check(lose_history)
 
+    def test_entry_that_is_missing_after_the_history_was_lost_is_no_departure(self):
+        async def lose_history(deployment, worker):
+            deployment.register(worker.id, state="draining")
+            await trio.sleep(1.0)
+            deployment.store.put("servers", worker.id, b"\xff")
+            deployment.store.compact()
+
+        self.check(lose_history)
+
     def test_entry_that_expires_after_a_silent_store_is_no_departure(self):
         # the time at which the entry was read counted as that of the worker's last write
         async def silence(deployment, worker, seconds):
@@ -52,6 +61,20 @@
             with self.subTest(seconds=seconds):
                 self.check(functools.partial(silence, seconds=seconds))
 
+    def test_entry_that_cannot_be_read_is_no_departure(self):
+        async def spoil(deployment, worker, value, remove):
+            deployment.register(worker.id, state="draining")
+            await trio.sleep(1.0)
+            deployment.store.put("servers", worker.id, value)
+            if remove:
+                await trio.sleep(1.0)
+                deployment.store.delete("servers", worker.id)
+
+        for value in (b"\xff", {"state": "draining"}, []):
+            for remove in (False, True):
+                with self.subTest(value=value, remove=remove):
+                    self.check(functools.partial(spoil, value=value, remove=remove))
+
 
 if __name__ == "__main__":
     unittest.main()
