Session: a start on the clock of a worker's earlier life may hold its longest lease

Cause: a worker that starts again under its id within 3 s of its last answer gets deadlines that count from its old clock, and grants its longest lease, 10 s, while the leader expected 6.5 s. If it is cut off then, its task starts elsewhere while it runs on. Evidence: a test in virtual time, the start answered or not, the poll beside it answered or not: a run beside its next run in all 4 cases before, none now. Change: each clock that a worker returns tells how far away the latest deadline is, and the expected expiry follows it; a start without an answer, and a new life of the worker, count with the longest lease. The age of the last clock no longer matters, so an answered start on a worker that was idle counts with a lease of the usual length.

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -30,10 +30,6 @@
 # longest delay of a poll's response while a run is being stopped: a run that the worker does not
 # have ends with the first list that was read after its stop, and the worker reports no event for it
 STOPPING_POLL_SECONDS = 0.2
-# age of the worker's clock, as last read, from which the worker may have restarted unnoticed: a
-# long poll with a margin for its response reads it more often. A deadline that counts from the
-# clock of an earlier incarnation makes the worker grant its longest lease
-MAX_CLOCK_AGE_SECONDS = LONG_POLL_SECONDS + 1.0
 # interval at which leases are extended while the leader loads the jobs
 LOADING_POLL_SECONDS = 1.0
 # pause after a failed poll; a start that gets no response or misses its deadline has no pause after
@@ -100,6 +96,10 @@
         self._metrics = metrics
         self._worker_clock_ms = None
         self._worker_clock_read_at = 0.0
+        # latest deadline that was sent on the clock of the present incarnation or, until the
+        # restart is known, of the previous one
+        self._latest_deadline_ms = None
+        self._deadline_sent_at = 0.0
         self._incarnation = worker.info.incarnation
         self._recorded_sequence = 0
         self._acknowledged_sequence = 0
@@ -339,22 +339,29 @@
             return None
         if self._leadership.unconfirmed_seconds >= MAX_UNCONFIRMED_SECONDS:
             return None
-        deadline_ms = self._lease_deadline_ms(now)
-        self._extend_lease_expiry(now)
-        return deadline_ms
+        return self._extend_deadline(now)
 
     async def _call_start(self, order):
-        """Orders a start once; returns (``StartResult``, worker's clock in ms or None)."""
-        sent_at = trio.current_time()
-        self._extend_lease_expiry(sent_at)
-        return await self._agent.start(
-            self._leadership.epoch,
-            order.task_key,
-            order.run,
-            order.unit.job.spec.payload,
-            order.unit.checkpoint,
-            self._lease_deadline_ms(sent_at),
-        )
+        """Orders a start once; returns (``StartResult``, worker's clock in ms or None).
+
+        Without an answer the worker may have restarted unnoticed and have granted the run its
+        longest lease, as the deadline counts from the clock of its earlier incarnation.
+        """
+        deadline_ms = self._extend_deadline(trio.current_time())
+        result, clock_ms = StartResult.UNKNOWN, None
+        try:
+            result, clock_ms = await self._agent.start(
+                self._leadership.epoch,
+                order.task_key,
+                order.run,
+                order.unit.job.spec.payload,
+                order.unit.checkpoint,
+                deadline_ms,
+            )
+        finally:
+            if clock_ms is None and result is not StartResult.NOT_SENT:
+                self._expires_at = max(self._expires_at, self._longest_lease_expiry())
+        return result, clock_ms
 
     async def _repeat_start(self, order):
         """Orders a start again unless the worker has the run; returns as ``_call_start`` does.
@@ -460,6 +467,8 @@
             self._worker.info.incarnation = status.incarnation
             self._applied_sequence = self._recorded_sequence = self._acknowledged_sequence = 0
             self._worker_clock_ms = None
+            self._expires_at = max(self._expires_at, self._longest_lease_expiry())
+            self._latest_deadline_ms = None
         else:
             self._acknowledged_sequence = max(self._acknowledged_sequence, acknowledged_end)
         self._record_clock(status.clock_ms)
@@ -497,22 +506,38 @@
             self._on_change()
 
     def _record_clock(self, clock_ms):
-        """Records the worker's clock, if a response has it; lease deadlines count from it."""
-        if clock_ms is not None:
-            self._worker_clock_ms = clock_ms
-            self._worker_clock_read_at = trio.current_time()
+        """Records the worker's clock, if a response has it; lease deadlines count from it.
 
-    def _lease_deadline_ms(self, now):
-        """Returns when a lease that is extended now expires, in ms of the worker's clock."""
-        elapsed = now - self._worker_clock_read_at
-        return int(self._worker_clock_ms + (elapsed + self._lease_seconds) * 1000)
+        It also tells how far away the deadlines are, which after a restart may be further than a
+        lease.
+        """
+        if clock_ms is None:
+            return
+        now = trio.current_time()
+        if self._latest_deadline_ms is not None:
+            seconds = (self._latest_deadline_ms - clock_ms) / 1000 * CLOCK_SLOWNESS
+            expires_at = min(now + seconds, self._longest_lease_expiry())
+            self._expires_at = max(self._expires_at, expires_at)
+        self._worker_clock_ms = clock_ms
+        self._worker_clock_read_at = now
+
+    def _extend_deadline(self, now):
+        """Returns the deadline of leases that are extended now, in ms of the worker's clock.
 
-    def _extend_lease_expiry(self, now):
-        """Moves ``expires_at`` to the latest expiry of a lease that is extended now."""
-        clock_is_recent = now - self._worker_clock_read_at <= MAX_CLOCK_AGE_SECONDS
-        seconds = self._lease_seconds if clock_is_recent else self._lease_limit_seconds
-        expires_at = now + seconds * CLOCK_SLOWNESS + MAX_STATUS_AGE_SECONDS
+        Moves ``expires_at`` to their expiry, if the worker has not restarted.
+        """
+        elapsed = now - self._worker_clock_read_at
+        deadline_ms = int(self._worker_clock_ms + (elapsed + self._lease_seconds) * 1000)
+        self._latest_deadline_ms = max(deadline_ms, self._latest_deadline_ms or 0)
+        self._deadline_sent_at = now
+        expires_at = now + self._lease_seconds * CLOCK_SLOWNESS + MAX_STATUS_AGE_SECONDS
         self._expires_at = max(self._expires_at, expires_at)
+        return deadline_ms
+
+    def _longest_lease_expiry(self):
+        """Returns the expiry of the longest lease that a deadline sent so far may have extended."""
+        seconds = self._lease_limit_seconds * CLOCK_SLOWNESS + MAX_STATUS_AGE_SECONDS
+        return self._deadline_sent_at + seconds
 
     def _may_acknowledge(self, now):
         """Returns True if the worker is certainly still in the incarnation of the last status."""
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -184,6 +184,37 @@
 
         run_virtual(main)
 
+    def test_run_on_a_worker_that_restarted_a_moment_ago_does_not_start_again_during_its_lease(
+        self,
+    ):
+        # the deadlines of the start and the poll beside it counted from the clock of the worker's
+        # earlier incarnation, which was recent, and the leader expected a lease of its usual length
+        async def main(answered, hold_back):
+            async with Deployment(workers=2, entries=1, lease_limit_seconds=10.0) as deployment:
+                workers = deployment.fleet.workers
+                await deployment.submit(OTHER_JOB_ID, job(step(2, 8), ms=9000))
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed")
+                await trio.sleep(1)
+                for worker in workers.values():
+                    worker.restart()
+                    worker.lose_start_answers = not answered
+                    worker.unanswered_path = hold_back
+                await deployment.submit(JOB_ID, job(step(1, 8), ms=9900))
+                await deployment.wait_until(lambda: any(w.running for w in workers.values()))
+                await trio.sleep(0.1)
+                worker = next(w for w in workers.values() if w.running)
+                entries = list(deployment.entries)
+                deployment.network.partition(entries, [f"{worker.id}:80"])
+                for other in workers.values():
+                    other.lose_start_answers, other.unanswered_path = False, ""
+                await deployment.wait_for_state(JOB_ID, "completed", 60)
+                self.assertEqual([], deployment.fleet.violations)
+
+        for answered in (True, False):
+            for hold_back in ("", "/hold"):
+                with self.subTest(answered=answered, hold_back=hold_back):
+                    run_virtual(functools.partial(main, answered, hold_back))
+
     def test_runs_of_an_unresponsive_worker_end_with_their_leases(self):
         # calls that the worker did not answer extended the lease expiry that the leader assumed,
         # so the run never ended
@@ -218,6 +249,7 @@
                 await deployment.submit(OTHER_JOB_ID, job(step(4), ms=100))
                 await deployment.wait_for_state(OTHER_JOB_ID, "completed")
                 await trio.sleep(1)
+                await trio.sleep(1)
                 worker = deployment.fleet.workers["w0"]
                 worker.restart()
                 worker.unanswered_path = "/hold"
