Workers that are lost together are no evidence against their tasks

Cause: each worker that vanished under a task, or crashed before it confirmed the start, counted as if the task might have crashed it, however many other workers were lost at the same moment. Class: correlated failures taken for independent evidence. Change: a loss within 2 s of that of another worker, whose tasks cannot have crashed it (none of the same job, none suspect, none just started), counts only once the worker has crashed for certain. Evidence: the two tests in test_crash that end in 'together with others is not held' and 'count only once they have crashed' failed before; tasks that may crash their workers at the same time are still held (two more tests).

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -5,6 +5,7 @@
 The state of all jobs and workers of one deployment, and the events that change it.
 """
 
+from ibiscart_core.workflow.crash import WorkerLosses
 from ibiscart_core.workflow.fleet import Fleet
 from ibiscart_core.workflow.job import AllocationState, EndCause, Outcome, UnitState
 from ibiscart_core.workflow.report import StartResult
@@ -80,6 +81,7 @@
         self.catalog = catalog
         self.unsaved_job_ids = {}
         self._scheduler = Scheduler(self.fleet)
+        self._losses = WorkerLosses()
         self._stops = []
         self._log_event = log_event
 
@@ -143,6 +145,8 @@
             cause = EndCause.LOST
         if cause is EndCause.WORKER_CRASHED:
             self._resolve_vanished_runs(worker, None)
+        if cause is not EndCause.LOST:
+            self._record_losses(now)
         for (task_key, run), unit in list(worker.units_by_run.items()):
             self._end_run(worker, unit, task_key, run, cause, "", reason, now)
 
@@ -430,13 +434,36 @@
     def _record_lost_worker(self, worker, unit, index, allocation, cause, now):
         """Adds a worker that was lost to the evidence against a task that ran on it."""
         crashed = cause is EndCause.WORKER_CRASHED
-        unit.record_lost_worker(index, allocation, crashed, worker.unreachable_at, now)
+        lost_at = now if worker.reachable else worker.unreachable_at
+        unit.record_lost_worker(
+            index,
+            allocation,
+            worker.unreachable_at,
+            now,
+            crashed=crashed,
+            correlated=self._losses.is_correlated(worker.id, lost_at, unit.job.id),
+        )
         if cause is EndCause.WORKER_VANISHED:
             worker.record_vanished_run(unit, index, now)
         if unit.hold_seconds:
             unit.retry_at = now + unit.hold_seconds
         self._log_crash_evidence(unit, index, worker.id)
 
+    def _record_losses(self, now):
+        """Records all workers with runs that do not answer, before the runs of one of them end."""
+        for worker in self.fleet.workers.values():
+            if worker.reachable or not worker.units_by_run:
+                continue
+            self._losses.record(
+                worker.id,
+                worker.unreachable_at,
+                {unit.job.id for unit in worker.units_by_run.values()},
+                blameless=not any(
+                    unit.may_have_crashed_worker(task_key[3], worker.unreachable_at, now)
+                    for (task_key, _), unit in worker.units_by_run.items()
+                ),
+            )
+
     def _resolve_vanished_runs(self, worker, incarnation):
         """Decides whether a worker that had vanished has crashed.
 
--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -87,6 +87,18 @@
         self.confirmed_at = None
         self.stop_acknowledged_at = None
 
+    def run_seconds(self, unreachable_at, now):
+        """Returns how long the task ran until its worker was lost, None if it is unknown.
+
+        It is unknown for a run that an earlier leader ordered. ``unreachable_at``, when the worker
+        last stopped answering, and ``now`` are in seconds of the monotonic clock.
+        """
+        started_at = self.confirmed_at if self.confirmed_at is not None else self.ordered_at
+        if started_at is None:
+            return None
+        # a worker that restarts between two polls is never seen as unreachable
+        return (unreachable_at if unreachable_at >= started_at else now) - started_at
+
 
 class Unit:
     """Tasks that start together: all tasks of a gang step, else a single task.
@@ -161,6 +173,18 @@
         """True if workers were lost under one of the tasks."""
         return any(evidence.lost_workers for evidence in self.crash_evidence.values())
 
+    def may_have_crashed_worker(self, index, unreachable_at, now):
+        """Returns True unless it is certain that a task did not crash the worker that it ran on.
+
+        ``unreachable_at``, when the worker last stopped answering, and ``now`` are in seconds of
+        the monotonic clock.
+        """
+        allocation = self.allocations.get(index)
+        run_seconds = None
+        if allocation is not None:
+            run_seconds = allocation.run_seconds(unreachable_at, now)
+        return self.crash_suspect or run_seconds is None or run_seconds <= PROMPT_SECONDS
+
     @property
     def isolated(self):
         """True if the unit is to share no worker with another unit that is a crash suspect."""
@@ -177,21 +201,14 @@
         evidence = self.crash_evidence.values()
         return max((found.hold_seconds for found in evidence), default=0.0)
 
-    def record_lost_worker(self, index, allocation, crashed, unreachable_at, now):
+    def record_lost_worker(self, index, allocation, unreachable_at, now, *, crashed, correlated):
         """Adds the worker of a task's run, which was lost, to the evidence against the task.
 
-        ``crashed`` is True if it has crashed for certain. ``unreachable_at``, when it last stopped
-        answering, and ``now`` are in seconds of the monotonic clock.
+        ``crashed`` is True if it has crashed for certain, ``correlated`` if it was lost together
+        with workers that did not run the task. ``unreachable_at``, when it last stopped answering,
+        and ``now`` are in seconds of the monotonic clock.
         """
-        started_at = allocation.confirmed_at
-        if started_at is None:
-            started_at = allocation.ordered_at
-        # unknown for a run that an earlier leader ordered
-        run_seconds = None
-        if started_at is not None:
-            # a worker that restarts between two polls is never seen as unreachable
-            lost_at = unreachable_at if unreachable_at >= started_at else now
-            run_seconds = lost_at - started_at
+        run_seconds = allocation.run_seconds(unreachable_at, now)
         if run_seconds is not None and run_seconds > STABLE_RUN_SECONDS:
             self.crash_evidence.pop(index, None)
             return
@@ -201,6 +218,7 @@
             crashed=crashed,
             started=allocation.started,
             prompt=run_seconds is not None and run_seconds <= PROMPT_SECONDS,
+            correlated=correlated,
         )
 
     def task_key(self, index):
--- a/tests/core/workflow/test_crash.py
+++ b/tests/core/workflow/test_crash.py
@@ -57,6 +57,19 @@
         self.assertEqual(HOLD_SECONDS, evidence(cut_off=3).hold_seconds)
         self.assertEqual(2 * HOLD_SECONDS, evidence(cut_off=4).hold_seconds)
 
+    def test_workers_that_were_lost_with_others_count_only_once_they_have_crashed(self):
+        found = CrashEvidence()
+        for number in range(6):
+            found.record_loss(
+                f"w{number}", 1, crashed=False, started=True, prompt=True, correlated=True
+            )
+        self.assertEqual((0, 0.0), (found.lost_workers, found.hold_seconds))
+        self.assertFalse(found.conclusive)
+        for number in range(3):
+            self.assertTrue(found.resolve(f"w{number}", 2))
+        self.assertEqual(3, found.crashed)
+        self.assertTrue(found.conclusive)
+
     def test_a_worker_that_answers_in_the_same_incarnation_was_only_cut_off(self):
         found = evidence(cut_off=3)
         self.assertTrue(found.resolve("cut0", 1))
@@ -180,6 +193,55 @@
         states = sorted(len(next(job.units()).allocations) for job in (first, second))
         self.assertEqual([0, 1], states)
 
+    def lose_two_workers(self, harness, job, seconds_between=0.0, other_run_seconds=5.0):
+        """Lets the worker of the job's only task and that of another job vanish.
+
+        The other worker vanishes ``seconds_between`` before, ``other_run_seconds`` after the start
+        of its run.
+        """
+        other = harness.submit(f"other{harness.now}", step(accelerators=8))
+        harness.run_pass(1.0)
+        self.assertIn(0, next(job.units()).allocations, "the task does not run")
+        workers = [
+            harness.engine.fleet.get(next(found.units()).allocations[0].worker_id)
+            for found in (other, job)
+        ]
+        harness.now += other_run_seconds
+        for worker in workers:
+            worker.reachable = False
+            worker.unreachable_at = harness.now
+            harness.now += seconds_between
+            harness.running[worker.id].clear()
+        harness.now += 6.0
+        for worker in workers:
+            cause = EndCause.WORKER_VANISHED
+            harness.engine.end_lost_runs(worker.id, cause, harness.now, "lease_expired")
+        harness.engine.cancel(other.id)
+
+    def test_task_whose_workers_are_lost_together_with_others_is_not_held(self):
+        # waves of lost workers held healthy tasks for 15 and 30 s each
+        harness = EngineHarness(workers=12)
+        job = harness.submit("a", step(accelerators=8))
+        for _ in range(5):
+            self.lose_two_workers(harness, job, seconds_between=1.0)
+        self.assertIsNone(job.outcome)
+        self.assertEqual(1, len(harness.run_pass(1.0)))
+
+    def test_task_is_held_if_other_workers_are_lost_at_another_time(self):
+        harness = EngineHarness(workers=12)
+        job = harness.submit("a", step(accelerators=8))
+        for _ in range(3):
+            self.lose_two_workers(harness, job, seconds_between=3.0)
+        self.assertEqual([], harness.run_pass(1.0))
+
+    def test_task_is_held_if_the_other_workers_may_have_been_crashed_by_their_tasks(self):
+        # two tasks that crash their workers at the same time must not clear each other
+        harness = EngineHarness(workers=12)
+        job = harness.submit("a", step(accelerators=8))
+        for _ in range(3):
+            self.lose_two_workers(harness, job, other_run_seconds=0.5)
+        self.assertEqual([], harness.run_pass(1.0))
+
     def test_held_task_runs_once_its_workers_turn_out_to_have_been_cut_off(self):
         harness = EngineHarness()
         job = harness.submit("a", step())
