Rows of another writer, or damaged ones: one checked decoder for each kind

Callers saw: a damaged leader's row ended each entry that campaigned; a damaged job passed into the engine with values that no plan can handle, or was left out only where its error was in a list; a query of a damaged job got an error without a cause. Cause: rows were decoded with ** and subscripts, their values unchecked. Change: LeaderRow.from_row names no leader for a damaged row and takes the row's version for its epoch, which is at least every earlier epoch, so that the election goes on and the fencing token of calls to workers does not fall. Job.from_document checks all fields and raises InvalidValueError alone; a damaged job is logged with its id and costs that job only, also under a key that is not its own. JobService answers a damaged row with an error that names the row. Tests: test_stored_jobs used a job without steps as the valid one, which no entry accepts; it now has a step and mutates all fields. Addresses of entries in the virtual deployment have a port, as real ones do.

--- a/packages/core/src/ibiscart_core/value.py
+++ b/packages/core/src/ibiscart_core/value.py
@@ -15,6 +15,7 @@
 __all__ = [
     "MAX_INT",
     "MAX_NAME_BYTES",
+    "MAX_TEXT_BYTES",
     "InvalidValueError",
     "describe",
     "parse_json",
@@ -31,8 +32,10 @@
 
 # largest integer up to which a double is exact, as are the numbers of other JSON implementations
 MAX_INT = 2**53
-# longest name; names are parts of the keys of rows, whose length the store bounds
+# longest name that is part of the key of a row, as the store bounds it
 MAX_NAME_BYTES = 200
+# longest other name, label or secret; large enough for every real one
+MAX_TEXT_BYTES = 4096
 # no document that is decoded nests deeper; an unbounded depth exhausts the recursion limit
 MAX_DEPTH = 32
 # characters of an invalid value that its description repeats
--- a/packages/core/src/ibiscart_core/workflow/catalog.py
+++ b/packages/core/src/ibiscart_core/workflow/catalog.py
@@ -5,6 +5,16 @@
 Queues, worker pools and client accounts of one configuration version.
 """
 
+from ibiscart_core.value import (
+    MAX_INT,
+    MAX_TEXT_BYTES,
+    InvalidValueError,
+    require_int,
+    require_list,
+    require_number,
+    require_text,
+)
+
 __all__ = ["AccountEntry", "Catalog", "PoolEntry", "QueueEntry"]
 
 
@@ -54,17 +64,23 @@
 
     @classmethod
     def from_document(cls, name, document):
-        """Builds a queue from the list of ``to_document``, with empty ``host`` and ``prefix``."""
-        pool, priority, max_attempts, stretch, target_latency_ms = document
+        """Builds a queue from the list of ``to_document``, with empty ``host`` and ``prefix``.
+
+        Raises ``InvalidValueError`` if the list has another form.
+        """
+        fields = require_list(document, 5, "queue")
+        if len(fields) < 5:
+            raise InvalidValueError("queue", document, "a list of 5 settings")
+        pool, priority, max_attempts, stretch, target_latency_ms = fields
         return cls(
             name,
             "",
             "",
-            pool,
-            priority=priority,
-            max_attempts=max_attempts,
-            stretch=stretch,
-            target_latency_ms=target_latency_ms,
+            require_text(pool, MAX_TEXT_BYTES, "pool"),
+            priority=require_int(priority, -MAX_INT, MAX_INT, "priority"),
+            max_attempts=require_int(max_attempts, 0, MAX_INT, "max_attempts"),
+            stretch=require_number(stretch, 0, MAX_INT, "stretch"),
+            target_latency_ms=require_number(target_latency_ms, 0, MAX_INT, "target_latency_ms"),
         )
 
     def to_document(self):
--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -7,9 +7,10 @@
 
 from enum import Enum
 
+from ibiscart_core.value import MAX_TEXT_BYTES, require_int, require_object, require_text
 from ibiscart_core.workflow.catalog import QueueEntry
 from ibiscart_core.workflow.crash import PROMPT_SECONDS, STABLE_RUN_SECONDS, CrashEvidence
-from ibiscart_core.workflow.spec import JobSpec
+from ibiscart_core.workflow.spec import MAX_TIME_MS, JobSpec
 
 __all__ = ["Allocation", "AllocationState", "EndCause", "Job", "Outcome", "Unit", "UnitState"]
 
@@ -312,13 +313,18 @@
 
     @classmethod
     def from_document(cls, job_id, document):
-        """Builds a job from the mapping that ``to_document`` returns."""
-        spec = JobSpec.from_document(document["spec"])
-        queue = document["queue"]
-        accepted_queue = None
-        if document.get("accepted_queue"):
-            accepted_queue = QueueEntry.from_document(queue, document["accepted_queue"])
-        account, accepted_ms = document["account"], document["accepted_ms"]
+        """Builds a job from the mapping that ``to_document`` returns.
+
+        Raises ``InvalidValueError`` if it is no valid job.
+        """
+        require_object(document, "job")
+        spec = JobSpec.from_document(document.get("spec"))
+        account = require_text(document.get("account"), MAX_TEXT_BYTES, "account")
+        queue = require_text(document.get("queue"), MAX_TEXT_BYTES, "queue")
+        accepted_ms = require_int(document.get("accepted_ms"), 0, MAX_TIME_MS, "accepted_ms")
+        accepted_queue = document.get("accepted_queue")
+        if accepted_queue is not None:
+            accepted_queue = QueueEntry.from_document(queue, accepted_queue)
         return cls(job_id, account, queue, spec, accepted_ms, accepted_queue)
 
     def to_document(self):
--- a/packages/core/src/ibiscart_core/workflow/spec.py
+++ b/packages/core/src/ibiscart_core/workflow/spec.py
@@ -6,9 +6,26 @@
 """
 
 from ibiscart_core.error import ErrorKind, IbiscartError
-from ibiscart_core.resource import Resources
+from ibiscart_core.resource import MAX_AMOUNT, Resources
+from ibiscart_core.value import (
+    MAX_TEXT_BYTES,
+    InvalidValueError,
+    require_bool,
+    require_int,
+    require_list,
+    require_object,
+    require_text,
+)
 
-__all__ = ["JobSpec", "StepSpec"]
+__all__ = [
+    "MAX_ESTIMATE_MS",
+    "MAX_OCCURRENCES",
+    "MAX_STEPS",
+    "MAX_TASKS_PER_STEP",
+    "MAX_TIME_MS",
+    "JobSpec",
+    "StepSpec",
+]
 
 # limits the size of a row in the store: a running step of 1,000 tasks takes about 50 KiB
 MAX_TASKS_PER_STEP = 1000
@@ -17,6 +34,12 @@
 MAX_OCCURRENCES = 1000
 # a year, in milliseconds
 MAX_ESTIMATE_MS = 31_536_000_000
+# end of the year 9999 in Unix milliseconds, the last time that calendars can show
+MAX_TIME_MS = 253_402_300_799_999
+# longest payload, that of a row in the store
+MAX_PAYLOAD_BYTES = 65_536
+# the fields of a step that are true or false
+FLAGS = ("checkpointing", "copies_allowed", "filler", "gang", "long_running", "same_rack")
 
 
 class StepSpec:
@@ -88,10 +111,19 @@
 
     @classmethod
     def from_document(cls, document):
-        """Builds a step from the mapping that ``to_document`` returns."""
-        fields = dict(document)
-        accelerators, cpu_millis, memory_mb = fields.pop("resources")
-        return cls(fields.pop("tasks"), Resources(accelerators, cpu_millis, memory_mb), **fields)
+        """Builds a step from the mapping that ``to_document`` returns, its values unchecked.
+
+        Raises ``InvalidValueError`` if the mapping has another form.
+        """
+        fields = dict(require_object(document, "step"))
+        amounts = require_list(fields.pop("resources", None), 3, "resources")
+        if len(amounts) < 3:
+            raise InvalidValueError("resources", amounts, "three amounts")
+        require_list(fields.get("after", []), MAX_STEPS, "after")
+        try:
+            return cls(fields.pop("tasks", None), Resources(*amounts), **fields)
+        except TypeError:
+            raise InvalidValueError("step", document, "an object of known fields") from None
 
     def to_document(self):
         """Returns a JSON-serializable mapping without the fields that are empty or zero."""
@@ -105,6 +137,31 @@
                 document[name] = list(value) if name == "after" else value
         return document
 
+    def validate(self, name, step_index):
+        """Checks all fields of the step ``name``; makes integers of floats without a fraction.
+
+        Raises ``InvalidValueError``.
+        """
+        self.tasks = require_int(self.tasks, 1, MAX_TASKS_PER_STEP, f"{name}.tasks")
+        self.estimate_ms = require_int(self.estimate_ms, 0, MAX_ESTIMATE_MS, f"{name}.estimate_ms")
+        self.max_per_worker = require_int(
+            self.max_per_worker, 0, MAX_AMOUNT, f"{name}.max_per_worker"
+        )
+        amounts = {
+            field: require_int(getattr(self.resources, field), 0, MAX_AMOUNT, f"{name}.{field}")
+            for field in Resources.__slots__
+        }
+        self.resources = Resources(**amounts)
+        for dependency in self.after:
+            if not step_index:
+                raise InvalidValueError(f"{name}.after", dependency, "empty in the first step")
+            require_int(dependency, 0, step_index - 1, f"{name}.after")
+        self.after = tuple(map(int, self.after))
+        for field in ("required_label", "preferred_rack"):
+            require_text(getattr(self, field), MAX_TEXT_BYTES, f"{name}.{field}")
+        for field in FLAGS:
+            require_bool(getattr(self, field), f"{name}.{field}")
+
 
 class JobSpec:
     """Specification of a job; ``payload`` is passed to each task unchanged.
@@ -134,10 +191,19 @@
 
     @classmethod
     def from_document(cls, document):
-        """Builds a job from the mapping that ``to_document`` returns."""
-        fields = dict(document)
-        steps = [StepSpec.from_document(step) for step in fields.pop("steps")]
-        return cls(fields.pop("payload"), steps, **fields)
+        """Builds a job from the mapping that ``to_document`` returns.
+
+        Raises ``InvalidValueError`` if it is no valid job.
+        """
+        fields = dict(require_object(document, "spec"))
+        steps = require_list(fields.pop("steps", None), MAX_STEPS, "steps")
+        steps = [StepSpec.from_document(step) for step in steps]
+        try:
+            spec = cls(fields.pop("payload", None), steps, **fields)
+        except TypeError:
+            raise InvalidValueError("spec", document, "an object of known fields") from None
+        spec.validate()
+        return spec
 
     def to_document(self):
         """Returns a JSON-serializable mapping."""
@@ -171,38 +237,30 @@
         return max(ends_ms, default=0)
 
     def check(self):
-        """Raises ``IbiscartError`` with the name of the first invalid field."""
-        if not 0 <= self.occurrences <= MAX_OCCURRENCES:
-            raise _field_error("occurrences", self.occurrences, f"0 to {MAX_OCCURRENCES}")
-        if self.interval_ms < 0 or self.first_due_ms < 0:
-            raise _field_error("interval_ms", self.interval_ms, "times of 0 ms or more")
+        """Raises ``IbiscartError`` for the first invalid field, as ``validate`` does."""
+        try:
+            self.validate()
+        except InvalidValueError as error:
+            raise IbiscartError(
+                ErrorKind.BAD_FIELD,
+                f"{error}; correct it",
+                field=error.field,
+                value=error.value,
+                bound=error.bound,
+            ) from None
+
+    def validate(self):
+        """Checks all fields; makes integers of floats without a fraction.
+
+        Raises ``InvalidValueError`` with the name of the first invalid field.
+        """
+        require_text(self.payload, MAX_PAYLOAD_BYTES, "payload")
+        self.occurrences = require_int(self.occurrences, 0, MAX_OCCURRENCES, "occurrences")
+        self.first_due_ms = require_int(self.first_due_ms, 0, MAX_TIME_MS, "first_due_ms")
+        # so that the last occurrence is due before the end of time
+        max_interval_ms = (MAX_TIME_MS - self.first_due_ms) // self.occurrence_count
+        self.interval_ms = require_int(self.interval_ms, 0, max_interval_ms, "interval_ms")
         if not 1 <= len(self.steps) <= MAX_STEPS:
-            raise _field_error("steps", len(self.steps), f"1 to {MAX_STEPS} steps")
+            raise InvalidValueError("steps", list(self.steps), f"a list of 1 to {MAX_STEPS} steps")
         for step_index, step in enumerate(self.steps):
-            if not 1 <= step.tasks <= MAX_TASKS_PER_STEP:
-                raise _field_error(
-                    f"steps[{step_index}].tasks", step.tasks, f"1 to {MAX_TASKS_PER_STEP}"
-                )
-            if not 0 <= step.estimate_ms <= MAX_ESTIMATE_MS:
-                raise _field_error(
-                    f"steps[{step_index}].estimate_ms", step.estimate_ms, f"0 to {MAX_ESTIMATE_MS}"
-                )
-            resources = step.resources
-            amounts = (resources.accelerators, resources.cpu_millis, resources.memory_mb)
-            if min(*amounts, step.max_per_worker) < 0:
-                raise _field_error(f"steps[{step_index}]", min(amounts), "amounts of 0 or more")
-            if any(not 0 <= dependency < step_index for dependency in step.after):
-                raise _field_error(
-                    f"steps[{step_index}].after", list(step.after), "indexes of earlier steps"
-                )
-
-
-def _field_error(field, value, bound):
-    """Returns the error for an invalid field; ``bound`` describes the valid values."""
-    return IbiscartError(
-        ErrorKind.BAD_FIELD,
-        f"{field} is invalid; correct it",
-        field=field,
-        value=str(value),
-        bound=bound,
-    )
+            step.validate(f"steps[{step_index}]", step_index)
--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -10,14 +10,18 @@
 import trio
 
 from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_core.value import InvalidValueError
 from ibiscart_core.workflow.job import Job, Outcome
 from ibiscart_entry.coordination.record import (
+    OUTCOMES,
     PENDING_KEY,
     RUNNING,
     cancel_key,
-    decode,
     encode,
     job_key,
+    parse_owner,
+    parse_pending_counts,
+    parse_progress,
     progress_key,
     visible_state,
 )
@@ -61,17 +65,18 @@
         try:
             await self._write(write, job_id)
         except TableConflict as conflict:
-            self._check_owner(decode(conflict.rows[0].value), account)
+            owner = _parse_row(parse_owner, conflict.rows[0], job_id)
+            self._check_owner(owner, account)
             return KNOWN
         self.announce(job_id)
         return ACCEPTED
 
     async def state(self, account, job_id):
         """Returns the state of a job that callers see, or None when there is no such job."""
-        document, cancelled, progress = await self._read(job_id)
-        if document is None:
+        owner, cancelled, progress = await self._read(job_id)
+        if owner is None:
             return None
-        self._check_owner(document, account)
+        self._check_owner(owner, account)
         state = visible_state(progress, cancelled)
         if state == RUNNING:
             await trio.sleep(REREAD_SECONDS)
@@ -81,12 +86,12 @@
 
     async def cancel(self, account, job_id):
         """Cancels a job; returns its state afterwards, or None when there is no such job."""
-        document, cancelled, progress = await self._read(job_id)
-        if document is None:
+        owner, cancelled, progress = await self._read(job_id)
+        if owner is None:
             return None
-        self._check_owner(document, account)
+        self._check_owner(owner, account)
         state = visible_state(progress, cancelled)
-        if state in (outcome.value for outcome in Outcome):
+        if state in OUTCOMES:
             return state
         write = TableWrite(key=cancel_key(job_id), value=encode({"at_ms": self._now_ms()}))
         await self._write(write, job_id)
@@ -99,10 +104,12 @@
             row = await self._table.get(PENDING_KEY)
         except StoreError as error:
             raise _store_unavailable_error(error) from None
-        return decode(row.value).get(queue.name, 0) if row is not None else 0
+        if row is None:
+            return 0
+        return _parse_row(parse_pending_counts, row, "").get(queue.name, 0)
 
     async def _read(self, job_id):
-        """Returns (document of the job as accepted, whether it is cancelled, progress record)."""
+        """Returns (account of the job or None, whether it is cancelled, progress record)."""
         results = {}
 
         # saves an error too: raised in the nursery, it would reach the caller in an
@@ -120,8 +127,8 @@
             raise results["error"]
         rows_by_key = {row.key: row for row in results["rows"]}
         job = rows_by_key.get(job_key(job_id))
-        document = decode(job.value) if job is not None else None
-        return document, cancel_key(job_id) in rows_by_key, results["progress"]
+        owner = _parse_row(parse_owner, job, job_id) if job is not None else None
+        return owner, cancel_key(job_id) in rows_by_key, results["progress"]
 
     async def _read_rows(self, job_id):
         """Returns the rows of a job in the jobs table, none if there is no such job."""
@@ -137,7 +144,7 @@
             row = await self._table.get(progress_key(job_id))
         except StoreError as error:
             raise _store_unavailable_error(error) from None
-        return decode(row.value) if row is not None else None
+        return _parse_row(parse_progress, row, job_id) if row is not None else None
 
     async def _write(self, write, job_id):
         """Applies one write; after a lost response, repeating it reveals the outcome.
@@ -168,12 +175,28 @@
             ErrorKind.COMMIT_UNKNOWN, "the job may be stored; send the same request again"
         )
 
-    def _check_owner(self, document, account):
-        """Raises ``IbiscartError`` if the job of ``document`` belongs to another account."""
-        if document["account"] != account:
+    def _check_owner(self, owner, account):
+        """Raises ``IbiscartError`` if the job of account ``owner`` belongs to another one."""
+        if owner != account:
             raise IbiscartError(ErrorKind.NOT_FOUND, "no such job")
 
 
+def _parse_row(parse, row, job_id):
+    """Returns ``parse`` of the value of a ``Row``; raises ``IbiscartError`` if it is damaged."""
+    try:
+        return parse(row.value)
+    except InvalidValueError as error:
+        fields = {"job": job_id, "key": row.key, "version": row.version, "cause": str(error)}
+        LOG.error("A row cannot be read.", extra=fields)
+        raise IbiscartError(
+            ErrorKind.INTERNAL,
+            f"the row {row.key} in the store cannot be read; tell the operators, who restore it",
+            field="row",
+            value=row.key,
+            bound=f"{error.field}: {error.bound}",
+        ) from None
+
+
 def _store_unavailable_error(error):
     """Returns the ``IbiscartError`` that callers get for a ``StoreError`` of a read."""
     return IbiscartError(ErrorKind.STORE_UNAVAILABLE, f"the state cannot be read: {error.reason}")
--- a/packages/entry/src/ibiscart_entry/coordination/leadership.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leadership.py
@@ -104,7 +104,7 @@
                 await trio.sleep(POLL_SECONDS)
                 continue
             version = row.version if row is not None else 0
-            stored = LeaderRow.from_value(row.value) if row is not None else LeaderRow()
+            stored = LeaderRow.from_row(row)
             self.leader_address = stored.address
             now = self._clock()
             timeout_seconds = (
@@ -144,7 +144,7 @@
                 row = await self._table.get(LEADER_KEY)
             except StoreError:
                 return
-            stored = LeaderRow.from_value(row.value) if row is not None else LeaderRow()
+            stored = LeaderRow.from_row(row)
             if stored.holder != self._process_id or stored.epoch != self._row.epoch:
                 raise LeadershipLost(stored.node)
 
@@ -210,7 +210,7 @@
                 # the conflict may come from an earlier attempt that took effect without a response
                 current = next((r for r in conflict.rows if r.key == LEADER_KEY), None)
                 if current is None or current.value != new_row.to_value():
-                    raise LeadershipLost(_leader_entry_name(current)) from None
+                    raise LeadershipLost(LeaderRow.from_row(current).node) from None
                 version = current.version
                 break
             except StoreError as error:
@@ -229,8 +229,3 @@
         return TableWrite(
             key=LEADER_KEY, value=leader_row.to_value(), expected_version=self._version
         )
-
-
-def _leader_entry_name(row):
-    """Returns the name of the entry that leads by the ``Row``, empty if there is none."""
-    return LeaderRow.from_value(row.value).node if row is not None and row.value else ""
--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -7,7 +7,20 @@
 
 import json
 import logging
-
+import re
+
+from ibiscart_core.value import (
+    MAX_INT,
+    MAX_TEXT_BYTES,
+    InvalidValueError,
+    parse_json,
+    require_address,
+    require_bool,
+    require_choice,
+    require_int,
+    require_object,
+    require_text,
+)
 from ibiscart_core.workflow.job import Job, Outcome
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
@@ -24,8 +37,12 @@
     "encode",
     "job_key",
     "jobs_from_rows",
+    "parse_owner",
+    "parse_pending_counts",
+    "parse_progress",
     "progress_key",
     "progress_write",
+    "require_job_id",
     "visible_state",
 ]
 
@@ -41,6 +58,8 @@
 RUNNING = "running"
 QUEUED = "queued"
 CANCEL_SUFFIX = "~cancel"
+JOB_ID = re.compile(r"[0-9A-Za-z]{1,64}")
+OUTCOMES = frozenset(outcome.value for outcome in Outcome)
 
 
 def encode(value):
@@ -49,11 +68,15 @@
 
 
 def decode(data):
-    """Returns the value of JSON bytes; raises ``ValueError`` if they cannot be decoded."""
-    try:
-        return json.loads(data)
-    except RecursionError:
-        raise ValueError("the JSON is nested too deeply") from None
+    """Returns the value of a row, JSON bytes; raises ``InvalidValueError``."""
+    return parse_json(data, name="row")
+
+
+def require_job_id(value):
+    """Returns the id of a job, letters and digits; raises ``InvalidValueError``."""
+    if not isinstance(value, str) or not JOB_ID.fullmatch(value):
+        raise InvalidValueError("job", value, "an id of 1 to 64 letters and digits")
+    return value
 
 
 def job_key(job_id):
@@ -89,17 +112,44 @@
     jobs, cancelled = {}, set()
     for row in rows:
         name = row.key.partition("/")[2]
-        if name.endswith(CANCEL_SUFFIX):
-            cancelled.add(name.removesuffix(CANCEL_SUFFIX))
-            continue
+        job_id = name.removesuffix(CANCEL_SUFFIX)
         try:
-            jobs[name] = Job.from_document(name, decode(row.value))
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
-            fields = {"job": name, "version": row.version, "cause": repr(error)}
+            if row.key.removesuffix(CANCEL_SUFFIX) != job_key(require_job_id(job_id)):
+                raise InvalidValueError("key", row.key, f"{job_key(job_id)} for this job")
+            if name == job_id:
+                jobs[job_id] = Job.from_document(job_id, decode(row.value))
+            else:
+                cancelled.add(job_id)
+        except InvalidValueError as error:
+            fields = {"job": job_id, "version": row.version, "cause": str(error)}
             LOG.error("The row of a job cannot be read; the job does not run.", extra=fields)
     return jobs, cancelled
 
 
+def parse_owner(data):
+    """Returns the account in the row of a job, JSON bytes; raises ``InvalidValueError``."""
+    document = require_object(decode(data), "job")
+    return require_text(document.get("account"), MAX_TEXT_BYTES, "account")
+
+
+def parse_progress(data):
+    """Returns the progress record in JSON bytes, with checked fields for ``visible_state``.
+
+    Raises ``InvalidValueError``.
+    """
+    progress = require_object(decode(data), "progress")
+    if "outcome" in progress:
+        require_choice(progress["outcome"], OUTCOMES, "outcome")
+    require_bool(progress.get("started", False), "started")
+    return progress
+
+
+def parse_pending_counts(data):
+    """Returns the number of pending jobs by queue in JSON bytes; raises ``InvalidValueError``."""
+    counts = require_object(decode(data), "pending")
+    return {queue: require_int(count, 0, MAX_INT, "pending") for queue, count in counts.items()}
+
+
 def visible_state(progress, cancelled):
     """Returns the state of a job that callers see.
 
@@ -137,9 +187,30 @@
         self.batch = batch
 
     @classmethod
-    def from_value(cls, data):
-        """Returns the ``LeaderRow`` that is stored as ``data``, JSON bytes."""
-        return cls(**decode(data))
+    def from_row(cls, row):
+        """Returns the ``LeaderRow`` in a ``Row``, or an empty one if ``row`` is None.
+
+        A row that cannot be read names no leader. Its version stands for its epoch, which must not
+        decrease: each epoch began with a write of the row, so none is higher than the version.
+        """
+        if row is None:
+            return cls()
+        try:
+            fields = require_object(decode(row.value), "leader")
+            node, holder = (
+                require_text(fields.get(name), MAX_TEXT_BYTES, name) for name in ("node", "holder")
+            )
+            epoch = require_int(fields.get("epoch"), 0, row.version, "epoch")
+            batch = require_int(fields.get("batch"), 0, MAX_INT, "batch")
+        except InvalidValueError as error:
+            cause = {"version": row.version, "cause": str(error)}
+            LOG.error("The leader's row cannot be read; it names no leader.", extra=cause)
+            return cls(epoch=row.version)
+        try:
+            address = require_address(fields.get("address"), "address")
+        except InvalidValueError:
+            address = ""
+        return cls(node, holder, address, epoch, batch)
 
     def to_value(self):
         """Returns the JSON bytes that are stored."""
--- /dev/null
+++ b/tests/entry/coordination/test_record.py
@@ -0,0 +1,183 @@
+"""Tests of the rows that hold jobs, their progress and the leader, damaged ones above all."""
+
+import json
+import math
+import unittest
+
+from ibiscart_core.error import ErrorKind, IbiscartError
+from ibiscart_core.resource import Resources
+from ibiscart_core.value import InvalidValueError
+from ibiscart_core.workflow.catalog import QueueEntry
+from ibiscart_core.workflow.job import Job
+from ibiscart_core.workflow.spec import JobSpec, StepSpec
+from ibiscart_entry.coordination.job_service import JobService
+from ibiscart_entry.coordination.record import (
+    PENDING_KEY,
+    LeaderRow,
+    cancel_key,
+    decode,
+    job_key,
+    jobs_from_rows,
+    parse_progress,
+    progress_key,
+)
+from ibiscart_entry.table import Row, Table, TableConflict
+from tests.platform.deployment import run_virtual
+
+HUGE = 10**399
+JOB_ID = "00000000000000a1"
+QUEUE = QueueEntry("q", "", "", "pool")
+DAMAGED = [
+    *(b"", b"\xff", b"[" * 100_000, b"1" * 5000, b"null", b"[]", b"5", b"{", b'"x"'),
+    *(b'{"outcome":"odd"}', b'{"outcome":[]}', b'{"outcome":5,"started":[]}'),
+]
+
+
+class _Table(Table):
+    """Holds rows by key; a write that expects that its row is absent conflicts with it."""
+
+    def __init__(self, values):
+        self.rows = {key: Row(key, value, 1) for key, value in values.items()}
+
+    async def get(self, key, *, low_priority=False):
+        return self.rows.get(key)
+
+    async def scan(self, prefix, after="", limit=256, *, low_priority=False):
+        return [row for key, row in sorted(self.rows.items()) if key.startswith(prefix)]
+
+    async def transact(self, writes, *, low_priority=False):
+        rows = [self.rows[write.key] for write in writes if write.key in self.rows]
+        if rows:
+            raise TableConflict(rows)
+        return [Row(write.key, b"", 2) for write in writes]
+
+
+def stored_job(job_id=JOB_ID):
+    """Returns the row of a job with two tasks."""
+    spec = JobSpec("x", [StepSpec(2, Resources(1, 1, 1))])
+    document = Job(job_id, "a", "q", spec, 5, QUEUE).to_document()
+    return Row(job_key(job_id), json.dumps(document).encode(), 3)
+
+
+class LeaderRowTest(unittest.TestCase):
+    def test_leader_row_survives_its_row(self):
+        row = LeaderRow("n", "n/1", "10.0.0.1:7000", 3, 9)
+        read = LeaderRow.from_row(Row("k", row.to_value(), 20))
+        self.assertEqual(row.to_value(), read.to_value())
+
+    def test_damaged_leader_row_names_no_leader_and_lowers_no_epoch(self):
+        """Guards against entries that ended in each election, and against workers that refuse.
+
+        The epoch is the fencing token of the leader's calls, so it must not fall.
+        """
+        valid = {"node": "n", "holder": "n/1", "address": "10.0.0.1:7000", "epoch": 3, "batch": 9}
+        values = [*DAMAGED, b"{}"]
+        for name, odd in (("epoch", HUGE), ("epoch", 21), ("epoch", -1), ("epoch", True)):
+            values.append(json.dumps({**valid, name: odd}).encode())
+        for name, odd in (("holder", []), ("node", "\ud800"), ("batch", math.nan), ("batch", HUGE)):
+            values.append(json.dumps({**valid, name: odd}).encode())
+        for value in values:
+            with self.subTest(value=value[:60]):
+                row = LeaderRow.from_row(Row("k", value, 20))
+                self.assertEqual(("", "", "", 20), (row.node, row.holder, row.address, row.epoch))
+        self.assertEqual(0, LeaderRow.from_row(None).epoch)
+
+    def test_leader_whose_address_is_odd_gets_no_announcements(self):
+        for address in ("a..b:80", "10.0.0.1:70000", "\ufffd:1", 5, None, [], "nowhere"):
+            data = json.dumps(
+                {"node": "n", "holder": "h", "address": address, "epoch": 3, "batch": 1}
+            )
+            row = LeaderRow.from_row(Row("k", data.encode(), 20))
+            self.assertEqual(("n", "h", "", 3), (row.node, row.holder, row.address, row.epoch))
+
+
+class JobRowTest(unittest.TestCase):
+    def test_damaged_job_is_left_out_and_logged_with_its_id(self):
+        good = stored_job("10000000000000a2")
+        valid = json.loads(stored_job().value)
+        step = valid["spec"]["steps"][0]
+        values = list(DAMAGED)
+        for fields in ({"account": 5}, {"queue": []}, {"accepted_ms": HUGE}, {"accepted_queue": 5}):
+            values.append(json.dumps({**valid, **fields}).encode())
+        for queue in (["p"], [[], 0, 1, 1.0, 0], ["p", HUGE, 1, 1.0, 0], ["p", 0, 1, math.nan, 0]):
+            values.append(json.dumps({**valid, "accepted_queue": queue}).encode())
+        for fields in (
+            *({"tasks": tasks} for tasks in (0, HUGE, 1e308, True, [], 1001)),
+            *(
+                {"resources": amounts}
+                for amounts in ([1, 1], 5, [HUGE, 1, 1], [1, -1, 1], [[], 1, 1])
+            ),
+            *({"after": after} for after in ([0], [HUGE], 5, [[]])),
+            *({"estimate_ms": HUGE}, {"required_label": "\ud800"}, {"gang": 1}, {"later": 1}),
+        ):
+            spec = {**valid["spec"], "steps": [{**step, **fields}]}
+            values.append(json.dumps({**valid, "spec": spec}).encode())
+        for fields in ({"payload": 5}, {"payload": "\ud800"}, {"steps": []}, {"later": 1}):
+            values.append(json.dumps({**valid, "spec": {**valid["spec"], **fields}}).encode())
+        for due in (HUGE, math.inf, -1, 10**17):
+            schedule = {"first_due_ms": due, "interval_ms": 1, "occurrences": 3}
+            values.append(json.dumps({**valid, "spec": {**valid["spec"], **schedule}}).encode())
+        for value in values:
+            with self.subTest(value=value[-300:]):
+                rows = [Row(job_key(JOB_ID), value, 2), good]
+                with self.assertLogs("ibiscart.record", "ERROR") as logs:
+                    jobs, _ = jobs_from_rows(rows)
+                self.assertEqual(["10000000000000a2"], list(jobs))
+                self.assertEqual([JOB_ID], [record.job for record in logs.records])
+
+    def test_row_under_another_key_is_no_job(self):
+        """A job whose key another row has could be neither recorded nor removed."""
+        for key in ("jobs/", "jobs.0/~cancel", "jobs.0/0\u00e9", "jobs.0/0/1", "jobs.1/" + JOB_ID):
+            with self.subTest(key=key), self.assertLogs("ibiscart.record", "ERROR"):
+                jobs, cancelled = jobs_from_rows([Row(key, stored_job().value, 1)])
+            self.assertEqual(({}, set()), (jobs, cancelled))
+        jobs, cancelled = jobs_from_rows([stored_job(), Row(cancel_key(JOB_ID), b"", 1)])
+        self.assertEqual(([JOB_ID], {JOB_ID}), (list(jobs), cancelled))
+
+    def test_damaged_progress_is_an_error_of_its_value(self):
+        for value in DAMAGED:
+            with self.subTest(value=value[:60]), self.assertRaises(InvalidValueError):
+                parse_progress(value)
+        with self.assertRaises(InvalidValueError):
+            decode(b"[" * 100_000)
+
+
+class DamagedServiceTest(unittest.TestCase):
+    """Guards against callers that got an internal error without a cause."""
+
+    def call(self, name, arguments, values):
+        service = JobService(_Table(values), lambda: 5)
+        return run_virtual(lambda: getattr(service, name)(*arguments))
+
+    def assert_unreadable(self, name, arguments, values):
+        with self.subTest(call=name, values=str(values)[:80]):
+            with self.assertRaises(IbiscartError) as caught:
+                self.call(name, arguments, values)
+            self.assertEqual(ErrorKind.INTERNAL, caught.exception.kind)
+            self.assertIn("cannot be read", caught.exception.message)
+
+    def test_damaged_rows_get_an_error_that_names_the_job(self):
+        spec = JobSpec("x", [StepSpec(1, Resources(1, 1, 1))])
+        good = stored_job().value
+        damaged_jobs = [*DAMAGED, b'{"account":5}', b'{"account":"\\ud800"}']
+        for damaged in damaged_jobs:
+            for name in ("state", "cancel"):
+                self.assert_unreadable(name, ("a", JOB_ID), {job_key(JOB_ID): damaged})
+            submit = (QUEUE, "a", JOB_ID, spec)
+            self.assert_unreadable("submit", submit, {job_key(JOB_ID): damaged})
+        for damaged in DAMAGED:
+            for name in ("state", "cancel"):
+                values = {job_key(JOB_ID): good, progress_key(JOB_ID): damaged}
+                self.assert_unreadable(name, ("a", JOB_ID), values)
+
+    def test_damaged_numbers_of_pending_jobs(self):
+        for count in (HUGE, -1, "5", [], math.nan, True):
+            values = {PENDING_KEY: json.dumps({"q": count}).encode()}
+            self.assert_unreadable("count_pending_jobs", (QUEUE,), values)
+        for value in DAMAGED[:8]:
+            self.assert_unreadable("count_pending_jobs", (QUEUE,), {PENDING_KEY: value})
+        self.assertEqual(0, self.call("count_pending_jobs", (QUEUE,), {PENDING_KEY: b"{}"}))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -49,6 +49,8 @@
 JOB_ID = "00000000000000a1"
 OTHER_JOB_ID = "10000000000000a2"
 STORE_ADDRESS = "store"
+# the network delivers to names; an address in a row has a port too
+PEER_PORT = ":7000"
 API_KEY = "key-a"
 HOST = "host.example"
 QUEUE_PATH = "/q/"
@@ -98,19 +100,27 @@
 
     def __init__(self, deployment, name, rng):
         connect = deployment.network.connect_from(name)
+
+        def connect_peer(address):
+            return connect(address.removesuffix(PEER_PORT))
+
         self.name = name
         self.metrics = Metrics()
         self.direct_table = PlatformTable(
             connect(STORE_ADDRESS), connect(STORE_ADDRESS), self.metrics
         )
-        self.peer_directory = PeerDirectory(name, name, self.direct_table, deployment.now_ms)
-        self.table = RelayTable(self.direct_table, self.peer_directory, connect, self.metrics, rng)
+        self.peer_directory = PeerDirectory(
+            name, name + PEER_PORT, self.direct_table, deployment.now_ms
+        )
+        self.table = RelayTable(
+            self.direct_table, self.peer_directory, connect_peer, self.metrics, rng
+        )
         # seconds for which the entry's machine was suspended
         self.suspended_seconds = 0.0
         self.catalogs = CatalogWatch(
             PlatformCatalogSource(self.direct_table),
             self.boot_time,
-            CatalogClient(self.peer_directory, connect, self.metrics, rng, self.boot_time),
+            CatalogClient(self.peer_directory, connect_peer, self.metrics, rng, self.boot_time),
         )
         self.catalog_server = CatalogServer(self.catalogs, self.boot_time)
         self.job_service = JobService(self.table, deployment.now_ms)
@@ -121,7 +131,12 @@
             key_revocation_seconds=deployment.key_revocation_seconds,
         )
         self.leadership = Leadership(
-            self.table, name, f"{name}/{rng.random()}", name, rng=rng, clock=self.boot_time
+            self.table,
+            name,
+            f"{name}/{rng.random()}",
+            name + PEER_PORT,
+            rng=rng,
+            clock=self.boot_time,
         )
         self.leader = Leader(
             self.leadership,
@@ -135,7 +150,7 @@
             directory_ttl_seconds=3.0,
             wall_clock=lambda: deployment.now_ms() / 1000,
         )
-        self.announcer = Announcer(self.leadership, self.leader, connect, self.metrics)
+        self.announcer = Announcer(self.leadership, self.leader, connect_peer, self.metrics)
         self.job_service.announce = self.announcer.announce
         self.relay_server = RelayServer(self.direct_table)
         self.cancel_scope = trio.CancelScope()
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -53,6 +53,12 @@
 END = [1, "00000000000000a1.0.0.1", 1, "done", ""]
 STATUS = {"clockMs": 5, "born": 1, "running": [RUN, RUN], "endedRuns": [END, END]}
 JOB = json.loads(json.dumps(job(step(2), step(after=[0]), startAtMs=1, repeatCount=2)))
+STORED_JOB = {
+    "spec": {"payload": "", "steps": [{"tasks": 1, "resources": [1, 1, 1]}]},
+    "queue": "q",
+    "account": "",
+    "accepted_ms": 1,
+}
 REGISTRATION = {
     "service": "pool",
     "address": "10.0.0.1:80",
@@ -181,10 +187,9 @@
         self.assertTrue(all(isinstance(step.tasks, int) for step in spec.steps))
 
     @settings(max_examples=200, deadline=None, derandomize=True)
-    @given(mutated({"spec": {"payload": "", "steps": []}, "queue": "q"}) | st.just(DEEPLY_NESTED))
+    @given(mutated(STORED_JOB) | st.just(DEEPLY_NESTED))
     def test_stored_jobs(self, data):
-        good = {"spec": {"payload": "", "steps": []}, "queue": "q", "account": "", "accepted_ms": 1}
-        rows = [Row("jobs.a/a1", data, 1), Row("jobs.b/b1", json.dumps(good).encode(), 2)]
+        rows = [Row("jobs.a/a1", data, 1), Row("jobs.b/b1", json.dumps(STORED_JOB).encode(), 2)]
         jobs, _ = jobs_from_rows(rows)
         self.assertIn("b1", jobs)
 
