--- a/packages/core/src/ibiscart_core/value.py
+++ b/packages/core/src/ibiscart_core/value.py
@@ -66,7 +66,7 @@
 def describe(value):
     """Returns a short description of a value of any JSON type, in ASCII."""
     if value is None:
-        return "missing"
+        return "null or missing"
     if isinstance(value, bool):
         return str(value).lower()
     if isinstance(value, int) and value.bit_length() > MAX_SHOWN_BITS:
