Messages of other entries: odd values get a 400, or count as no answer

Callers saw: an announced id that no key can hold ended the leader; a damaged row of an entry with an address without a port, or an odd one, ended each entry that called it; a relayed call with odd values got an internal error, reached the store in part, or called a method that is no operation; a reply with odd rows passed as valid. Cause: the messages between entries were trusted for their types and ranges, and handlers were found by name. Change: every message is decoded by checked parsers; a 400 names the field. A replied transaction has a row for the writer. A refresh of the directory of entries writes at most as many rows as the store takes, so that many stale rows don't keep an entry from registering.

--- a/packages/entry/src/ibiscart_entry/coordination/announcer.py
+++ b/packages/entry/src/ibiscart_entry/coordination/announcer.py
@@ -10,8 +10,11 @@
 
 import trio
 
+from ibiscart_core.value import InvalidValueError, parse_json, require_list, require_object
 from ibiscart_entry.client import TransportError
-from ibiscart_entry.server import Response
+from ibiscart_entry.coordination.record import require_job_id
+from ibiscart_entry.request_error import bad_field
+from ibiscart_entry.server import Response, error_response
 
 __all__ = ["ANNOUNCE_PATH", "Announcer"]
 
@@ -70,8 +73,12 @@
 
     async def handle(self, request):
         """Passes the announcement of another entry to the coordinator, if this entry leads."""
+        try:
+            job_ids = _parse_job_ids(request.body)
+        except InvalidValueError as error:
+            return error_response(bad_field(error))
         if self._leader.coordinator is not None:
-            self._leader.coordinator.announce(_parse_job_ids(request.body))
+            self._leader.coordinator.announce(job_ids)
         return Response.from_json(200, {})
 
     async def _call(self, address, job_ids):
@@ -88,11 +95,7 @@
 
 
 def _parse_job_ids(body):
-    """Returns the ids of an announcement, none if it is malformed."""
-    try:
-        job_ids = json.loads(body)["jobs"]
-    except (KeyError, TypeError, ValueError, RecursionError):
-        return []
-    if not isinstance(job_ids, list):
-        return []
-    return [job_id for job_id in job_ids[:MAX_IDS_PER_CALL] if job_id and isinstance(job_id, str)]
+    """Returns the ids of an announcement; raises ``InvalidValueError``."""
+    document = require_object(parse_json(body, name="body"), "body")
+    job_ids = require_list(document.get("jobs"), MAX_IDS_PER_CALL, "jobs")
+    return [require_job_id(job_id) for job_id in job_ids]
--- a/packages/entry/src/ibiscart_entry/coordination/catalog_exchange.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_exchange.py
@@ -8,14 +8,23 @@
 """
 
 import json
-import math
 import zlib
-from base64 import b64decode, b64encode
+from base64 import b64encode
 
 import trio
 
+from ibiscart_core.value import (
+    MAX_INT,
+    InvalidValueError,
+    parse_json,
+    require_base64,
+    require_int,
+    require_number,
+    require_object,
+)
 from ibiscart_entry.client import TransportError
-from ibiscart_entry.server import Response
+from ibiscart_entry.request_error import bad_field
+from ibiscart_entry.server import Response, error_response
 
 __all__ = ["CATALOG_PATH", "CatalogClient", "CatalogOffer", "CatalogServer"]
 
@@ -75,10 +84,11 @@
         """
         arrived_at = self._clock()
         try:
-            call = json.loads(request.body)
-            after, wait_seconds = int(call["after"]), float(call["wait_seconds"])
-        except (KeyError, OverflowError, TypeError, ValueError, RecursionError):
-            return Response.from_json(400, {"error": {"code": "bad_field"}})
+            call = require_object(parse_json(request.body, name="body"), "body")
+            after = require_int(call.get("after"), 0, MAX_INT, "after")
+            wait_seconds = require_number(call.get("wait_seconds"), 0, MAX_INT, "wait_seconds")
+        except InvalidValueError as error:
+            return error_response(bad_field(error))
         if self._catalogs.age_seconds <= MAX_OFFER_AGE_SECONDS and wait_seconds > 0:
             with trio.move_on_after(min(wait_seconds, MAX_WAIT_SECONDS)):
                 await self._catalogs.wait_newer(after)
@@ -188,17 +198,20 @@
     if response.status != 200:
         return None
     try:
-        document = json.loads(response.body)
-        confirmed_before_seconds = float(document["confirmed_before_seconds"])
-        data = document.get("data")
-        if not math.isfinite(confirmed_before_seconds):
-            return None
-        if data is None:
+        document = require_object(parse_json(response.body, name="offer"), "offer")
+        confirmed_before_seconds = float(
+            require_number(
+                document.get("confirmed_before_seconds"),
+                -MAX_INT,
+                MAX_INT,
+                "confirmed_before_seconds",
+            )
+        )
+        if document.get("data") is None:
             return CatalogOffer(None, confirmed_before_seconds)
+        compressed = require_base64(document["data"], "data")
         decompressor = zlib.decompressobj()
-        decoded = decompressor.decompress(b64decode(data, validate=True), MAX_DOCUMENT_BYTES)
-    except (AttributeError, KeyError, OverflowError, TypeError, ValueError, RecursionError):
-        return None
-    except zlib.error:
+        decoded = decompressor.decompress(compressed, MAX_DOCUMENT_BYTES)
+    except (InvalidValueError, zlib.error):
         return None
     return CatalogOffer(decoded, confirmed_before_seconds) if decompressor.eof else None
--- a/packages/entry/src/ibiscart_entry/coordination/peer_directory.py
+++ b/packages/entry/src/ibiscart_entry/coordination/peer_directory.py
@@ -9,6 +9,13 @@
 
 import trio
 
+from ibiscart_core.value import (
+    MAX_INT,
+    InvalidValueError,
+    require_address,
+    require_int,
+    require_object,
+)
 from ibiscart_entry.coordination.record import NODES_PARTITION, decode, encode
 from ibiscart_entry.table import StoreError, TableConflict
 from ibiscart_schema.generated.store_pb2 import TableWrite
@@ -24,6 +31,8 @@
 REGISTRATION_INTERVAL_SECONDS = 5.0
 # the row of an entry is ignored and removed when it has not been written for this time
 STALE_MS = 30_000
+# most rows that are written or removed at once, as the store bounds a transaction
+MAX_WRITES = 100
 
 
 class PeerDirectory:
@@ -97,13 +106,15 @@
             else:
                 peers[row_name] = address
         self._peers = peers
-        await self._table.transact(writes)
+        await self._table.transact(writes[:MAX_WRITES])
 
 
 def _live_address(value, now_ms):
     """Returns the address in an entry's row, None if the row is stale or malformed."""
     try:
-        registration = decode(value)
-        return None if now_ms - registration["at_ms"] > STALE_MS else registration["address"]
-    except (KeyError, TypeError, ValueError):
+        registration = require_object(decode(value), "entry")
+        at_ms = require_int(registration.get("at_ms"), 0, MAX_INT, "at_ms")
+        address = require_address(registration.get("address"), "address")
+    except InvalidValueError:
         return None
+    return None if now_ms - at_ms > STALE_MS else address
--- a/packages/entry/src/ibiscart_entry/coordination/relay.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from ibiscart_core.value import InvalidValueError, parse_json
 from ibiscart_entry.client import TransportError
 from ibiscart_entry.coordination.record import LEADER_KEY
 from ibiscart_entry.coordination.relay_message import RELAY_PATH, parse_response, write_document
@@ -309,8 +310,8 @@
     if response.status != 200:
         raise StoreError(f"peer_status_{response.status}", True)
     try:
-        return parse_response(operation, json.loads(response.body))
-    except (AttributeError, KeyError, TypeError, ValueError, RecursionError):
+        return parse_response(operation, parse_json(response.body, name="response"))
+    except InvalidValueError:
         raise StoreError("peer_malformed", True) from None
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/relay_message.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay_message.py
@@ -5,8 +5,21 @@
 JSON form of the table calls that one entry makes through another, and of their responses.
 """
 
-from base64 import b64decode, b64encode
-
+from base64 import b64encode
+
+from ibiscart_core.value import (
+    MAX_INT,
+    MAX_NAME_BYTES,
+    InvalidValueError,
+    require_base64,
+    require_bool,
+    require_choice,
+    require_int,
+    require_list,
+    require_number,
+    require_object,
+    require_text,
+)
 from ibiscart_entry.table import Changes, HistoryLost, Row, StoreError, TableConflict
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
@@ -16,6 +29,7 @@
     "conflict_document",
     "error_document",
     "history_lost_document",
+    "parse_call",
     "parse_response",
     "parse_write",
     "rows_document",
@@ -23,6 +37,14 @@
 ]
 
 RELAY_PATH = "/v1/store"
+# longest key: table, partition and key with what separates them
+MAX_KEY_BYTES = 3 * MAX_NAME_BYTES + 2
+# bounds of the store: rows of a page, writes of a transaction, seconds of a long poll
+MAX_SCAN_ROWS = 500
+MAX_WRITES = 100
+MAX_WAIT_SECONDS = 30
+# most rows of one response, as protection against a malformed one
+MAX_ROWS = 1_000_000
 
 
 def rows_document(rows):
@@ -51,21 +73,38 @@
     return {"error": error.reason, "sent": error.sent}
 
 
+def parse_call(document):
+    """Returns (operation, arguments by name) of a relayed call; raises ``InvalidValueError``."""
+    call = require_object(document, "call")
+    operation = require_choice(call.get("operation"), ARGUMENTS, "operation")
+    parsers = ARGUMENTS[operation]
+    if call.keys() != {"operation", *parsers}:
+        raise InvalidValueError("call", call, f"an object of operation, {', '.join(parsers)}")
+    return operation, {name: parse(call[name], name) for name, parse in parsers.items()}
+
+
 def parse_response(operation, document):
     """Returns the result of a relayed call; raises the ``StoreError`` that the response states.
 
-    ``TableConflict`` and ``HistoryLost`` are returned, not raised.
+    ``TableConflict`` and ``HistoryLost`` are returned, not raised. Raises ``InvalidValueError`` if
+    the response has another form.
     """
+    require_object(document, "response")
     if "error" in document:
-        raise StoreError(document["error"], document["sent"])
+        reason = require_text(document["error"], MAX_NAME_BYTES, "error")
+        raise StoreError(reason, require_bool(document.get("sent"), "sent"))
     if "conflict" in document:
-        return TableConflict([_parse_row(row) for row in document["conflict"]])
+        return TableConflict(_parse_rows(document, "conflict", 1))
     if "history_lost" in document:
-        return HistoryLost(document["history_lost"])
-    rows = [_parse_row(row) for row in document["rows"]]
-    if "version" in document:
-        return Changes(rows, document["removed"], document["version"])
+        return HistoryLost(require_text(document["history_lost"], MAX_KEY_BYTES, "history_lost"))
+    rows = _parse_rows(document, "rows", 1 if operation == "transact" else 0)
+    if operation in ("changes", "snapshot"):
+        removed = require_list(document.get("removed"), MAX_ROWS, "removed")
+        removed = [_require_key(key, "removed") for key in removed]
+        return Changes(rows, removed, _require_version(document.get("version"), "version"))
     if operation == "get":
+        if len(rows) > 1:
+            raise InvalidValueError("rows", document["rows"], "one row, or none")
         return rows[0] if rows else None
     return rows
 
@@ -81,9 +120,19 @@
 
 
 def parse_write(document):
-    """Returns the ``TableWrite`` of a list that ``write_document`` built."""
+    """Returns the ``TableWrite`` of a list that ``write_document`` built.
+
+    Raises ``InvalidValueError`` if the list has another form.
+    """
+    if len(require_list(document, 4, "write")) < 4:
+        raise InvalidValueError("write", document, "a list of 4 items")
     key, value, delete, expected = document
-    return TableWrite(key=key, value=b64decode(value), delete=delete, expected_version=expected)
+    return TableWrite(
+        key=_require_key(key, "key"),
+        value=require_base64(value, "value"),
+        delete=require_bool(delete, "delete"),
+        expected_version=None if expected is None else _require_version(expected, "version"),
+    )
 
 
 def _row_document(row):
@@ -91,7 +140,62 @@
     return [row.key, b64encode(row.value).decode(), row.version]
 
 
+def _parse_rows(document, field, min_rows):
+    """Returns at least ``min_rows`` rows of a response; raises ``InvalidValueError``."""
+    rows = [_parse_row(row) for row in require_list(document.get(field), MAX_ROWS, field)]
+    if len(rows) < min_rows:
+        raise InvalidValueError(field, document[field], f"at least {min_rows} rows")
+    return rows
+
+
 def _parse_row(document):
     """Returns the ``Row`` of a list that ``_row_document`` built."""
+    if len(require_list(document, 3, "row")) < 3:
+        raise InvalidValueError("row", document, "a list of 3 items")
     key, value, version = document
-    return Row(key, b64decode(value), version)
+    return Row(
+        _require_key(key, "key"),
+        require_base64(value, "value"),
+        _require_version(version, "version"),
+    )
+
+
+def _parse_writes(value, name):
+    """Returns the ``TableWrite`` messages of a transaction; raises ``InvalidValueError``."""
+    if not require_list(value, MAX_WRITES, name):
+        raise InvalidValueError(name, value, f"a list of 1 to {MAX_WRITES} writes")
+    return [parse_write(write) for write in value]
+
+
+def _require_key(value, name):
+    """Returns a key, or the begin of one; raises ``InvalidValueError``."""
+    return require_text(value, MAX_KEY_BYTES, name)
+
+
+def _require_version(value, name):
+    """Returns a version of the store; raises ``InvalidValueError``."""
+    return require_int(value, 0, MAX_INT, name)
+
+
+def _require_limit(value, name):
+    """Returns a number of rows; raises ``InvalidValueError``."""
+    return require_int(value, 1, MAX_SCAN_ROWS, name)
+
+
+def _require_wait(value, name):
+    """Returns the seconds of a long poll; raises ``InvalidValueError``."""
+    return require_number(value, 0, MAX_WAIT_SECONDS, name)
+
+
+# parsers of the arguments of each operation
+ARGUMENTS = {
+    "changes": {
+        "table": _require_key,
+        "after": _require_version,
+        "wait_seconds": _require_wait,
+    },
+    "get": {"key": _require_key},
+    "scan": {"prefix": _require_key, "after": _require_key, "limit": _require_limit},
+    "snapshot": {"table": _require_key},
+    "transact": {"writes": _parse_writes},
+}
--- a/packages/entry/src/ibiscart_entry/coordination/relay_server.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay_server.py
@@ -5,17 +5,17 @@
 Calls the store for other entries that cannot reach it themselves.
 """
 
-import json
-
+from ibiscart_core.value import InvalidValueError, parse_json
 from ibiscart_entry.coordination.relay_message import (
     changes_document,
     conflict_document,
     error_document,
     history_lost_document,
-    parse_write,
+    parse_call,
     rows_document,
 )
-from ibiscart_entry.server import Response
+from ibiscart_entry.request_error import bad_field
+from ibiscart_entry.server import Response, error_response
 from ibiscart_entry.table import HistoryLost, StoreError, TableConflict
 
 __all__ = ["RelayServer"]
@@ -29,13 +29,22 @@
 
     def __init__(self, direct_table):
         self._direct_table = direct_table
+        self._operations = {
+            "changes": self._changes,
+            "get": self._get,
+            "scan": self._scan,
+            "snapshot": self._snapshot,
+            "transact": self._transact,
+        }
 
     async def handle(self, request):
         """Returns the ``Response`` to one relayed call, with its result or its error."""
         try:
-            call = json.loads(request.body)
-            operation = getattr(self, f"_{call.pop('operation')}")
-            document = await operation(**call)
+            operation, arguments = parse_call(parse_json(request.body, name="body"))
+        except InvalidValueError as error:
+            return error_response(bad_field(error))
+        try:
+            document = await self._operations[operation](**arguments)
         except TableConflict as conflict:
             document = conflict_document(conflict)
         except HistoryLost as history_lost:
@@ -55,9 +64,7 @@
 
     async def _transact(self, writes):
         """Returns the response to a call of ``transact``."""
-        return rows_document(
-            await self._direct_table.transact([parse_write(write) for write in writes])
-        )
+        return rows_document(await self._direct_table.transact(writes))
 
     async def _snapshot(self, table):
         """Returns the response to a call of ``snapshot``."""
--- a/packages/entry/src/ibiscart_entry/request_error.py
+++ b/packages/entry/src/ibiscart_entry/request_error.py
@@ -11,6 +11,7 @@
 __all__ = [
     "MAX_QUERY_FIELDS",
     "SHOWN_CHARACTERS",
+    "bad_field",
     "bad_target",
     "malformed",
     "too_large",
@@ -36,6 +37,17 @@
     return IbiscartError(ErrorKind.BAD_REQUEST, message, field="request", bound="HTTP/1.1")
 
 
+def bad_field(error):
+    """Returns the ``IbiscartError`` for an ``InvalidValueError`` in a request."""
+    return IbiscartError(
+        ErrorKind.BAD_FIELD,
+        f"{error}; correct it and send the request again",
+        field=error.field,
+        value=error.value,
+        bound=error.bound,
+    )
+
+
 def bad_target(target, error):
     """Returns the ``IbiscartError`` for a target that cannot be split into path and query."""
     return IbiscartError(
