--- a/packages/core/src/ibiscart_core/value.py
+++ b/packages/core/src/ibiscart_core/value.py
@@ -53,12 +53,12 @@
     """A value from outside that is not accepted.
 
     ``field`` names it, ``value`` describes it in at most about 80 characters, ``bound`` describes
-    the values that are accepted.
+    the values that are accepted. ``shown`` replaces the description of the value.
     """
 
-    def __init__(self, field, value, bound):
+    def __init__(self, field, value, bound, *, shown=None):
         self.field = field
-        self.value = describe(value)
+        self.value = describe(value) if shown is None else shown
         self.bound = bound
         super().__init__(f"{field} is {self.value}; it must be {bound}")
 
@@ -87,7 +87,8 @@
     ``max_bytes`` is None if the length of ``data`` is bounded elsewhere.
     """
     if max_bytes is not None and len(data) > max_bytes:
-        raise InvalidValueError(name, f"{len(data)} bytes long", f"at most {max_bytes} bytes")
+        shown = f"{len(data)} bytes long"
+        raise InvalidValueError(name, data, f"at most {max_bytes} bytes", shown=shown)
     try:
         value = json.loads(data)
     except RecursionError:
--- a/packages/core/src/ibiscart_core/workflow/spec.py
+++ b/packages/core/src/ibiscart_core/workflow/spec.py
@@ -21,14 +21,15 @@
     "MAX_ESTIMATE_MS",
     "MAX_OCCURRENCES",
     "MAX_STEPS",
-    "MAX_TASKS_PER_STEP",
+    "MAX_TASKS",
     "MAX_TIME_MS",
     "JobSpec",
     "StepSpec",
 ]
 
-# limits the size of a row in the store: a running step of 1,000 tasks takes about 50 KiB
-MAX_TASKS_PER_STEP = 1000
+# tasks of all steps in all occurrences; limits the job's record, which is written in one
+# transaction, and the tasks that are kept in memory
+MAX_TASKS = 10_000
 MAX_STEPS = 100
 # limits the tasks of a scheduled job that are kept in memory
 MAX_OCCURRENCES = 1000
@@ -142,7 +143,7 @@
 
         Raises ``InvalidValueError``.
         """
-        self.tasks = require_int(self.tasks, 1, MAX_TASKS_PER_STEP, f"{name}.tasks")
+        self.tasks = require_int(self.tasks, 1, MAX_TASKS, f"{name}.tasks")
         self.estimate_ms = require_int(self.estimate_ms, 0, MAX_ESTIMATE_MS, f"{name}.estimate_ms")
         self.max_per_worker = require_int(
             self.max_per_worker, 0, MAX_AMOUNT, f"{name}.max_per_worker"
@@ -264,3 +265,7 @@
             raise InvalidValueError("steps", list(self.steps), f"a list of 1 to {MAX_STEPS} steps")
         for step_index, step in enumerate(self.steps):
             step.validate(f"steps[{step_index}]", step_index)
+        tasks = sum(step.tasks for step in self.steps) * self.occurrence_count
+        if tasks > MAX_TASKS:
+            bound = f"up to {MAX_TASKS} tasks of all steps in all occurrences"
+            raise InvalidValueError("steps", tasks, bound, shown=f"{tasks} tasks")
--- a/packages/entry/src/ibiscart_entry/coordination/relay_message.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay_message.py
@@ -10,6 +10,7 @@
 from ibiscart_core.value import (
     MAX_INT,
     MAX_NAME_BYTES,
+    MAX_TEXT_BYTES,
     InvalidValueError,
     require_base64,
     require_bool,
@@ -20,7 +21,14 @@
     require_object,
     require_text,
 )
-from ibiscart_entry.table import Changes, HistoryLost, Row, StoreError, TableConflict
+from ibiscart_entry.table import (
+    Changes,
+    HistoryLost,
+    Row,
+    StoreError,
+    TableConflict,
+    TransactionRejected,
+)
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
 __all__ = [
@@ -32,6 +40,7 @@
     "parse_call",
     "parse_response",
     "parse_write",
+    "rejection_document",
     "rows_document",
     "write_document",
 ]
@@ -68,6 +77,11 @@
     return {"history_lost": str(error)}
 
 
+def rejection_document(rejection):
+    """Returns the response to a transaction that failed with ``TransactionRejected``."""
+    return {"rejected": rejection.reason}
+
+
 def error_document(error):
     """Returns the response to a call that failed with ``StoreError``."""
     return {"error": error.reason, "sent": error.sent}
@@ -86,8 +100,8 @@
 def parse_response(operation, document):
     """Returns the result of a relayed call; raises the ``StoreError`` that the response states.
 
-    ``TableConflict`` and ``HistoryLost`` are returned, not raised. Raises ``InvalidValueError`` if
-    the response has another form.
+    ``TableConflict``, ``TransactionRejected`` and ``HistoryLost`` are returned, not raised. Raises
+    ``InvalidValueError`` if the response has another form.
     """
     require_object(document, "response")
     if "error" in document:
@@ -95,6 +109,8 @@
         raise StoreError(reason, require_bool(document.get("sent"), "sent"))
     if "conflict" in document:
         return TableConflict(_parse_rows(document, "conflict", 1))
+    if "rejected" in document:
+        return TransactionRejected(require_text(document["rejected"], MAX_TEXT_BYTES, "rejected"))
     if "history_lost" in document:
         return HistoryLost(require_text(document["history_lost"], MAX_KEY_BYTES, "history_lost"))
     rows = _parse_rows(document, "rows", 1 if operation == "transact" else 0)
--- a/packages/entry/src/ibiscart_entry/coordination/relay_server.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay_server.py
@@ -12,11 +12,12 @@
     error_document,
     history_lost_document,
     parse_call,
+    rejection_document,
     rows_document,
 )
 from ibiscart_entry.request_error import bad_field
 from ibiscart_entry.server import Response, error_response
-from ibiscart_entry.table import HistoryLost, StoreError, TableConflict
+from ibiscart_entry.table import HistoryLost, StoreError, TableConflict, TransactionRejected
 
 __all__ = ["RelayServer"]
 
@@ -47,6 +48,8 @@
             document = await self._operations[operation](**arguments)
         except TableConflict as conflict:
             document = conflict_document(conflict)
+        except TransactionRejected as rejection:
+            document = rejection_document(rejection)
         except HistoryLost as history_lost:
             document = history_lost_document(history_lost)
         except StoreError as error:
--- a/tests/entry/coordination/test_record.py
+++ b/tests/entry/coordination/test_record.py
@@ -36,6 +36,8 @@
 class _Table(Table):
     """Holds rows by key; a write that expects that its row is absent conflicts with it."""
 
+    max_value_bytes = 49_152
+
     def __init__(self, values):
         self.rows = {key: Row(key, value, 1) for key, value in values.items()}
 
@@ -102,7 +104,7 @@
         for queue in (["p"], [[], 0, 1, 1.0, 0], ["p", HUGE, 1, 1.0, 0], ["p", 0, 1, math.nan, 0]):
             values.append(json.dumps({**valid, "accepted_queue": queue}).encode())
         for fields in (
-            *({"tasks": tasks} for tasks in (0, HUGE, 1e308, True, [], 1001)),
+            *({"tasks": tasks} for tasks in (0, HUGE, 1e308, True, [], 10_001)),
             *(
                 {"resources": amounts}
                 for amounts in ([1, 1], 5, [HUGE, 1, 1], [1, -1, 1], [[], 1, 1])
