--- a/packages/core/src/ibiscart_core/value.py
+++ b/packages/core/src/ibiscart_core/value.py
@@ -15,6 +15,7 @@
 __all__ = [
     "MAX_INT",
     "MAX_NAME_BYTES",
+    "MAX_TEXT_BYTES",
     "InvalidValueError",
     "describe",
     "parse_json",
@@ -31,8 +32,10 @@
 
 # largest integer up to which a double is exact, as are the numbers of other JSON implementations
 MAX_INT = 2**53
-# longest name; names are parts of the keys of rows, whose length the store bounds
+# longest name that is part of the key of a row, as the store bounds it
 MAX_NAME_BYTES = 200
+# longest other name, label or secret; large enough for every real one
+MAX_TEXT_BYTES = 4096
 # no document that is decoded nests deeper; an unbounded depth exhausts the recursion limit
 MAX_DEPTH = 32
 # characters of an invalid value that its description repeats
@@ -50,12 +53,12 @@
     """A value from outside that is not accepted.
 
     ``field`` names it, ``value`` describes it in at most about 80 characters, ``bound`` describes
-    the values that are accepted.
+    the values that are accepted. ``shown`` replaces the description of the value.
     """
 
-    def __init__(self, field, value, bound):
+    def __init__(self, field, value, bound, *, shown=None):
         self.field = field
-        self.value = describe(value)
+        self.value = describe(value) if shown is None else shown
         self.bound = bound
         super().__init__(f"{field} is {self.value}; it must be {bound}")
 
@@ -63,7 +66,7 @@
 def describe(value):
     """Returns a short description of a value of any JSON type, in ASCII."""
     if value is None:
-        return "missing"
+        return "null or missing"
     if isinstance(value, bool):
         return str(value).lower()
     if isinstance(value, int) and value.bit_length() > MAX_SHOWN_BITS:
@@ -84,7 +87,8 @@
     ``max_bytes`` is None if the length of ``data`` is bounded elsewhere.
     """
     if max_bytes is not None and len(data) > max_bytes:
-        raise InvalidValueError(name, f"{len(data)} bytes long", f"at most {max_bytes} bytes")
+        shown = f"{len(data)} bytes long"
+        raise InvalidValueError(name, data, f"at most {max_bytes} bytes", shown=shown)
     try:
         value = json.loads(data)
     except RecursionError:
