Jobs: a read that began before a job was removed does not bring it back

The engine no longer has the job, so it was added as a new one and ran again. Change: the feed keeps the version of each removal for the time of retention and passes over rows that are not newer. An id that is used again runs again.

--- a/packages/entry/src/ibiscart_entry/coordination/job_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_feed.py
@@ -73,6 +73,9 @@
         self._on_job_error = on_job_error
         self._ended_at = {}
         self._removed_job_ids = []
+        # (version of the removal, when it was made) by the keys of removed rows: a read that began
+        # before may still return them
+        self._removals = {}
         self._set_aside_ids = set()
         self._unrecordable = Suspensions()
         # numbers of the further rows of progress records, by job id
@@ -195,16 +198,25 @@
         while True:
             await trio.sleep(REMOVAL_INTERVAL_SECONDS)
             retained_since = trio.current_time() - self._retention_seconds
+            self._removals = {
+                key: removal
+                for key, removal in self._removals.items()
+                if removal[1] > retained_since
+            }
             expired = [
                 job_id for job_id, ended_at in self._ended_at.items() if ended_at < retained_since
             ]
             for job_id in expired:
                 keys = (job_key(job_id), cancel_key(job_id))
                 try:
-                    await self._table.transact([TableWrite(key=k, delete=True) for k in keys])
+                    rows = await self._table.transact(
+                        [TableWrite(key=k, delete=True) for k in keys]
+                    )
                 except StoreError as error:
                     LOG.warning("A job was not removed.", extra={"cause": error.reason})
                     break
+                for row in rows:
+                    self._removals[row.key] = (row.version, trio.current_time())
                 del self._ended_at[job_id]
                 self._removed_job_ids.append(job_id)
                 self._unrecordable.discard(job_id)
@@ -219,7 +231,9 @@
         ``rows`` are of the jobs table. ``progress_values`` has the arguments of ``decode_progress``
         by job id. A job without a progress record is logged as accepted.
         """
-        jobs, cancelled = jobs_from_rows(rows)
+        jobs, cancelled = jobs_from_rows(
+            row for row in rows if row.version > self._removals.get(row.key, (0, 0.0))[0]
+        )
         now = trio.current_time()
         for job_id, job in jobs.items():
             if job_id in self._engine.jobs or job_id in self._set_aside_ids:
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -147,7 +147,7 @@
             functools.partial(deployment.connect_agent, connect),
             self.metrics,
             lease_limit_seconds=deployment.lease_limit_seconds,
-            retention_seconds=120.0,
+            retention_seconds=deployment.retention_seconds,
             directory_ttl_seconds=3.0,
             wall_clock=lambda: deployment.now_ms() / 1000,
         )
@@ -202,10 +202,12 @@
         seed=1,
         key_revocation_seconds=None,
         lease_limit_seconds=6.0,
+        retention_seconds=120.0,
         wrap_agent=lambda agent, worker: agent,
     ):
         self.key_revocation_seconds = key_revocation_seconds
         self.lease_limit_seconds = lease_limit_seconds
+        self.retention_seconds = retention_seconds
         self._entry_count, self._worker_count, self._rack_size = entries, workers, rack_size
         self.seed = seed
         self.entries = {}
