Session: a stop follows its worker to another address

Cause: a worker that registers at another address got a new session, while stops under way went on to the earlier address. They were never confirmed: a cancelled run went on, and the allocation was never freed, since the worker answers at its new address and its leases are extended there. Evidence: a test in virtual time, the worker restarted or not: the run did not end within 3 s, and a later job stayed queued; both hold now. Change: the session stays and connects to the new address, so that orders and the expected expiry of leases stay with it.

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -113,6 +113,9 @@
         self._scope = trio.CancelScope()
         # cancelled when an order ends with an unexpected error
         self._attempt = trio.CancelScope()
+        # cancelled to end the pause after an unexpected error
+        self._pause = trio.CancelScope()
+        self._moved = False
         # set while the session is connected
         self._connected = trio.Event()
 
@@ -151,6 +154,13 @@
         """Makes ``run`` check again whether a poll is needed."""
         self._wakeup.set()
 
+    def reconnect(self, address):
+        """Makes ``run`` begin again at another address of the worker; orders go on there."""
+        self._address = address
+        self._moved = True
+        self._pause.cancel()
+        self._disconnect()
+
     def close(self):
         """Ends ``run``."""
         self._scope.cancel()
@@ -171,8 +181,12 @@
                 now = trio.current_time()
                 if now - started_at > longest_pause:
                     pause_seconds = MIN_RESTART_SECONDS
-                await self._wait_disconnected(now + pause_seconds)
-                pause_seconds = min(2 * pause_seconds, longest_pause)
+                if self._moved:
+                    await self._wait_disconnected(now, "moved")
+                else:
+                    await self._wait_disconnected(now + pause_seconds, "error")
+                    pause_seconds = min(2 * pause_seconds, longest_pause)
+                self._moved = False
 
     async def send_start(self, order):
         """Sends a ``StartOrder`` until its outcome is known or the attempts are exhausted."""
@@ -208,26 +222,26 @@
                 await self._agent.aclose()
 
     def _disconnect(self):
-        """Makes ``run`` begin again after a pause."""
+        """Makes ``run`` begin again, after a pause unless the worker has moved."""
         if self._connected.is_set():
             self._connected = trio.Event()
         self._attempt.cancel()
 
-    async def _wait_disconnected(self, restart_at):
-        """Waits until ``restart_at``; the worker's runs end when their leases have expired."""
+    async def _wait_disconnected(self, restart_at, reason):
+        """Waits until ``restart_at`` or ``reconnect``, and ends the runs whose leases expire."""
         self._disconnect()
         # the error may have been caused by the clock
         self._worker_clock_ms = None
         self._answered_at = None
-        with trio.CancelScope(deadline=restart_at):
-            await self._run_isolated(self._end_runs_with_leases)
-        await trio.sleep_until(restart_at)
+        with trio.CancelScope(deadline=restart_at) as self._pause:
+            await self._run_isolated(self._end_runs_with_leases, reason)
+            await trio.sleep_forever()
 
-    async def _end_runs_with_leases(self):
+    async def _end_runs_with_leases(self, reason):
         """Marks the worker as unreachable, and ends its runs once their leases have expired."""
-        self._mark_unreachable("error", replaced=False)
+        self._mark_unreachable(reason, replaced=False)
         await trio.sleep_until(self._expires_at + RETRY_SECONDS)
-        self._mark_unreachable("error", replaced=False)
+        self._mark_unreachable(reason, replaced=False)
 
     async def _send_start(self, order):
         """Sends a ``StartOrder`` and applies its result; an error leaves the order unanswered."""
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -224,7 +224,7 @@
             record_error(self._metrics, "worker", worker_id, error)
 
     def _apply_registration(self, worker_id, info, written_after):
-        """Adds or updates a worker and opens a session if it has none with this address.
+        """Adds or updates a worker and opens a session at its address.
 
         ``written_after`` is a time before the registration was written, None if none is known.
         """
@@ -242,11 +242,10 @@
         worker = self._engine.fleet.add(info)
         worker.record_report(trio.current_time(), written_after)
         session = self._sessions.get(worker_id)
-        if session is not None and session.address != info.address:
-            session.close()
-            session = None
         if session is None:
             self._open_session(worker)
+        elif session.address != info.address:
+            session.reconnect(info.address)
         elif not worker.reachable:
             session.wake()
 
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -71,6 +71,28 @@
         engine = deployment.leader().leader.coordinator._engine
         return any(worker.units_by_run for worker in engine.fleet.workers.values())
 
+    def test_stop_reaches_a_worker_that_has_changed_its_address(self):
+        # the stop went on to the earlier address, and the run kept its allocation for good
+        async def main(restart):
+            async with Deployment(workers=1) as deployment:
+                worker = await deployment.occupy_worker(60_000)
+                worker.unanswered_path = "/run-stop"
+                await deployment.first_entry().call("DELETE", f"/q/{JOB_ID}")
+                await trio.sleep(0.3)
+                deployment.network.handlers.pop(f"{worker.id}:80")
+                if restart:
+                    worker.restart()
+                worker.unanswered_path = ""
+                deployment.move_worker(worker.id, f"{worker.id}:81")
+                await deployment.wait_until(lambda: not worker.running, 3)
+                await deployment.submit(OTHER_JOB_ID, job(step(1, 8), ms=500))
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed", 3)
+                self.assertEqual([], deployment.fleet.violations)
+
+        for restart in (False, True):
+            with self.subTest(restart=restart):
+                run_virtual(functools.partial(main, restart))
+
     def test_order_without_an_answer_is_not_sent_again_to_a_worker_that_has_the_run(self):
         # six orders for one run went to a worker whose answers were lost
         async def main():
