Session: a start without an answer holds back no other run of its worker

Cause: the longest lease, 10 s, counted for all runs of the worker, though only the run of the unanswered start can have begun in an unnoticed life of it. Evidence: a test in virtual time: a run beside such a start was not completed 12.3 s after its worker was cut off; it is now, at a lease of 6 s. Change: only the run of the unanswered start waits for the longest lease.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -169,9 +169,10 @@
                 counts[job.queue] = counts.get(job.queue, 0) + 1
         return counts
 
-    def end_lost_runs(self, worker_id, cause, now, reason):
-        """Ends all runs of a worker that has left, crashed or vanished until its leases expired.
+    def end_lost_runs(self, worker_id, cause, now, reason, except_runs=frozenset()):
+        """Ends the runs of a worker that has left, crashed or vanished until its leases expired.
 
+        ``except_runs`` has the (task key, run) of those that may go on.
         ``cause`` is ``LOST``, ``WORKER_CRASHED`` or ``WORKER_VANISHED``; a worker that was draining
         has left. ``reason`` is for the log.
         """
@@ -185,7 +186,8 @@
         if cause is not EndCause.LOST:
             self._record_losses(now)
         for (task_key, run), unit in list(worker.units_by_run.items()):
-            self._end_run(worker, unit, task_key, run, cause, "", reason, now)
+            if (task_key, run) not in except_runs:
+                self._end_run(worker, unit, task_key, run, cause, "", reason, now)
 
     def apply_worker_status(self, worker_id, status, asked_at, now):
         """Applies a worker's status.
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -100,6 +100,8 @@
         # restart is known, of the previous one
         self._latest_deadline_ms = None
         self._deadline_sent_at = 0.0
+        # (task key, run) of the starts without an answer since the worker's last status
+        self._unanswered_starts = set()
         self._incarnation = worker.info.incarnation
         self._recorded_sequence = 0
         self._acknowledged_sequence = 0
@@ -374,7 +376,7 @@
             )
         finally:
             if clock_ms is None and result is not StartResult.NOT_SENT:
-                self._expires_at = max(self._expires_at, self._longest_lease_expiry())
+                self._unanswered_starts.add((order.task_key, order.run))
         return result, clock_ms
 
     async def _repeat_start(self, order):
@@ -486,6 +488,7 @@
         else:
             self._acknowledged_sequence = max(self._acknowledged_sequence, acknowledged_end)
         self._record_clock(status.clock_ms)
+        self._unanswered_starts.clear()
         now = trio.current_time()
         self._answered_at = now
         self._engine.apply_worker_status(self._worker.id, status, sent_at, now)
@@ -515,8 +518,9 @@
             self._engine.end_lost_runs(self._worker.id, EndCause.WORKER_CRASHED, now, reason)
             self._on_change()
         elif self._worker.units_by_run and now > self._expires_at:
+            uncertain = self._unanswered_starts if now <= self._longest_lease_expiry() else ()
             cause = EndCause.WORKER_VANISHED
-            self._engine.end_lost_runs(self._worker.id, cause, now, "lease_expired")
+            self._engine.end_lost_runs(self._worker.id, cause, now, "lease_expired", uncertain)
             self._on_change()
 
     def _record_clock(self, clock_ms):
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -237,6 +237,25 @@
                 with self.subTest(answered=answered, hold_back=hold_back):
                     run_virtual(functools.partial(main, answered, hold_back))
 
+    def test_start_without_an_answer_holds_back_no_other_run_of_its_worker(self):
+        async def main():
+            async with Deployment(workers=1, lease_limit_seconds=10.0) as deployment:
+                worker = deployment.fleet.workers["w0"]
+                await deployment.submit(JOB_ID, job(step(1, 4), ms=4000))
+                await deployment.wait_for_state(JOB_ID, "running")
+                worker.lose_start_answers = True
+                await deployment.submit(OTHER_JOB_ID, job(step(1, 4), ms=4000))
+                await deployment.wait_until(lambda: len(worker.running) == 2)
+                worker.unresponsive = True
+                deployment.network.partition(list(deployment.entries), ["w0:80"])
+                deployment.add_worker(1)
+                # a lease of 6 s, the time until its expiry is noticed, and the run
+                await deployment.wait_for_state(JOB_ID, "completed", 6.6 + 1.2 + 4 + 0.5)
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed", 10)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
     def test_runs_of_an_unresponsive_worker_end_with_their_leases(self):
         # calls that the worker did not answer extended the lease expiry that the leader assumed,
         # so the run never ended
