Soak: processes that end by themselves, and the faults that made them do so

No check watched the processes of the soak: one that ended by itself was started again at the end of the faults, so that the tests missed the incident.

Each end is now checked: without a signal that ends it, or with another exit code than 0 after SIGTERM or SIGINT, it is a violation with the tail of its log; so is a process that isn't ready 20 s after its start while the store serves, or that goes on 30 s after SIGTERM. New faults: signals in series and overlapping from the program's first import to its exit, ports in use at a start, odd rows of another writer, odd answers of store and workers, planned restarts under callers that keep their connections. Size, number at once, the group of faults and ports among those of connections are parameters; each violation names its seed.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -1,116 +1,61 @@
 """Entry processes on loopback, connected by fault proxies to stand-ins of store and workers."""
 
-import json
-import os
+import random
 import shutil
 import signal
-import sys
+import socket
 import tempfile
 import time
 from contextlib import asynccontextmanager
 from pathlib import Path
 
 import trio
-import yaml
 
-from ibiscart_entry.client import HttpClient, TransportError
 from ibiscart_entry.server import HttpServer
 from ibiscart_schema.generated.settings_pb2 import ServerSettings
-from tests.platform.deployment import API_KEY, CONFIGURATION
+from tests.platform.deployment import CONFIGURATION
+from tests.soak.process import EntryProcess
 from tests.soak.proxy import FaultProxy
-from tests.standins.loopback import LOOPBACK, free_ports
+from tests.standins.loopback import LOOPBACK
 from tests.standins.platform.store import PlatformStore
 from tests.standins.platform.worker import WorkerFleet, WorkerStandIn
 
 __all__ = ["Cluster"]
 
-ROOT = Path(__file__).resolve().parents[2]
 START_TIMEOUT_SECONDS = 20.0
-
-
-class EntryProcess:
-    """One entry process; its client keeps connections open until the process exits."""
-
-    def __init__(self, name, directory, store_port):
-        self.name = name
-        self.front_port, self.readiness_port, self.internal_port = free_ports(3)
-        self._settings_path = Path(directory) / f"{name}.yaml"
-        self._log_path = Path(directory) / f"{name}.log"
-        self._settings_path.write_text(
-            yaml.safe_dump(self._settings_document(store_port)), encoding="utf-8"
-        )
-        self._client = HttpClient(f"{LOOPBACK}:{self.front_port}")
-        self.process = None
-        self._start_lock = trio.Lock()
-
-    @property
-    def alive(self):
-        return self.process is not None and self.process.poll() is None
-
-    async def start(self):
-        """Starts the process unless it is alive; concurrent calls start only one process."""
-        environment = {**os.environ, "IBISCART_CONFIG": str(self._settings_path)}
-        async with self._start_lock:
-            if self.alive:
-                return
-            with open(self._log_path, "ab") as log:
-                command = [sys.executable, str(ROOT / "deploy" / "entry.py")]
-                self.process = await trio.lowlevel.open_process(
-                    command, stdin=None, stdout=log, stderr=log, env=environment
-                )
-
-    def send_signal(self, signal_number):
-        """Sends a signal unless the process has exited, as its id may then be another process's."""
-        if self.alive:
-            self.process.send_signal(signal_number)
-
-    async def wait_exit(self):
-        """Waits until the process, if it was started, has exited."""
-        if self.process is not None:
-            await self.process.wait()
-
-    async def call(self, method, path, document=None):
-        """Returns (status, JSON body) of the response, or (0, {}) if there is none."""
-        headers = [("authorization", f"Bearer {API_KEY}"), ("x-deadline-ms", "3000")]
-        body = json.dumps(document).encode() if document is not None else b""
-        try:
-            response = await self._client.request(
-                method, path, body=body, headers=headers, timeout=3.0
-            )
-            return response.status, json.loads(response.body or b"{}")
-        except TransportError:
-            return 0, {}
-
-    def _settings_document(self, store_port):
-        """Returns the settings of the process as a mapping for its YAML file."""
-        return {
-            "node": self.name,
-            "ip": LOOPBACK,
-            "zone": "z",
-            "listen": {
-                "front": f"{LOOPBACK}:{self.front_port}",
-                "readiness": f"{LOOPBACK}:{self.readiness_port}",
-            },
-            "internalPorts": [self.internal_port, self.internal_port],
-            "platform": {"address": f"{LOOPBACK}:{store_port}"},
-            "bounds": {"graceS": 6, "maxHoldMs": 6000, "status_s": 120},
-            "limits": {"cpuShare": 1.0, "cores": 1},
-            "heartbeatMs": 1500,
-        }
+# longest time from the start of a process until it is ready, while the store serves
+READY_TIMEOUT_SECONDS = 20.0
+MONITOR_SECONDS = 0.2
+RESTART_DELAY_SECONDS = 1.0
 
 
 class Cluster:
-    """Store, workers, proxies and entry processes, within ``async with cluster.running()``."""
+    """Store, workers, proxies and entry processes, within ``async with cluster.running()``.
 
-    def __init__(self, entries=3, workers=4, seed=0):
+    ``violations`` has a text for each process that ended by itself, ended with a wrong exit code
+    or did not become ready. A process that ended by itself is started again, as the platform does.
+    With ``ephemeral_ports`` all sockets are on 127.0.0.1, the listeners of the entries get ports
+    that the system also gives to connections, and each worker has a connection to the store, as on
+    one machine that runs a whole deployment.
+    """
+
+    def __init__(self, entries=3, workers=4, seed=0, ephemeral_ports=False):
         self._entry_and_worker_counts = entries, workers
         self.seed = seed
+        self._ephemeral_ports = ephemeral_ports
+        self._host = "127.0.0.1" if ephemeral_ports else LOOPBACK
+        self._registration_sockets = []
         self.entries = {}
         self.store_proxies = {}
         self.worker_proxies = {}
         self.fleet = WorkerFleet()
         self.keep_logs = False
 
+    @property
+    def violations(self):
+        """Texts of all violations of the entry processes so far."""
+        return [text for entry in self.entries.values() for text in entry.violations]
+
     @asynccontextmanager
     async def running(self):
         """Starts all components, and stops them also if the start or the body fails."""
@@ -124,6 +69,8 @@
                 raise
             finally:
                 await self._kill_processes()
+                for connection in self._registration_sockets:
+                    connection.close()
                 self.nursery.cancel_scope.cancel()
         if not self.keep_logs:
             shutil.rmtree(self.log_directory)
@@ -132,26 +79,67 @@
         """Starts store, workers, proxies and entries; returns when all entries are ready."""
         self.store = PlatformStore(self.seed)
         await self.nursery.start(self.store.run)
-        store_port = await self._start_server(self.store.handle)
-        routes = [{**route, "host": LOOPBACK} for route in CONFIGURATION["routes"]]
+        self.store_port = store_port = await self._start_server(self.store.handle)
+        routes = [{**route, "host": self._host} for route in CONFIGURATION["routes"]]
         self.store.put("op", "config", {**CONFIGURATION, "routes": routes})
+        names = [f"e{number}" for number in range(self._entry_and_worker_counts[0])]
+        ports = {name: _ephemeral_ports() if self._ephemeral_ports else None for name in names}
         for number in range(self._entry_and_worker_counts[1]):
             await self._add_worker(f"w{number}")
-        for number in range(self._entry_and_worker_counts[0]):
-            name = f"e{number}"
+        for name in names:
             self.store_proxies[name] = await self._start_proxy(store_port)
             self.entries[name] = EntryProcess(
-                name, self.log_directory, self.store_proxies[name].port
+                name,
+                self.log_directory,
+                self.store_proxies[name].port,
+                host=self._host,
+                ports=ports[name],
             )
             await self.entries[name].start()
+            self.nursery.start_soon(self._monitor, self.entries[name])
         with trio.fail_after(START_TIMEOUT_SECONDS):
             while not all([await self._is_ready(entry) for entry in self.entries.values()]):
                 await trio.sleep(0.1)
 
+    async def wait_ready(self):
+        """Waits until all entries are ready; adds a violation for each one that is not in time."""
+        for entry in self.entries.values():
+            with trio.move_on_after(READY_TIMEOUT_SECONDS) as scope:
+                while not await entry.is_ready():
+                    await trio.sleep(MONITOR_SECONDS)
+            if scope.cancelled_caught:
+                entry.report_not_ready(READY_TIMEOUT_SECONDS)
+
+    async def _monitor(self, entry):
+        """Checks the ends of an entry's processes, and that each becomes ready in time."""
+        process, ready, served_seconds = None, False, 0.0
+        while True:
+            before = trio.current_time()
+            undisturbed = self._is_undisturbed(entry)
+            await trio.sleep(MONITOR_SECONDS)
+            if entry.check_exit():
+                await trio.sleep(RESTART_DELAY_SECONDS)
+                await entry.start()
+            if entry.process is not process:
+                process, ready, served_seconds = entry.process, False, 0.0
+            elif not ready and undisturbed and self._is_undisturbed(entry):
+                ready = await entry.is_ready()
+                served_seconds += trio.current_time() - before
+                if not ready and served_seconds > READY_TIMEOUT_SECONDS:
+                    entry.report_not_ready(served_seconds)
+                    ready = True
+
+    def _is_undisturbed(self, entry):
+        """Returns True if no fault prevents that an entry becomes ready."""
+        disturbed = entry.stopped or entry.ending or entry.ports_in_use or not entry.alive
+        proxy = self.store_proxies[entry.name]
+        return not disturbed and proxy.mode == "pass" and not self.store.disturbed
+
     async def _kill_processes(self):
         """Kills all entry processes, also paused ones, and waits for their exit."""
         with trio.CancelScope(shield=True):
             for entry in self.entries.values():
+                entry.check_exit()
                 entry.send_signal(signal.SIGCONT)
                 entry.send_signal(signal.SIGKILL)
                 await entry.wait_exit()
@@ -159,7 +147,7 @@
     def register(self, name, **fields):
         """Writes a worker's registration into the store, with ``fields`` changed."""
         worker = self.fleet.workers[name]
-        address = f"{LOOPBACK}:{self.worker_proxies[name].port}"
+        address = f"{self._host}:{self.worker_proxies[name].port}"
         rack = f"r{int(name[1:]) // 2}"
         self.store.put("servers", name, worker.registration(address, rack=rack, **fields))
 
@@ -170,12 +158,15 @@
         port = await self._start_server(worker.handle)
         self.worker_proxies[name] = await self._start_proxy(port)
         self.register(name)
+        if self._ephemeral_ports:
+            connection = socket.create_connection((self._host, self.store_port))
+            self._registration_sockets.append(connection)
 
     async def _start_server(self, handler):
         """Serves ``handler`` on loopback; returns the port."""
         settings = ServerSettings(
-            address=f"{LOOPBACK}:0",
-            max_connections=500,
+            address=f"{self._host}:0",
+            max_connections=5000,
             max_body_bytes=4_000_000,
             header_timeout_seconds=60,
             body_timeout_seconds=60,
@@ -184,10 +175,27 @@
 
     async def _start_proxy(self, port):
         """Starts and returns a ``FaultProxy`` in front of a port."""
-        proxy = FaultProxy(port)
+        proxy = FaultProxy(port, self._host)
         await self.nursery.start(proxy.run)
         return proxy
 
     async def _is_ready(self, entry):
         """Returns True if an entry answers a caller's request with status 200."""
         return (await entry.call("GET", "/q/"))[0] == 200
+
+
+def _ephemeral_ports():
+    """Returns three ports that are free at present, among those of outgoing connections."""
+    low, high = map(int, Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split())
+    rng = random.SystemRandom()
+    ports = []
+    while len(ports) < 3:
+        port = rng.randint(low, high)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return ports
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -17,21 +17,22 @@
 
 
 class FaultProxy:
-    """Forwards connections to ``target_port`` on loopback, with the faults of ``mode``.
+    """Forwards connections to ``target_port`` of ``host``, with the faults of ``mode``.
 
     ``pass`` forwards all data, ``delay`` forwards each read after a delay, ``reset`` resets the
     connections, ``silent`` drops all data and ``one_way`` the data from the target. A change of
     ``mode`` also affects open connections.
     """
 
-    def __init__(self, target_port):
+    def __init__(self, target_port, host=LOOPBACK):
         self._target_port = target_port
+        self._host = host
         self.mode = "pass"
         self.port = 0
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Accepts connections until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+        listeners = await trio.open_tcp_listeners(0, host=self._host)
         self.port = listeners[0].socket.getsockname()[1]
         async with trio.open_nursery() as nursery:
             task_status.started()
@@ -44,7 +45,7 @@
                 self._reset(client)
                 return
             try:
-                server = await trio.open_tcp_stream(LOOPBACK, self._target_port)
+                server = await trio.open_tcp_stream(self._host, self._target_port)
             except OSError:
                 self._reset(client)
                 return
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,24 +1,28 @@
 """Soak test of entry processes under random faults, in real time; run manually over many seeds:
 
-    python -m tests.soak.run FIRST COUNT [SECONDS]
+    python -m tests.soak.run FIRST COUNT [SECONDS] [--entries N] [--workers N] [--at-once N]
+        [--faults NAME] [--ephemeral-ports]
 
-Faults come from outside the processes: signals, proxies, and faults of the stand-ins of store
-and workers. The scenario checks what callers and workers observe. ``REGRESSIONS`` has the seeds
-of failed soaks, with the cause of each failure.
+Faults come from outside the processes: signals, ports in use, proxies, odd rows of another writer,
+and faults of the stand-ins of store and workers. The scenario checks what callers and workers
+observe, and how each process ends. ``REGRESSIONS`` has the seeds of failed soaks, with the cause
+of each failure.
 """
 
+import argparse
 import logging
 import random
 import signal
-import sys
 
 import trio
 
 from tests.platform.fault_scenario import FaultScenario
+from tests.soak.caller import Caller
 from tests.soak.cluster import Cluster
+from tests.soak.odd import STORE_ANSWERS, WORKER_ANSWERS, odd_registrations
 from tests.soak.proxy import MODES
 
-__all__ = ["REGRESSIONS", "run_soak"]
+__all__ = ["FAULTS", "REGRESSIONS", "run_soak"]
 
 # seeds of soaks that failed, with the cause of each failure; every test run repeats them
 REGRESSIONS = {
@@ -26,31 +30,55 @@
 }
 FAULT_SECONDS = 15.0
 RESTART_DELAY_SECONDS = 0.3
+# names of the groups of faults; "none" starts and stops the deployment only
+FAULTS = ("all", "basic", "signals", "ports", "rows", "store", "workers", "restarts", "none")
+# callers of one entry that is restarted as planned, and the time after which they open no more
+# connections, since the load balancer has noticed by then that the entry is not ready
+CALLERS = 40
+BALANCER_SECONDS = 2.2
 
 
 class SoakScenario(FaultScenario):
-    """A ``FaultScenario`` on separate processes in real time."""
+    """A ``FaultScenario`` on separate processes in real time, with one group of ``FAULTS``."""
 
-    def __init__(self, seed, fault_seconds=FAULT_SECONDS):
+    def __init__(self, seed, fault_seconds=FAULT_SECONDS, faults="all", **options):
         super().__init__(seed)
         self._fault_seconds = fault_seconds
+        self._faults = faults
+        self._options = options
 
     async def run(self):
-        async with Cluster(seed=self.seed).running() as cluster:
-            self._deployment = cluster
-            with trio.move_on_after(self._fault_seconds):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._submit_jobs)
-                    nursery.start_soon(self._inject_faults, nursery)
-            await self._reset_faults()
-            await self._wait_for_jobs()
-            self.violations.extend(cluster.fleet.violations)
-            self._check_refused_jobs()
-            if self.violations:
-                cluster.keep_logs = True
-                self.violations.append(f"logs: {cluster.log_directory}")
+        cluster = self._deployment = Cluster(seed=self.seed, **self._options)
+        try:
+            async with cluster.running():
+                await self._run_faults()
+                await self._reset_faults()
+                await self._wait_for_jobs()
+                self._check_refused_jobs()
+                self.violations.extend(cluster.fleet.violations)
+                # the log of a process is gone with the deployment
+                cluster.keep_logs = bool(self.violations or cluster.violations)
+        except* trio.TooSlowError:
+            self.violations.append("the deployment has not started")
+        self.violations.extend(cluster.violations)
+        if self.violations:
+            self.violations.append(f"logs: {cluster.log_directory}")
         return self.violations
 
+    async def _run_faults(self):
+        """Injects the faults of the group beside jobs."""
+        with trio.move_on_after(self._fault_seconds):
+            async with trio.open_nursery() as nursery:
+                if self._faults == "none":
+                    await trio.sleep_forever()
+                nursery.start_soon(self._submit_jobs)
+                if self._faults != "restarts":
+                    nursery.start_soon(self._inject_faults, nursery)
+                    await trio.sleep_forever()
+                while True:
+                    await trio.lowlevel.checkpoint()
+                    await self._restart_as_planned()
+
     async def _submit_jobs(self):
         """Submits random jobs, on average two a second, until cancelled."""
         number = 0
@@ -63,20 +91,39 @@
 
     async def _inject_faults(self, nursery):
         """Starts random faults, each with a duration in seconds; instantaneous faults ignore it."""
-        faults = [
-            self._kill_process,
-            self._kill_all_processes,
-            self._pause_process,
-            self._terminate_process,
-            self._disturb_store_connections,
-            self._disturb_worker_connections,
-            *self._store_and_worker_faults(),
-            self._reload_settings,
-        ]
+        faults = self._fault_functions()
         while True:
             await trio.sleep(self.random.uniform(0.3, 2))
             nursery.start_soon(self.random.choice(faults), self.random.uniform(0.3, 4))
 
+    def _fault_functions(self):
+        """Returns the functions of the group of faults."""
+        groups = {
+            "basic": [
+                self._kill_process,
+                self._kill_all_processes,
+                self._pause_process,
+                self._terminate_process,
+                self._disturb_store_connections,
+                self._disturb_worker_connections,
+                *self._store_and_worker_faults(),
+                self._reload_settings,
+            ],
+            "signals": [
+                self._reload_in_series,
+                self._signal_start,
+                self._signal_shutdown,
+                self._pause_shutdown,
+            ],
+            "ports": [self._occupy_ports],
+            "rows": [self._write_odd_rows, self._kill_process],
+            "store": [self._answer_store_oddly],
+            "workers": [self._answer_oddly],
+        }
+        if self._faults == "all":
+            return [function for group in groups.values() for function in group]
+        return groups[self._faults]
+
     async def _kill_process(self, duration_seconds):
         """Kills a random entry process and restarts it; ignores the duration."""
         await self._restart_process(self._random_entry(), signal.SIGKILL)
@@ -95,11 +142,146 @@
         """Ends a process by a signal and restarts it ``RESTART_DELAY_SECONDS`` after its exit."""
         with trio.CancelScope(shield=True):
             entry.send_signal(signal.SIGCONT)
-            entry.send_signal(signal_number)
+            if signal_number == signal.SIGKILL:
+                entry.send_signal(signal_number)
+            else:
+                await entry.signal_program(signal_number)
+            await entry.wait_exit()
+            await trio.sleep(RESTART_DELAY_SECONDS)
+            await entry.start()
+
+    async def _reload_in_series(self, duration_seconds):
+        """Sends up to 20 SIGHUP to a random process, with SIGSTOP and SIGCONT among them."""
+        entry = self._random_entry()
+        for _ in range(self.random.randint(2, 20)):
+            await entry.signal_program(signal.SIGHUP)
+            if self.random.random() < 0.2:
+                entry.send_signal(signal.SIGSTOP)
+                await trio.sleep(self.random.uniform(0, 0.1))
+                entry.send_signal(signal.SIGCONT)
+            await trio.sleep(self.random.choice([0, self.random.uniform(0, 0.05)]))
+
+    async def _signal_start(self, duration_seconds):
+        """Restarts a random process and sends signals while it starts."""
+        entry = self._random_entry()
+        numbers = [signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGINT]
+        with trio.CancelScope(shield=True):
+            await self._restart_process(entry, signal.SIGKILL)
+            for _ in range(self.random.randint(1, 5)):
+                number = self.random.choice(numbers)
+                await entry.signal_program(number)
+                await trio.sleep(self.random.uniform(0, 0.3))
+            await entry.wait_exit()
+            await trio.sleep(RESTART_DELAY_SECONDS)
+            await entry.start()
+
+    async def _signal_shutdown(self, duration_seconds):
+        """Shuts a random process down and sends further signals until it has exited."""
+        entry = self._random_entry()
+        with trio.CancelScope(shield=True):
+            await entry.signal_program(signal.SIGTERM)
+            process = entry.process
+            while entry.alive and entry.process is process:
+                await trio.sleep(self.random.choice([0.01, 0.1, 1.0]) * self.random.random())
+                entry.send_signal(
+                    self.random.choice([signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+                )
+            await entry.wait_exit()
+            await trio.sleep(RESTART_DELAY_SECONDS)
+            await entry.start()
+
+    async def _pause_shutdown(self, duration_seconds):
+        """Stops a random process by SIGSTOP while it shuts down."""
+        entry = self._random_entry()
+        with trio.CancelScope(shield=True):
+            await entry.signal_program(signal.SIGTERM)
+            await trio.sleep(self.random.uniform(0, 4))
+            entry.send_signal(signal.SIGSTOP)
+            await trio.sleep(duration_seconds)
+            entry.send_signal(signal.SIGCONT)
             await entry.wait_exit()
             await trio.sleep(RESTART_DELAY_SECONDS)
             await entry.start()
 
+    async def _occupy_ports(self, duration_seconds):
+        """Restarts a random process while listeners or connections use some of its ports."""
+        entry = self._random_entry()
+        if entry.ports_in_use:
+            return
+        ports = [entry.front_port, entry.readiness_port, entry.internal_port]
+        ports = self.random.sample(ports, self.random.randint(1, 3))
+        with trio.CancelScope(shield=True):
+            entry.ports_in_use = True
+            occupants = []
+            try:
+                entry.send_signal(signal.SIGKILL)
+                await entry.wait_exit()
+                for port in ports:
+                    connected = self.random.choice([None, self._deployment.store_port])
+                    occupants.append(entry.occupy_port(port, connected))
+                await entry.start()
+                await trio.sleep(duration_seconds)
+            finally:
+                for occupant in filter(None, occupants):
+                    occupant.close()
+                entry.ports_in_use = False
+
+    async def _write_odd_rows(self, duration_seconds):
+        """Lets another writer write odd rows of workers, for the duration."""
+        cluster = self._deployment
+        worker = self.random.choice(list(cluster.fleet.workers.values()))
+        values = odd_registrations(worker.registration("127.0.0.1:80"))
+        keys = []
+        for number, value in enumerate(self.random.sample(values, self.random.randint(1, 30))):
+            keys.append(f"odd{self.random.randrange(10**9)}-{number}")
+            cluster.store.put("servers", keys[-1], value)
+        try:
+            await trio.sleep(duration_seconds * 2)
+        finally:
+            for key in keys:
+                cluster.store.delete("servers", key)
+
+    async def _answer_store_oddly(self, duration_seconds):
+        """Lets the store answer with odd bodies, for the duration."""
+        store = self._deployment.store
+        store.odd_answers = self.random.sample(STORE_ANSWERS, self.random.randint(1, 5))
+        store.odd_answer_rate = self.random.choice([0.1, 0.5, 1.0])
+        await trio.sleep(duration_seconds)
+        store.odd_answer_rate = 0.0
+
+    async def _answer_oddly(self, duration_seconds):
+        """Lets a worker answer with odd bodies, for the duration."""
+        worker = self.random.choice(list(self._deployment.fleet.workers.values()))
+        worker.odd_answers = self.random.sample(WORKER_ANSWERS, self.random.randint(1, 5))
+        worker.odd_answer_rate = self.random.choice([0.1, 0.5, 1.0])
+        await trio.sleep(duration_seconds)
+        worker.odd_answer_rate = 0.0
+
+    async def _restart_as_planned(self):
+        """Restarts a random process, without other faults, while callers use its connections."""
+        entry = self._random_entry()
+        with trio.CancelScope(shield=True):
+            await self._deployment.wait_ready()
+            callers = [
+                Caller(entry.host, entry.front_port, self.random, self.random.choice([0.05, 1, 3]))
+                for _ in range(CALLERS)
+            ]
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(caller.run)
+                await trio.sleep(self.random.uniform(0.5, 1.5))
+                await entry.signal_program(signal.SIGTERM)
+                await trio.sleep(BALANCER_SECONDS)
+                for caller in callers:
+                    caller.connecting = False
+            await entry.wait_exit()
+            for caller in callers:
+                self.violations += [f"{entry.name}: {text}" for text in caller.violations]
+            if not any(caller.answered for caller in callers):
+                self.violations.append(f"{entry.name}: no request got an answer")
+            await trio.sleep(RESTART_DELAY_SECONDS)
+            await entry.start()
+
     async def _pause_process(self, duration_seconds):
         """Stops a random entry process by SIGSTOP for the duration."""
         entry = self._random_entry()
@@ -111,7 +293,7 @@
 
     async def _reload_settings(self, duration_seconds):
         """Lets a random entry process reload its settings; ignores the duration."""
-        self._random_entry().send_signal(signal.SIGHUP)
+        await self._random_entry().signal_program(signal.SIGHUP)
 
     async def _disturb_store_connections(self, duration_seconds):
         """Disturbs the connections of one entry to the store for the duration."""
@@ -137,33 +319,82 @@
             proxy.mode = "pass"
         store = cluster.store
         store.down, store.delay, store.drop_answer_rate, store.late_rate = False, 0.0, 0.0, 0.0
+        store.odd_answer_rate = 0.0
         for worker in cluster.fleet.workers.values():
-            worker.unresponsive, worker.late_rate = False, 0.0
+            worker.unresponsive, worker.late_rate, worker.odd_answer_rate = False, 0.0, 0.0
             cluster.register(worker.id)
         for entry in cluster.entries.values():
             entry.send_signal(signal.SIGCONT)
+            await entry.wait_exit()
             await entry.start()
+        await cluster.wait_ready()
+
 
+def run_soak(seed, fault_seconds=FAULT_SECONDS, faults="all", **options):
+    """Runs one soak with ``fault_seconds`` of faults and returns the violated guarantees.
 
-def run_soak(seed, fault_seconds=FAULT_SECONDS):
-    """Runs one soak with ``fault_seconds`` of faults and returns the violated guarantees."""
-    scenario = SoakScenario(seed, fault_seconds)
+    ``faults`` is one of ``FAULTS``; ``options`` are those of the ``Cluster``. Each text begins with
+    the seed.
+    """
+    scenario = SoakScenario(seed, fault_seconds, faults, **options)
     trio.run(scenario.run)
-    return scenario.violations
+    return [f"seed {seed}, {faults}: {text}" for text in scenario.violations]
+
+
+async def run_soaks(seeds, at_once, report, *arguments, **options):
+    """Runs a soak for each seed, ``at_once`` at a time; calls ``report`` with each result."""
+    limiter = trio.CapacityLimiter(at_once)
+
+    async def run_one(seed):
+        async with limiter:
+            report(
+                seed,
+                await trio.to_thread.run_sync(
+                    lambda: run_soak(seed, *arguments, **options), limiter=threads
+                ),
+            )
+
+    threads = trio.CapacityLimiter(at_once)
+    async with trio.open_nursery() as nursery:
+        for seed in seeds:
+            nursery.start_soon(run_one, seed)
 
 
 def main():
+    parser = argparse.ArgumentParser(description="Run soaks over many seeds.")
+    parser.add_argument("first", type=int)
+    parser.add_argument("count", type=int)
+    parser.add_argument("seconds", type=float, nargs="?", default=FAULT_SECONDS)
+    parser.add_argument("--faults", choices=FAULTS, default="all")
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--workers", type=int, default=4)
+    parser.add_argument("--at-once", type=int, default=1)
+    parser.add_argument("--ephemeral-ports", action="store_true")
+    options = parser.parse_args()
     logging.disable(logging.CRITICAL)
     random.seed()
-    first, count = map(int, sys.argv[1:3])
-    fault_seconds = float(sys.argv[3]) if len(sys.argv) > 3 else FAULT_SECONDS
-    failed_count = 0
-    for seed in range(first, first + count):
-        violations = run_soak(seed, fault_seconds)
-        failed_count += bool(violations)
+    failed = []
+
+    def report(seed, violations):
         if violations:
-            print(f"seed {seed}: {violations[:5]}", flush=True)
-    print(f"{count} soaks, {failed_count} with violated guarantees")
+            failed.append(seed)
+            print(f"seed {seed}, {len(violations) - 1} violations:", flush=True)
+            for text in [*violations[:5], violations[-1]]:
+                print(f"  {text}", flush=True)
+
+    trio.run(
+        lambda: run_soaks(
+            range(options.first, options.first + options.count),
+            options.at_once,
+            report,
+            options.seconds,
+            options.faults,
+            entries=options.entries,
+            workers=options.workers,
+            ephemeral_ports=options.ephemeral_ports,
+        )
+    )
+    print(f"{options.count} soaks, {len(failed)} with violated guarantees: {sorted(failed)}")
 
 
 if __name__ == "__main__":
--- a/tests/soak/test_cluster.py
+++ b/tests/soak/test_cluster.py
@@ -9,7 +9,8 @@
 import trio.testing
 
 from tests.soak import cluster as cluster_module
-from tests.soak.cluster import Cluster, EntryProcess
+from tests.soak.cluster import Cluster
+from tests.soak.process import EntryProcess
 
 
 class FakeProcess:
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -24,7 +24,9 @@
 class PlatformStore:
     """Rows and their changes in memory; ``handle`` answers the requests of entry processes.
 
-    Faults are attributes that tests set. Requests of ``refused_callers`` and, while ``down``, of
+    Faults are attributes that tests set. ``odd_answer_rate`` is the probability that the body of
+    an answer with status 200 is replaced by one of ``odd_answers``.
+    Requests of ``refused_callers`` and, while ``down``, of
     all callers get status 503; those of ``unanswered_callers`` get no response within 30 s.
     ``drop_answer_rate`` is the probability that a write takes effect without a response;
     ``late_rate`` that it gets no response and takes effect ``late_seconds`` later, if its
@@ -38,6 +40,8 @@
         self.refused_callers = set()
         self.unanswered_callers = set()
         self.down = False
+        self.odd_answer_rate = 0.0
+        self.odd_answers = (b"null",)
         self.delay = 0.0
         self.drop_answer_rate = 0.0
         self.late_rate = 0.0
@@ -51,6 +55,12 @@
         self._polls = 0
         self._nursery = None
 
+    @property
+    def disturbed(self):
+        """True while a fault affects the requests of all callers."""
+        rates = self.drop_answer_rate, self.late_rate, self.odd_answer_rate
+        return bool(self.down or self.delay or any(rates))
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Applies the writes that ``late_rate`` delays, in the background, until cancelled."""
         async with trio.open_nursery() as self._nursery:
@@ -76,6 +86,14 @@
 
     async def handle(self, request):
         """Handles one request of the store's interface."""
+        response = await self._handle(request)
+        odd = self.odd_answer_rate and self.random.random() < self.odd_answer_rate
+        if odd and response.status == 200:
+            return Response(200, self.random.choice(self.odd_answers))
+        return response
+
+    async def _handle(self, request):
+        """Handles one request; returns the true ``Response``."""
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
         if request.remote in self.unanswered_callers:
             await trio.sleep(UNANSWERED_SECONDS)
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -115,6 +115,8 @@
 
     ``late_rate`` is the probability that a start order gets no response and is applied
     ``late_seconds`` later. With ``lose_start_answers``, starts take effect without a response.
+    ``odd_answer_rate`` is the probability that a start order is refused, or an answer replaced,
+    with one of the bodies ``odd_answers``.
     Requests that arrive while ``unresponsive`` is set, and requests to
     the path ``unanswered_path``, get no response within 30 s. With ``fail_all_runs`` every run
     fails.
@@ -128,6 +130,8 @@
         self.late_rate = 0.0
         self.late_seconds = 2.0
         self.unresponsive = False
+        self.odd_answer_rate = 0.0
+        self.odd_answers = (b"null",)
         # called without arguments when a task crashes the worker
         self.crash = self.restart
         self.unanswered_path = ""
@@ -188,6 +192,14 @@
 
     async def handle(self, request):
         """Handles one request of the worker interface."""
+        odd = self.odd_answer_rate and self.random.random() < self.odd_answer_rate
+        if odd and request.path == "/run-start" and self.random.random() < 0.5:
+            return Response(409, self.random.choice(self.odd_answers))
+        response = await self._handle(request)
+        return Response(response.status, self.random.choice(self.odd_answers)) if odd else response
+
+    async def _handle(self, request):
+        """Handles one request; returns the true ``Response``."""
         incarnation = self.incarnation
         if self.unresponsive or request.path == self.unanswered_path:
             await trio.sleep(UNANSWERED_SECONDS)
