--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -5,6 +5,7 @@
 Work of the leader: loads the state, then plans, records and carries out decisions.
 """
 
+import functools
 import logging
 import time
 
@@ -12,9 +13,14 @@
 
 from ibiscart_core.workflow.engine import Engine
 from ibiscart_entry.coordination.job_feed import JobFeed
-from ibiscart_entry.coordination.leadership import HEARTBEAT_SECONDS, LeadershipLost
+from ibiscart_entry.coordination.leadership import (
+    HEARTBEAT_SECONDS,
+    LeadershipLost,
+    WriteGroup,
+)
 from ibiscart_entry.coordination.record import PENDING_KEY, encode
 from ibiscart_entry.coordination.worker_feed import WorkerFeed
+from ibiscart_entry.isolation import record_error, run_isolated
 from ibiscart_entry.table import StoreError
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
@@ -64,7 +70,8 @@
         self._catalogs = catalogs
         self._metrics = metrics
         self._wall_clock = wall_clock
-        self._engine = Engine(catalogs.catalog, self._log_event)
+        on_job_error = functools.partial(record_error, metrics, "job")
+        self._engine = Engine(catalogs.catalog, self._log_event, on_job_error)
         self._workers = WorkerFeed(
             self._engine,
             directory,
@@ -85,6 +92,7 @@
             on_loaded=self._workers.add_unregistered_workers,
             on_change=self._request_pass,
             log_event=self._log_event,
+            on_job_error=on_job_error,
         )
         self._nursery = None
         self._announcements, self._received_announcements = trio.open_memory_channel(
@@ -139,7 +147,9 @@
         """Reads the announced jobs, each in a task of ``nursery``, until cancelled."""
         async for job_ids in self._received_announcements:
             for job_id in job_ids:
-                nursery.start_soon(self._jobs.read_job, job_id)
+                nursery.start_soon(
+                    run_isolated, self._metrics, "job", job_id, self._jobs.read_job, job_id
+                )
 
     async def _load(self, session_nursery):
         """Loads the workers and the jobs from the store while it renews the leadership.
@@ -166,7 +176,7 @@
     async def _renew_leadership(self):
         """Renews the leadership once per heartbeat until cancelled."""
         while True:
-            await self._leadership.commit([])
+            await self._leadership.commit()
             await trio.sleep(HEARTBEAT_SECONDS)
 
     async def _read_with_retries(self, call):
@@ -220,9 +230,12 @@
             for stop in stops:
                 self._workers.send_stop(stop)
             last_applied_ends = self._workers.last_applied_ends()
-            writes = [*self._jobs.collect_writes(now), *self._collect_pending_count_writes(now)]
-            if writes or now >= heartbeat_at:
-                await self._leadership.commit(writes)
+            groups = [*self._jobs.collect_writes(now), *self._collect_pending_count_writes(now)]
+            orders = self._engine.withdraw_starts(orders, self._engine.unsaved_job_ids)
+            if groups or now >= heartbeat_at:
+                rejected = await self._leadership.commit(groups)
+                self._jobs.apply_commit(groups, rejected, trio.current_time())
+                orders = self._engine.withdraw_starts(orders, {group.job_id for group in rejected})
                 heartbeat_at = trio.current_time() + HEARTBEAT_SECONDS
                 self._metrics.observe("commit_seconds", "", trio.current_time() - now)
             self._workers.confirm_recorded(last_applied_ends)
@@ -241,7 +254,7 @@
         return orders, stops
 
     def _collect_pending_count_writes(self, now):
-        """Returns the write of the numbers of pending jobs by queue, as a list.
+        """Returns the ``WriteGroup`` of the numbers of pending jobs by queue, as a list.
 
         The list is empty if the numbers have not changed or were written a short time ago.
         """
@@ -252,7 +265,7 @@
         ):
             return []
         self._written_pending_counts, self._pending_counts_written_at = pending, now
-        return [TableWrite(key=PENDING_KEY, value=encode(pending))]
+        return [WriteGroup([TableWrite(key=PENDING_KEY, value=encode(pending))])]
 
     def _log_event(self, event, **fields):
         """Logs a decision with the leader's epoch and the version of the configuration."""
--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -7,7 +7,21 @@
 
 import json
 import logging
-
+import re
+import zlib
+
+from ibiscart_core.value import (
+    MAX_INT,
+    MAX_TEXT_BYTES,
+    InvalidValueError,
+    parse_json,
+    require_address,
+    require_bool,
+    require_choice,
+    require_int,
+    require_object,
+    require_text,
+)
 from ibiscart_core.workflow.job import Job, Outcome
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
@@ -21,11 +35,18 @@
     "LeaderRow",
     "cancel_key",
     "decode",
+    "decode_progress",
     "encode",
     "job_key",
     "jobs_from_rows",
+    "parse_owner",
+    "parse_pending_counts",
+    "parse_progress",
+    "progress_deletes",
     "progress_key",
-    "progress_write",
+    "progress_writes",
+    "require_job_id",
+    "split_progress_key",
     "visible_state",
 ]
 
@@ -41,6 +62,15 @@
 RUNNING = "running"
 QUEUED = "queued"
 CANCEL_SUFFIX = "~cancel"
+JOB_ID = re.compile(r"[0-9A-Za-z]{1,64}")
+OUTCOMES = frozenset(outcome.value for outcome in Outcome)
+# precedes the number in the key of a further row of a progress record
+PART_SEPARATOR = "~"
+# compression level of a record that needs several rows: the fastest, as records are written often
+COMPRESSION_LEVEL = 1
+# bounds of a record that takes several rows: one of the largest job takes a few MB
+MAX_PARTS = 1000
+MAX_RECORD_BYTES = 64_000_000
 
 
 def encode(value):
@@ -49,11 +79,15 @@
 
 
 def decode(data):
-    """Returns the value of JSON bytes; raises ``ValueError`` if they cannot be decoded."""
-    try:
-        return json.loads(data)
-    except RecursionError:
-        raise ValueError("the JSON is nested too deeply") from None
+    """Returns the value of a row, JSON bytes; raises ``InvalidValueError``."""
+    return parse_json(data, name="row")
+
+
+def require_job_id(value):
+    """Returns the id of a job, letters and digits; raises ``InvalidValueError``."""
+    if not isinstance(value, str) or not JOB_ID.fullmatch(value):
+        raise InvalidValueError("job", value, "an id of 1 to 64 letters and digits")
+    return value
 
 
 def job_key(job_id):
@@ -75,10 +109,64 @@
     return f"{PROGRESS_TABLE}/{job_id}"
 
 
-def progress_write(job):
-    """Returns the write that records the state of a job's runs."""
+def split_progress_key(key):
+    """Returns (job id, number of the further row) of a progress row; the number may be None."""
+    job_id, _, number = key.partition("/")[2].partition(PART_SEPARATOR)
+    return job_id, int(number) if number.isdecimal() else None
+
+
+def progress_writes(job, max_value_bytes, part_count=0):
+    """Returns the writes that record the state of a job's runs; they must take effect together.
+
+    A record of more than ``max_value_bytes`` is compressed and split over further rows. Those of
+    the ``part_count`` present ones that it does not need are deleted.
+    """
     record = {"account": job.account, **job.to_record()}
-    return TableWrite(key=progress_key(job.id), value=encode(record))
+    value = encode(record)
+    parts = []
+    if len(value) > max_value_bytes:
+        compressed = zlib.compress(value, COMPRESSION_LEVEL)
+        parts = [
+            compressed[start : start + max_value_bytes]
+            for start in range(0, len(compressed), max_value_bytes)
+        ]
+        del record["units"]
+        value = encode({**record, "parts": len(parts)})
+    return [
+        TableWrite(key=progress_key(job.id), value=value),
+        *(TableWrite(key=_part_key(job.id, n), value=part) for n, part in enumerate(parts)),
+        *(TableWrite(key=_part_key(job.id, n), delete=True) for n in range(len(parts), part_count)),
+    ]
+
+
+def progress_deletes(job_id, part_count):
+    """Returns the writes that delete a progress record with ``part_count`` further rows."""
+    keys = [progress_key(job_id), *(_part_key(job_id, n) for n in range(part_count))]
+    return [TableWrite(key=key, delete=True) for key in keys]
+
+
+def decode_progress(value, parts):
+    """Returns the progress record of its row's ``value`` and the values of its further rows.
+
+    Raises ``InvalidValueError`` if it cannot be decoded.
+    """
+    record = parse_progress(value)
+    if "parts" not in record:
+        return record
+    count = require_int(record["parts"], 1, min(len(parts), MAX_PARTS), "parts")
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(b"".join(parts[:count]), MAX_RECORD_BYTES)
+    except zlib.error as error:
+        raise InvalidValueError("parts", str(error), "compressed data") from None
+    if not decompressor.eof:
+        raise InvalidValueError("parts", data, f"complete, at most {MAX_RECORD_BYTES} bytes")
+    return parse_progress(data)
+
+
+def _part_key(job_id, number):
+    """Returns the key of a further row of a progress record."""
+    return f"{progress_key(job_id)}{PART_SEPARATOR}{number:03}"
 
 
 def jobs_from_rows(rows):
@@ -89,17 +177,44 @@
     jobs, cancelled = {}, set()
     for row in rows:
         name = row.key.partition("/")[2]
-        if name.endswith(CANCEL_SUFFIX):
-            cancelled.add(name.removesuffix(CANCEL_SUFFIX))
-            continue
+        job_id = name.removesuffix(CANCEL_SUFFIX)
         try:
-            jobs[name] = Job.from_document(name, decode(row.value))
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
-            fields = {"job": name, "version": row.version, "cause": repr(error)}
+            if row.key.removesuffix(CANCEL_SUFFIX) != job_key(require_job_id(job_id)):
+                raise InvalidValueError("key", row.key, f"{job_key(job_id)} for this job")
+            if name == job_id:
+                jobs[job_id] = Job.from_document(job_id, decode(row.value))
+            else:
+                cancelled.add(job_id)
+        except InvalidValueError as error:
+            fields = {"job": job_id, "version": row.version, "cause": str(error)}
             LOG.error("The row of a job cannot be read; the job does not run.", extra=fields)
     return jobs, cancelled
 
 
+def parse_owner(data):
+    """Returns the account in the row of a job, JSON bytes; raises ``InvalidValueError``."""
+    document = require_object(decode(data), "job")
+    return require_text(document.get("account"), MAX_TEXT_BYTES, "account")
+
+
+def parse_progress(data):
+    """Returns the progress record in JSON bytes, with checked fields for ``visible_state``.
+
+    Raises ``InvalidValueError``.
+    """
+    progress = require_object(decode(data), "progress")
+    if "outcome" in progress:
+        require_choice(progress["outcome"], OUTCOMES, "outcome")
+    require_bool(progress.get("started", False), "started")
+    return progress
+
+
+def parse_pending_counts(data):
+    """Returns the number of pending jobs by queue in JSON bytes; raises ``InvalidValueError``."""
+    counts = require_object(decode(data), "pending")
+    return {queue: require_int(count, 0, MAX_INT, "pending") for queue, count in counts.items()}
+
+
 def visible_state(progress, cancelled):
     """Returns the state of a job that callers see.
 
@@ -137,9 +252,30 @@
         self.batch = batch
 
     @classmethod
-    def from_value(cls, data):
-        """Returns the ``LeaderRow`` that is stored as ``data``, JSON bytes."""
-        return cls(**decode(data))
+    def from_row(cls, row):
+        """Returns the ``LeaderRow`` in a ``Row``, or an empty one if ``row`` is None.
+
+        A row that cannot be read names no leader. Its version stands for its epoch, which must not
+        decrease: each epoch began with a write of the row, so none is higher than the version.
+        """
+        if row is None:
+            return cls()
+        try:
+            fields = require_object(decode(row.value), "leader")
+            node, holder = (
+                require_text(fields.get(name), MAX_TEXT_BYTES, name) for name in ("node", "holder")
+            )
+            epoch = require_int(fields.get("epoch"), 0, row.version, "epoch")
+            batch = require_int(fields.get("batch"), 0, MAX_INT, "batch")
+        except InvalidValueError as error:
+            cause = {"version": row.version, "cause": str(error)}
+            LOG.error("The leader's row cannot be read; it names no leader.", extra=cause)
+            return cls(epoch=row.version)
+        try:
+            address = require_address(fields.get("address"), "address")
+        except InvalidValueError:
+            address = ""
+        return cls(node, holder, address, epoch, batch)
 
     def to_value(self):
         """Returns the JSON bytes that are stored."""
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -13,7 +13,9 @@
 from ibiscart_core.workflow.fleet import WorkerInfo
 from ibiscart_core.workflow.job import EndCause
 from ibiscart_entry.coordination.hedge import CallHedge
+from ibiscart_entry.coordination.leadership import LeadershipLost
 from ibiscart_entry.coordination.session import WorkerSession, remaining_lease_seconds
+from ibiscart_entry.isolation import record_error, run_isolated
 from ibiscart_entry.table import HistoryLost, StoreError
 
 __all__ = ["WorkerFeed"]
@@ -21,6 +23,8 @@
 LOG = logging.getLogger("ibiscart.workers")
 # pause after a failed store call; equal to the interval at which an unreachable store is probed
 RETRY_SECONDS = 0.2
+# pause after an unexpected error in following the directory
+RESTART_SECONDS = 1.0
 # longest time that a read of the directory waits for a change; a connection that has stalled is
 # noticed only after it, and a worker that shrinks or drains must be known within 3 s
 LONG_POLL_SECONDS = 2.0
@@ -68,10 +72,15 @@
         self._hedge = CallHedge()
         self._assumed_lease_expiry = {}
         self._nursery = None
+        # version of the directory up to which its changes are known, and a time at which no later
+        # change had been made
+        self._version = None
+        self._read_at = None
         self._loaded = trio.Event()
 
     async def load(self):
         """Adds all registered workers to the engine; returns the version of the directory."""
+        self._read_at = trio.current_time()
         infos, version = await self._read_with_retries(self._directory.snapshot)
         for info in infos.values():
             self._engine.fleet.add(info)
@@ -94,24 +103,49 @@
         self._loaded.set()
 
     async def follow(self, version):
-        """Applies the changes of the directory after ``version`` until cancelled."""
+        """Applies the changes of the directory after ``version`` until cancelled.
+
+        Raises ``LeadershipLost``. An unexpected error in the changes of one worker concerns this
+        worker alone.
+        """
+        self._version = version
         while True:
+            passed = (LeadershipLost,)
+            await run_isolated(
+                self._metrics, "worker", "directory", self._follow_changes, passed=passed
+            )
+            await trio.sleep(RESTART_SECONDS)
+
+    async def _follow_changes(self):
+        """Applies the changes of the directory until cancelled."""
+        while True:
+            sent_at, written_after = trio.current_time(), self._read_at
             try:
-                infos, version = await self._directory.changes(version, LONG_POLL_SECONDS)
+                infos, removed_ids, self._version = await self._directory.changes(
+                    self._version, LONG_POLL_SECONDS
+                )
+                # a read without a result has waited for one at the directory
+                waited = not (infos or removed_ids)
+                waited = waited and trio.current_time() - sent_at >= LONG_POLL_SECONDS
+                self._read_at = sent_at + LONG_POLL_SECONDS if waited else sent_at
             except HistoryLost:
-                snapshot, version = await self._read_with_retries(self._directory.snapshot)
-                removed = set(self._engine.fleet.workers) - set(snapshot)
-                infos = {**snapshot, **dict.fromkeys(removed)}
+                self._read_at = written_after = None
+                snapshot, self._version = await self._read_with_retries(self._directory.snapshot)
+                self._read_at = sent_at
+                missing_ids = set(self._engine.fleet.workers) - set(snapshot)
+                infos, removed_ids = {**snapshot, **dict.fromkeys(missing_ids)}, set()
             except StoreError as error:
                 LOG.warning("The workers cannot be followed.", extra={"cause": error.reason})
                 await trio.sleep(RETRY_SECONDS)
                 continue
             for worker_id, info in infos.items():
                 if info is None:
-                    self._apply_removal(worker_id)
+                    self._apply_isolated(self._apply_absence, worker_id)
                 else:
-                    self._apply_registration(worker_id, info)
-            if infos:
+                    self._apply_isolated(self._apply_registration, worker_id, info, written_after)
+            for worker_id in removed_ids:
+                self._apply_isolated(self._apply_removal, worker_id)
+            if infos or removed_ids:
                 self._on_change()
             await trio.sleep(MIN_POLL_INTERVAL_SECONDS)
 
@@ -159,25 +193,41 @@
         Ends the runs of workers without a session once their leases have expired. ``now`` is
         monotonic seconds.
         """
-        fleet = self._engine.fleet
-        for worker_id, worker in list(fleet.workers.items()):
+        for worker in list(self._engine.fleet.workers.values()):
             if worker.registered:
                 continue
-            session = self._sessions.get(worker_id)
-            expires_at = self._assumed_lease_expiry.get(worker_id, 0.0)
-            if session is None and worker.units_by_run and now > expires_at:
-                cause = EndCause.WORKER_VANISHED
-                self._engine.end_lost_runs(worker_id, cause, now, "lease_expired")
-                self._on_change()
-            if not worker.units_by_run and not (session and worker.may_return(now)):
-                if session is not None:
-                    session.close()
-                    del self._sessions[worker_id]
-                self._assumed_lease_expiry.pop(worker_id, None)
-                fleet.remove(worker_id)
-
-    def _apply_registration(self, worker_id, info):
-        """Adds or updates a worker and opens a session if it has none with this address."""
+            try:
+                self._remove_departed_worker(worker, now)
+            except Exception as error:
+                record_error(self._metrics, "worker", worker.id, error)
+
+    def _remove_departed_worker(self, worker, now):
+        """Removes an unregistered worker if it has no runs, after the expiry of their leases."""
+        session = self._sessions.get(worker.id)
+        expires_at = self._assumed_lease_expiry.get(worker.id, 0.0)
+        if session is None and worker.units_by_run and now > expires_at:
+            cause = EndCause.WORKER_VANISHED
+            self._engine.end_lost_runs(worker.id, cause, now, "lease_expired")
+            self._on_change()
+        if not worker.units_by_run and not (session and worker.may_return(now)):
+            if session is not None:
+                session.close()
+                del self._sessions[worker.id]
+            self._assumed_lease_expiry.pop(worker.id, None)
+            self._engine.fleet.remove(worker.id)
+
+    def _apply_isolated(self, apply, worker_id, *args):
+        """Applies a change of one worker by a function; logs and counts an unexpected error."""
+        try:
+            apply(worker_id, *args)
+        except Exception as error:
+            record_error(self._metrics, "worker", worker_id, error)
+
+    def _apply_registration(self, worker_id, info, written_after):
+        """Adds or updates a worker and opens a session if it has none with this address.
+
+        ``written_after`` is a time before the registration was written, None if none is known.
+        """
         worker = self._engine.fleet.get(worker_id)
         if worker is None or not worker.registered:
             fields = {
@@ -190,7 +240,7 @@
         elif info.draining and not worker.info.draining:
             LOG.info("A worker is leaving.", extra={"worker": worker_id})
         worker = self._engine.fleet.add(info)
-        worker.record_report(trio.current_time())
+        worker.record_report(trio.current_time(), written_after)
         session = self._sessions.get(worker_id)
         if session is not None and session.address != info.address:
             session.close()
@@ -200,6 +250,14 @@
         elif not worker.reachable:
             session.wake()
 
+    def _apply_absence(self, worker_id):
+        """Marks a worker without a usable registration as unregistered; its runs may go on."""
+        worker = self._engine.fleet.get(worker_id)
+        if worker is None or not worker.registered:
+            return
+        worker.registered = False
+        LOG.warning("The registration of a worker is missing.", extra={"worker": worker_id})
+
     def _apply_removal(self, worker_id):
         """Marks a worker as unregistered; ends its runs at once if it left after its drain."""
         worker = self._engine.fleet.get(worker_id)
@@ -216,7 +274,7 @@
         """Opens a session with a worker, whose runs may have leases of an earlier leader."""
         session = WorkerSession(
             worker,
-            self._connect_agent(worker.info.address, worker.id),
+            self._connect_agent,
             self._engine,
             self._leadership,
             self._hedge,
