A job's record: a damaged one is one kind of error, and changes nothing

Callers saw: a record with an odd value was loaded in part, with runs and failures missing, or put values into the engine that no plan can handle. Cause: load_record checked some types while it changed the job. Change: every field is checked, and the job changes only once all are. Crash evidence is recorded as lists, as its loader expects them. Result: tests.core.workflow, tests of jobs, fault scenarios and crashes pass.

--- a/packages/core/src/ibiscart_core/workflow/crash.py
+++ b/packages/core/src/ibiscart_core/workflow/crash.py
@@ -9,8 +9,20 @@
 crashed until it answers again.
 """
 
+from ibiscart_core.value import (
+    MAX_INT,
+    MAX_NAME_BYTES,
+    require_bool,
+    require_int,
+    require_list,
+    require_text,
+)
+
 __all__ = ["CrashEvidence"]
 
+# most lost workers in a record, as protection against a malformed one
+MAX_LOSSES = 1000
+
 # a task is given up when this number of workers was lost while it ran; the platform allows two more
 # starts after three crashes
 MAX_LOST_WORKERS = 5
@@ -107,12 +119,34 @@
 
     def to_record(self):
         """Returns the evidence as a JSON-serializable list."""
-        return [self.crashed, self._prompt_crashes, self._uncertain]
+        return [self.crashed, self._prompt_crashes, [list(loss) for loss in self._uncertain]]
 
     @classmethod
     def from_record(cls, record):
-        """Returns the evidence of the list that ``to_record`` returned."""
-        return cls(*record)
+        """Returns the evidence of the list that ``to_record`` returned.
+
+        Raises ``InvalidValueError`` if the list has another form.
+        """
+        crashed, prompt_crashes, uncertain, *_ = (*require_list(record, 3, "evidence"), *[None] * 3)
+        losses = []
+        for loss in require_list(uncertain, MAX_LOSSES, "losses"):
+            worker_id, incarnation, started, prompt, *_ = (
+                *require_list(loss, 4, "loss"),
+                *[None] * 4,
+            )
+            losses.append(
+                (
+                    require_text(worker_id, MAX_NAME_BYTES, "worker"),
+                    require_int(incarnation, 0, MAX_INT, "incarnation"),
+                    require_bool(started, "started"),
+                    require_bool(prompt, "prompt"),
+                )
+            )
+        return cls(
+            require_int(crashed, 0, MAX_INT, "crashed"),
+            require_int(prompt_crashes, 0, MAX_INT, "prompt_crashes"),
+            losses,
+        )
 
     def _record_crash(self, prompt):
         """Counts a worker that has crashed for certain while the task ran."""
--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -5,14 +5,35 @@
 State of one job and of its units.
 """
 
+import re
 from enum import Enum
 
-from ibiscart_core.value import MAX_TEXT_BYTES, require_int, require_object, require_text
+from ibiscart_core.value import (
+    MAX_INT,
+    MAX_NAME_BYTES,
+    MAX_TEXT_BYTES,
+    InvalidValueError,
+    require_bool,
+    require_choice,
+    require_int,
+    require_list,
+    require_object,
+    require_text,
+)
 from ibiscart_core.workflow.catalog import QueueEntry
 from ibiscart_core.workflow.crash import PROMPT_SECONDS, STABLE_RUN_SECONDS, CrashEvidence
 from ibiscart_core.workflow.spec import MAX_TIME_MS, JobSpec
 
-__all__ = ["Allocation", "AllocationState", "EndCause", "Job", "Outcome", "Unit", "UnitState"]
+__all__ = [
+    "OUTCOMES",
+    "Allocation",
+    "AllocationState",
+    "EndCause",
+    "Job",
+    "Outcome",
+    "Unit",
+    "UnitState",
+]
 
 
 class EndCause(Enum):
@@ -43,6 +64,15 @@
     CANCELLED = "cancelled"
 
 
+OUTCOMES = frozenset(outcome.value for outcome in Outcome)
+# fields of a unit in the job's record: the last two are for tasks under which workers were lost
+MIN_UNIT_FIELDS = 6
+MAX_UNIT_FIELDS = 8
+# most rows of one list in the job's record, as protection against a malformed one
+MAX_ROWS = 100_000
+STEP_NUMBER = re.compile(r"0|[1-9][0-9]{0,8}")
+
+
 class UnitState(Enum):
     """State of a unit: waiting for workers, active with allocations, done."""
 
@@ -254,27 +284,39 @@
         return [*row, evidence, started]
 
     def load_record(self, record):
-        """Restores the state that ``to_record`` returned."""
-        _, done, self.run, self.failures, self.checkpoint, allocations, *rest = record
-        _check_types(int, self.run, self.failures)
-        _check_types(str, self.checkpoint)
+        """Restores the state that ``to_record`` returned; raises ``InvalidValueError``."""
+        if not MIN_UNIT_FIELDS <= len(require_list(record, MAX_UNIT_FIELDS, "unit")):
+            raise InvalidValueError("unit", record, f"a list of {MIN_UNIT_FIELDS} items or more")
+        _, done, run, failures, checkpoint, allocations, *rest = record
+        evidence, started, *_ = (*rest, [], [])
+        done = require_int(done, 0, 1, "done")
+        self.run = require_int(run, 0, MAX_INT, "run")
+        self.failures = require_int(failures, 0, MAX_INT, "failures")
+        self.checkpoint = require_text(checkpoint, MAX_TEXT_BYTES, "checkpoint")
+        for index, worker_id, incarnation in _require_rows(allocations, 3, "allocations"):
+            self.allocations[self._require_index(index)] = Allocation(
+                require_text(worker_id, MAX_NAME_BYTES, "worker"),
+                require_int(incarnation, 0, MAX_INT, "incarnation"),
+            )
+        if len(self.allocations) != len(allocations):
+            raise InvalidValueError("allocations", allocations, "a list without repeated tasks")
+        for index, row in _require_rows(evidence, 2, "evidence"):
+            self.crash_evidence[self._require_index(index)] = CrashEvidence.from_record(row)
+        for index in require_list(started, self.size, "started"):
+            if self._require_index(index) not in self.allocations:
+                raise InvalidValueError("started", index, "a task with an allocation")
+            self.allocations[index].started = True
         if done:
             self.state = UnitState.DONE
-            return
-        evidence, started, *_ = (*rest, (), ())
-        for index, row in evidence:
-            self.crash_evidence[index] = CrashEvidence.from_record(row)
-        for index, worker_id, incarnation in allocations:
-            _check_types(str, worker_id)
-            _check_types(int, incarnation)
-            if index not in self.task_indexes:
-                raise ValueError(f"the step has no task {index}")
-            self.allocations[index] = Allocation(worker_id, incarnation)
-        for index in started:
-            self.allocations[index].started = True
-        if self.allocations:
+            self.allocations, self.crash_evidence = {}, {}
+        elif self.allocations:
             self.state = UnitState.ACTIVE
 
+    def _require_index(self, value):
+        """Returns the index of one of the unit's tasks; raises ``InvalidValueError``."""
+        indexes = self.task_indexes
+        return require_int(value, indexes.start, indexes.stop - 1, "task")
+
 
 class Job:
     """One accepted job with the state of its units.
@@ -430,18 +472,39 @@
         return record
 
     def load_record(self, record):
-        """Restores the state that ``to_record`` returned; another value raises an error."""
-        self.started = record.get("started", False)
-        for name, rows in record["units"].items():
-            occurrence, step_index = map(int, name.split("."))
-            step = self.spec.steps[step_index]
-            units = self._make_units(occurrence, step_index, step)
-            units_by_first_index = {unit.first_index: unit for unit in units}
-            for row in rows:
-                units_by_first_index[row[0]].load_record(row)
-            self._units[(occurrence, step_index)] = units
+        """Restores the state that ``to_record`` returned.
+
+        Raises ``InvalidValueError``, and changes nothing, if ``record`` cannot be read.
+        """
+        require_object(record, "record")
+        started = require_bool(record.get("started", False), "started")
+        outcome = None
         if "outcome" in record:
-            self.outcome = Outcome(record["outcome"])
+            outcome = Outcome(require_choice(record["outcome"], OUTCOMES, "outcome"))
+        loaded = {}
+        for name, rows in require_object(record.get("units"), "units").items():
+            key = self._parse_step_name(name)
+            step = self.spec.steps[key[1]]
+            units = loaded[key] = self._make_units(*key, step)
+            units_by_first_index = {unit.first_index: unit for unit in units}
+            for row in require_list(rows, len(units), name):
+                first_index = require_list(row, MAX_UNIT_FIELDS, name)[:1]
+                index = require_int(*(first_index or [None]), 0, step.tasks - 1, name)
+                unit = units_by_first_index.pop(index, None)
+                if unit is None:
+                    raise InvalidValueError(name, index, "the first task of a unit, only once")
+                unit.load_record(row)
+        self.started, self.outcome = started, outcome
+        self._units.update(loaded)
+
+    def _parse_step_name(self, name):
+        """Returns (occurrence, index of the step) of a name in the job's record."""
+        occurrence, _, step_index = name.partition(".")
+        if all(map(STEP_NUMBER.fullmatch, (occurrence, step_index))):
+            key = int(occurrence), int(step_index)
+            if key[0] < self.spec.occurrence_count and key[1] < len(self.spec.steps):
+                return key
+        raise InvalidValueError("units", name, "named OCCURRENCE.STEP, both of the job")
 
     def _dependencies_done(self, occurrence, step):
         """Returns True if all steps that a ``StepSpec`` depends on are done in the occurrence."""
@@ -468,8 +531,9 @@
         return [Unit(self, occurrence, step_index, index, 1) for index in range(step.tasks)]
 
 
-def _check_types(expected, *values):
-    """Raises ``ValueError`` unless the type of each value is ``expected``."""
-    for value in values:
-        if type(value) is not expected:
-            raise ValueError(f"{value!r:.40} is not of type {expected.__name__}")
+def _require_rows(value, length, name):
+    """Returns a list of lists of ``length`` items; raises ``InvalidValueError``."""
+    for row in require_list(value, MAX_ROWS, name):
+        if len(require_list(row, length, name)) < length:
+            raise InvalidValueError(name, row, f"a list of {length} items")
+    return value
--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -11,9 +11,8 @@
 
 from ibiscart_core.error import ErrorKind, IbiscartError
 from ibiscart_core.value import InvalidValueError
-from ibiscart_core.workflow.job import Job, Outcome
+from ibiscart_core.workflow.job import OUTCOMES, Job, Outcome
 from ibiscart_entry.coordination.record import (
-    OUTCOMES,
     PENDING_KEY,
     RUNNING,
     cancel_key,
--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -22,7 +22,7 @@
     require_object,
     require_text,
 )
-from ibiscart_core.workflow.job import Job, Outcome
+from ibiscart_core.workflow.job import OUTCOMES, Job, Outcome
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
 __all__ = [
@@ -63,7 +63,6 @@
 QUEUED = "queued"
 CANCEL_SUFFIX = "~cancel"
 JOB_ID = re.compile(r"[0-9A-Za-z]{1,64}")
-OUTCOMES = frozenset(outcome.value for outcome in Outcome)
 # precedes the number in the key of a further row of a progress record
 PART_SEPARATOR = "~"
 # compression level of a record that needs several rows: the fastest, as records are written often
