--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -282,6 +282,33 @@
 
         run_virtual(main)
 
+    def test_damaged_leader_row_stops_no_election(self):
+        """The next leader's fencing token must be higher, or workers refuse its calls."""
+
+        async def main():
+            async with Deployment() as deployment:
+                entries = dict(deployment.entries)
+                await deployment.occupy_worker(ms=8_000)
+                fence = deployment.leader().leadership.epoch
+                odd = {"node": [], "holder": "x", "epoch": HUGE}
+                for value in (b"\xff", DEEPLY_NESTED, b"null", odd, {"later": 1}):
+                    deployment.store.put("leader", "leader", value)
+                    await deployment.wait_until(
+                        lambda fence=fence: (leader := deployment.leader()) is not None
+                        and leader.leadership.epoch > fence
+                    )
+                    await trio.sleep(2)
+                    fence = deployment.leader().leadership.epoch
+                await deployment.submit(OTHER_JOB_ID, job(step(2), ms=500))
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed", 10)
+                await deployment.wait_for_state(JOB_ID, "completed", 10)
+                self.assertEqual(entries, deployment.entries)
+                self.assertEqual([], deployment.fleet.violations)
+                for entry in entries.values():
+                    self.assertNotIn("task_errors_total{", entry.metrics.render())
+
+        run_virtual(main)
+
     def test_rows_that_cannot_be_read_stop_no_leader(self):
         """Replays rows of jobs, entries and workers that another writer damaged."""
 
