--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -161,7 +161,7 @@
             engine = new_engine()
             worker = engine.fleet.add(info)
             worker.reachable = True
-            worker.record_report(1.0)
+            worker.record_report(1.0, 0.5)
             worker.left_after_drain(2.0, 3.0)
             info.capacity.to_message().SerializeToString()
             HttpClient(info.address).address.rpartition(":")[0].encode("idna")
