--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -101,6 +101,10 @@
         status = poll(answer([RUN, *rows], [END, *ends]))
         self.assertEqual((1, 1), (len(status.running), len(status.ended)))
 
+    def test_worker_with_very_many_small_tasks_is_read(self):
+        rows = [[f"{number:016x}.0.0.0", 1, "", 100] for number in range(50_000)]
+        self.assertEqual(50_000, len(poll(answer(rows)).running))
+
     def test_run_with_an_odd_checkpoint_stays_listed(self):
         """A run that is missing from the list counts as ended and would run a second time."""
         for checkpoint in ([], {}, None, 5, HUGE, "\ud800", "x" * 1_500_000):
