Worker registrations: an entry in another partition is about no worker

Callers saw: nothing yet. A row of another writer under a worker's id, in another partition of the table, replaced the worker's entry or removed it. Cause: the id was what follows the first slash of the key, whatever its partition. Evidence: test_entry_in_another_partition_is_about_no_worker failed: no worker.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -3,14 +3,18 @@
 import json
 import math
 import unittest
+from types import SimpleNamespace
+
+import trio
 
 from ibiscart_core.error import IbiscartError
 from ibiscart_core.value import InvalidValueError
 from ibiscart_core.workflow.job import EndCause
 from ibiscart_core.workflow.spec import JobSpec
+from ibiscart_entry.table import Changes, Row
 from ibiscart_platform.agent import PlatformAgent, format_task_name, parse_task_name
 from ibiscart_platform.configuration import parse_catalog
-from ibiscart_platform.directory import parse_worker
+from ibiscart_platform.directory import PlatformDirectory, parse_worker
 from ibiscart_platform.front import parse_job
 from tests.platform.deployment import CONFIGURATION
 
@@ -95,6 +99,22 @@
         with self.assertRaises(InvalidValueError):
             parse_worker("w\ud800", json.dumps(WORKER))
 
+    def test_entry_in_another_partition_is_about_no_worker(self):
+        """Guards against a worker that left when a row of the same key was written elsewhere."""
+        good = Row("servers/w", json.dumps(WORKER).encode(), 1)
+        for value in (b"odd", json.dumps({**WORKER, "address": "10.0.0.9:9"}).encode()):
+            rows = [good, Row("servers.other/w", value, 2)]
+            workers = PlatformDirectory(None)._parse_rows(rows)
+            self.assertEqual("10.0.0.1:80", workers["w"].address)
+        table = SimpleNamespace(changes=None)
+
+        async def changes(*arguments):
+            return Changes([], ["servers.other/w", "servers/v"], 3)
+
+        table.changes = changes
+        _, removed_ids, _ = trio.run(PlatformDirectory(table).changes, 1, 0.0)
+        self.assertEqual({"v"}, set(removed_ids))
+
     def test_job_is_unchanged_after_it_is_stored_and_read(self):
         body = {
             "spec": "x",
