Progress rows: a key that names none is left out

Callers saw: nothing yet. A key with an odd suffix replaced the record of its job, and one with a large number made the leader delete as many rows. Change: keys are checked in form, partition and number.

--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -69,6 +69,7 @@
 COMPRESSION_LEVEL = 1
 # bounds of a record that takes several rows: one of the largest job takes a few MB
 MAX_PARTS = 1000
+PART_NUMBER = re.compile(r"[0-9]{3}")
 MAX_RECORD_BYTES = 64_000_000
 
 
@@ -109,9 +110,16 @@
 
 
 def split_progress_key(key):
-    """Returns (job id, number of the further row) of a progress row; the number may be None."""
-    job_id, _, number = key.partition("/")[2].partition(PART_SEPARATOR)
-    return job_id, int(number) if number.isdecimal() else None
+    """Returns (job id, number of the further row) of a progress row; the number may be None.
+
+    The job id is empty if the key is that of no progress row.
+    """
+    job_id, separator, number = key.removeprefix(PROGRESS_TABLE + "/").partition(PART_SEPARATOR)
+    if not JOB_ID.fullmatch(job_id):
+        return "", None
+    if not separator:
+        return job_id, None
+    return (job_id, int(number)) if PART_NUMBER.fullmatch(number) else ("", None)
 
 
 def progress_writes(job, max_value_bytes, part_count=0):
--- a/tests/entry/coordination/test_record.py
+++ b/tests/entry/coordination/test_record.py
@@ -20,6 +20,7 @@
     jobs_from_rows,
     parse_progress,
     progress_key,
+    split_progress_key,
 )
 from ibiscart_entry.table import Row, Table, TableConflict
 from tests.platform.deployment import run_virtual
@@ -136,6 +137,16 @@
         jobs, cancelled = jobs_from_rows([stored_job(), Row(cancel_key(JOB_ID), b"", 1)])
         self.assertEqual(([JOB_ID], {JOB_ID}), (list(jobs), cancelled))
 
+    def test_keys_that_name_no_progress_row(self):
+        """Guards against a leader that deletes further rows without end after an odd key."""
+        keys = ["progress/", "progress.x/" + JOB_ID, "progress/é", "progress/a~x", "other/a1"]
+        keys += [f"progress/a1~{number}" for number in ("9" * 15, "1000", "-1", "١", "1~2")]
+        for key in keys:
+            with self.subTest(key=key):
+                self.assertEqual(("", None), split_progress_key(key))
+        self.assertEqual((JOB_ID, None), split_progress_key(progress_key(JOB_ID)))
+        self.assertEqual((JOB_ID, 12), split_progress_key(progress_key(JOB_ID) + "~012"))
+
     def test_damaged_progress_is_an_error_of_its_value(self):
         for value in DAMAGED:
             with self.subTest(value=value[:60]), self.assertRaises(InvalidValueError):
