--- a/packages/core/src/ibiscart_core/value.py
+++ b/packages/core/src/ibiscart_core/value.py
@@ -46,6 +46,7 @@
 MAX_PORT = 65_535
 # labels of at most 63 characters: other hosts cannot be encoded for a name lookup
 HOST = re.compile(r"[0-9A-Za-z_-]{1,63}(\.[0-9A-Za-z_-]{1,63})*")
+CONTAINERS = (dict, list)
 PORT = re.compile(r"[0-9]{1,5}")
 
 
@@ -95,16 +96,18 @@
         raise InvalidValueError(name, data, f"nested at most {max_depth} deep") from None
     except ValueError as error:
         raise InvalidValueError(name, data, f"JSON ({describe(str(error))})") from None
-    level = [value]
+    level = [value] if type(value) in CONTAINERS else []
     for _ in range(max_depth):
+        if not level:
+            return value
         level = [
             item
             for container in level
-            if isinstance(container, dict | list)
-            for item in (container.values() if isinstance(container, dict) else container)
+            for item in (container.values() if type(container) is dict else container)
+            if type(item) in CONTAINERS
         ]
-        if not level:
-            return value
+    if not level:
+        return value
     raise InvalidValueError(name, data, f"nested at most {max_depth} deep")
 
 
@@ -149,6 +152,8 @@
 def require_text(value, max_bytes, name):
     """Returns a str of at most ``max_bytes`` bytes in UTF-8, without surrogate characters."""
     if isinstance(value, str) and len(value) <= max_bytes:
+        if value.isascii():
+            return value
         try:
             if len(value.encode()) <= max_bytes:
                 return value
