Session: an idle worker is asked before it gets an order

Cause: an idle worker is not polled, so one that has gone is found only by its registration, seconds later. An order to it holds its run for the longest lease that a worker grants (10 s), as it may have been carried out. Class: the state of a peer is taken from a cache without a limit on its age. Change: a worker that has not answered for longer than a poll takes is asked for its status before an order; without an answer nothing is sent, and the task goes to another worker at once. Evidence: test_task_is_not_held_by_an_idle_worker_that_is_gone failed before (not completed within 4 s).

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -30,6 +30,9 @@
 # longest delay of a poll's response while a run is being stopped: a run that the worker does not
 # have ends with the first list that was read after its stop, and the worker reports no event for it
 STOPPING_POLL_SECONDS = 0.2
+# age of the worker's clock, as last read, above which the worker is taken to be idle: a worker with
+# runs answers a poll at least this often
+MAX_CLOCK_AGE_SECONDS = LONG_POLL_SECONDS + 0.5
 # interval at which leases are extended while the leader loads the jobs
 LOADING_POLL_SECONDS = 1.0
 # pause after a failed poll; a start that gets no response or misses its deadline has no pause after
@@ -261,6 +264,11 @@
 
         Returns the ``StartResult``, None if the run no longer waits for it.
         """
+        if self._worker_clock_ms is not None:
+            refusal = await self._check_idle_worker(order)
+            if refusal is not None:
+                self._metrics.count("orders", refusal.value)
+                return refusal
         result = StartResult.UNKNOWN
         any_unanswered = False
         for attempt in range(MAX_START_ATTEMPTS):
@@ -291,6 +299,33 @@
             result = StartResult.UNKNOWN
         return result
 
+    async def _check_idle_worker(self, order):
+        """Reads the status of a worker that has not answered lately, before it gets an order.
+
+        An idle worker is not polled, and an order to one that is gone would hold its run for the
+        longest lease. Returns the ``StartResult`` of an order that must not be sent, else None.
+        """
+        if trio.current_time() - self._worker_clock_read_at <= MAX_CLOCK_AGE_SECONDS:
+            return None
+        (status, error), _ = await self._hedge.call(
+            self._read_status, lambda response: response[0] is not None
+        )
+        if error is not None:
+            if error.fenced:
+                self._on_fenced()
+            return StartResult.FENCED if error.fenced else StartResult.NOT_SENT
+        if status.incarnation not in (None, order.allocation.incarnation):
+            return StartResult.WRONG_INCARNATION
+        self._record_clock(status.clock_ms)
+        return None
+
+    async def _read_status(self):
+        """Returns (``WorkerStatus``, None), or (None, the ``AgentError``)."""
+        try:
+            return await self._agent.read_status(self._leadership.epoch), None
+        except AgentError as error:
+            return None, error
+
     def _apply_start_result(self, order, result):
         """Applies the ``StartResult`` of a ``StartOrder`` to the engine."""
         if result is not StartResult.STARTED:
@@ -384,9 +419,8 @@
 
         A worker that has restarted since does not know the run, so a copy would run the task again.
         """
-        try:
-            status = await self._agent.read_status(self._leadership.epoch)
-        except AgentError as error:
+        status, error = await self._read_status()
+        if error is not None:
             return (StartResult.FENCED if error.fenced else StartResult.UNKNOWN), None
         if status.incarnation not in (None, order.allocation.incarnation):
             return StartResult.WRONG_INCARNATION, None
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -41,6 +41,20 @@
 
         run_virtual(main)
 
+    def test_task_is_not_held_by_an_idle_worker_that_is_gone(self):
+        # the order to a worker that had gone unnoticed held the task for the longest lease
+        async def main():
+            async with Deployment(workers=2, lease_limit_seconds=10.0) as deployment:
+                await trio.sleep(5)
+                deployment.fleet.workers["w0"].unresponsive = True
+                for job_id in (JOB_ID, OTHER_JOB_ID):
+                    await deployment.submit(job_id, job(step(1, 8), ms=500))
+                for job_id in (JOB_ID, OTHER_JOB_ID):
+                    await deployment.wait_for_state(job_id, "completed", 4)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
     def test_order_that_finds_no_clock_of_its_worker_is_not_lost(self):
         # the order was dropped without a result when its worker had changed its address meanwhile,
         # and the task waited for a start that nobody sent
