--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -145,6 +145,7 @@
     """
 
     __slots__ = (
+        "_state",
         "allocations",
         "checkpoint",
         "crash_evidence",
@@ -157,7 +158,6 @@
         "retry_at",
         "run",
         "size",
-        "state",
         "step",
     )
 
@@ -167,7 +167,7 @@
         self.step = step
         self.first_index = first_index
         self.size = size
-        self.state = UnitState.WAITING
+        self._state = UnitState.WAITING
         self.run = 0
         self.failures = 0
         self.checkpoint = ""
@@ -177,6 +177,17 @@
         self.ready_at = 0.0
         self.retry_at = 0.0
 
+    @property
+    def state(self):
+        """The ``UnitState``; a unit that is done stays so."""
+        return self._state
+
+    @state.setter
+    def state(self, state):
+        if state is UnitState.DONE and self._state is not UnitState.DONE:
+            self.job.record_done(self)
+        self._state = state
+
     @property
     def spec(self):
         """The ``StepSpec`` of this unit's step."""
@@ -325,7 +336,8 @@
                 raise InvalidValueError("started", index, "a task with an allocation")
             self.allocations[index].started = True
         if done:
-            self.state = UnitState.DONE
+            # counted when the job adds its units
+            self._state = UnitState.DONE
             self.allocations, self.crash_evidence = {}, {}
         elif self.allocations:
             self.state = UnitState.ACTIVE
@@ -346,6 +358,8 @@
     """
 
     __slots__ = (
+        "_steps_done",
+        "_undone",
         "_units",
         "accepted_ms",
         "accepted_queue",
@@ -369,6 +383,10 @@
         self.started = False
         self.record_version = 0
         self._units = {}
+        # numbers of units that are not done, by the keys of ``_units``
+        self._undone = {}
+        # number of these keys whose units are all done
+        self._steps_done = 0
 
     @property
     def ended(self):
@@ -430,8 +448,7 @@
             for step_index, step in enumerate(self.spec.steps):
                 key = (occurrence, step_index)
                 if key not in self._units and self._dependencies_done(occurrence, step):
-                    self._units[key] = self._make_units(occurrence, step_index, step)
-                    created.extend(self._units[key])
+                    created.extend(self._create_units(occurrence, step_index, step))
         return created
 
     def next_due_ms(self, now_ms):
@@ -442,25 +459,29 @@
                 return due
         return None
 
-    def update_outcome(self, max_failures):
+    def record_done(self, unit):
+        """Counts a unit that has just been done."""
+        key = (unit.occurrence, unit.step)
+        self._undone[key] -= 1
+        if not self._undone[key]:
+            self._steps_done += 1
+
+    def update_outcome(self, max_failures, units=None):
         """Sets the outcome if the job has failed or completed; returns True if it was set now.
 
-        The job fails when one unit has ``max_failures`` failed runs, never if ``max_failures`` is
-        None, and when a unit that is not done is given up.
+        ``units`` are those that have changed, None for all. The job fails when one unit has
+        ``max_failures`` failed runs, never if ``max_failures`` is None, and when a unit that is not
+        done is given up.
         """
         if self.ended:
             return False
-        if any(unit.given_up and unit.state is not UnitState.DONE for unit in self.units()):
-            self.outcome = Outcome.FAILED
-            return True
-        if max_failures is not None and any(
-            unit.failures >= max_failures
-            and unit.state is not UnitState.DONE
-            and not unit.spec.long_running
-            for unit in self.units()
-        ):
-            self.outcome = Outcome.FAILED
-            return True
+        for unit in self.units() if units is None else units:
+            if unit.state is UnitState.DONE:
+                continue
+            exhausted = max_failures is not None and unit.failures >= max_failures
+            if unit.given_up or (exhausted and not unit.spec.long_running):
+                self.outcome = Outcome.FAILED
+                return True
         if self._all_done():
             self.outcome = Outcome.COMPLETED
             return True
@@ -513,7 +534,8 @@
                     raise InvalidValueError(name, index, "the first task of a unit, only once")
                 unit.load_record(row)
         self.started, self.outcome = started, outcome
-        self._units.update(loaded)
+        for key, units in loaded.items():
+            self._add_units(key, units)
 
     def _parse_step_name(self, name):
         """Returns (occurrence, index of the step) of a name in the job's record."""
@@ -530,17 +552,17 @@
 
     def _step_done(self, occurrence, step_index):
         """Returns True if all units of the step are done in the occurrence."""
-        units = self._units.get((occurrence, step_index))
-        return units is not None and all(unit.state is UnitState.DONE for unit in units)
+        return self._undone.get((occurrence, step_index)) == 0
 
     def _all_done(self):
         """Returns True if all steps are done in all occurrences."""
-        steps = range(len(self.spec.steps))
-        return all(
-            self._step_done(occurrence, step_index)
-            for occurrence in range(self.spec.occurrence_count)
-            for step_index in steps
-        )
+        return self._steps_done == self.spec.occurrence_count * len(self.spec.steps)
+
+    def _create_units(self, occurrence, step_index, step):
+        """Adds and returns the units of a step."""
+        units = self._make_units(occurrence, step_index, step)
+        self._add_units((occurrence, step_index), units)
+        return units
 
     def _make_units(self, occurrence, step_index, step):
         """Returns new units of a step: one unit for a gang, else one for each task."""
@@ -548,6 +570,13 @@
             return [Unit(self, occurrence, step_index, 0, step.tasks)]
         return [Unit(self, occurrence, step_index, index, 1) for index in range(step.tasks)]
 
+    def _add_units(self, key, units):
+        """Adds the units of a step; ``key`` is (occurrence, index of the step)."""
+        self._units[key] = units
+        self._undone[key] = sum(unit.state is not UnitState.DONE for unit in units)
+        if not self._undone[key]:
+            self._steps_done += 1
+
 
 def _require_rows(value, length, name):
     """Returns a list of lists of ``length`` items; raises ``InvalidValueError``."""
