--- a/tests/platform/test_worker_departures.py
+++ b/tests/platform/test_worker_departures.py
@@ -61,6 +61,16 @@
             with self.subTest(seconds=seconds):
                 self.check(functools.partial(silence, seconds=seconds))
 
+    def test_entry_that_expires_and_returns_between_two_reads_is_no_departure(self):
+        # the removal was applied after the registration that followed it
+        async def expire(deployment, worker):
+            deployment.register(worker.id, state="draining")
+            await trio.sleep(SILENCE_SECONDS)
+            deployment.store.delete("servers", worker.id)
+            deployment.register(worker.id, state="draining")
+
+        self.check(expire)
+
     def test_entry_that_cannot_be_read_is_no_departure(self):
         async def spoil(deployment, worker, value, remove):
             deployment.register(worker.id, state="draining")
