--- a/deploy/build.py
+++ b/deploy/build.py
@@ -133,7 +133,8 @@
         command, env=environment, stdin=subprocess.DEVNULL, capture_output=True, text=True
     )
     if done.returncode:
-        last_line = (done.stderr.strip().splitlines() or ["no message"])[-1]
+        output = done.stderr.strip() or done.stdout.strip() or "no message"
+        last_line = output.splitlines()[-1]
         raise BuildError(f"the program does not start: {last_line}")
 
 
