Log: a process tells its start, its addresses, signals and the cause of its end

The log now has one record each for the start, for each address bound or not (setting, address, errno) and for each signal received with the state of the process, and one last record with cause, exit code and uptime. An unexpected error is that record, with its traceback. What waits for a slow reader of the log is written at the end within 0.2 s. No other behaviour changes.

--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -89,6 +89,8 @@
         self._metrics = metrics
         self._catalogs = catalogs
         self._draining = False
+        # "starting", "serving" or "draining"
+        self._state = "starting"
         address = f"{settings.ip}:{settings.first_port}"
         leadership = Leadership(
             table,
@@ -112,22 +114,34 @@
         )
         self._announcer = Announcer(leadership, self._leader, connect_peer, metrics)
         job_service.announce = self._announcer.announce
-        self._server = HttpServer(handler, _server_settings(settings.front_address))
+        self._server = HttpServer(
+            handler,
+            _server_settings(settings.front_address),
+            name=settings.field_name("front_address"),
+        )
         self._readiness_server = HttpServer(
-            self._handle_readiness, _server_settings(settings.readiness_address)
+            self._handle_readiness,
+            _server_settings(settings.readiness_address),
+            name=settings.field_name("readiness_address"),
         )
         self._peer_directory = peer_directory
         self._table = table
         self._relay_server = relay_server
         self._catalog_server = CatalogServer(catalogs, boot_time)
         self._peer_server = HttpServer(
-            self._handle_peer, _server_settings(address), traffic=metrics.traffic("peers")
+            self._handle_peer,
+            _server_settings(address),
+            traffic=metrics.traffic("peers"),
+            name=settings.field_name("first_port"),
         )
         metrics.gauge("configuration_age_seconds", lambda: catalogs.age_seconds)
         metrics.gauge("leads", lambda: int(self._leader.leads))
 
     async def run(self):
-        """Serves until SIGTERM or SIGINT, then shuts down gracefully; SIGHUP reloads settings."""
+        """Serves until SIGTERM or SIGINT, then shuts down gracefully; SIGHUP reloads settings.
+
+        Returns the name of the signal that ended it.
+        """
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 await nursery.start(self._readiness_server.serve)
@@ -138,14 +152,23 @@
                 await nursery.start(self._peer_directory.run)
                 await nursery.start(self._announcer.run)
                 await nursery.start(self._leader.run)
+                self._state = "serving"
                 LOG.info("The process has started.", extra={"address": self._settings.ip})
                 async for signal_number in signals:
+                    name = self._record_signal(signal_number)
                     if signal_number != signal.SIGHUP:
                         break
                     self._reload()
+                self._state = "draining"
                 await self._drain()
                 nursery.cancel_scope.cancel()
-        LOG.info("The process has stopped.")
+        return name
+
+    def _record_signal(self, signal_number):
+        """Logs a signal with the state of the process; returns the name of the signal."""
+        name = signal.Signals(signal_number).name
+        LOG.info("A signal was received.", extra={"signal": name, "state": self._state})
+        return name
 
     def _reload(self):
         """Reads the settings and applies those that can change while the process runs."""
--- a/packages/entry/src/ibiscart_entry/isolation.py
+++ b/packages/entry/src/ibiscart_entry/isolation.py
@@ -7,7 +7,7 @@
 
 import logging
 
-__all__ = ["record_error", "run_isolated"]
+__all__ = ["describe_error", "record_error", "run_isolated"]
 
 LOG = logging.getLogger("ibiscart.isolation")
 
@@ -45,11 +45,11 @@
     LOG.error(
         "A task ended with an unexpected error.",
         exc_info=error,
-        extra={"kind": kind, "task_name": name, "error": _describe(error)},
+        extra={"kind": kind, "task_name": name, "error": describe_error(error)},
     )
 
 
-def _describe(error):
+def describe_error(error):
     """Returns the type and text of an error, of the first one in a group."""
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/lifetime.py
@@ -0,0 +1,58 @@
+"""
+ibiscart_entry.lifetime
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Start and end of a process, and why it ended, in its log.
+"""
+
+import logging
+import os
+import sys
+import time
+
+import trio
+
+from ibiscart_entry.isolation import describe_error
+
+__all__ = ["EXIT_ERROR", "ProcessLifetime"]
+
+LOG = logging.getLogger("ibiscart.process")
+EXIT_ERROR = 1
+
+
+class ProcessLifetime:
+    """Logs one line when the process starts and one, the last, when it ends.
+
+    ``clock`` returns monotonic seconds.
+    """
+
+    def __init__(self, clock=time.monotonic):
+        self._clock = clock
+        self._started_at = clock()
+
+    def log_start(self, **fields):
+        """Logs that the process starts."""
+        version = sys.version.partition(" ")[0]
+        LOG.info("The process starts.", extra={"pid": os.getpid(), "python": version, **fields})
+
+    def run(self, function, *args):
+        """Runs an async function that returns the cause of the end; returns the exit code.
+
+        An error that the function raises is the cause otherwise; it is logged, not raised.
+        """
+        try:
+            cause = trio.run(function, *args)
+        except Exception as error:
+            self.log_end("error", EXIT_ERROR, error=error)
+            return EXIT_ERROR
+        self.log_end(cause, 0)
+        return 0
+
+    def log_end(self, cause, exit_code, error=None, **fields):
+        """Logs that the process ends, with its exit code and the seconds since its start."""
+        fields.update(cause=cause, exit_code=exit_code)
+        fields["uptime_seconds"] = round(self._clock() - self._started_at, 3)
+        if error is not None:
+            fields["error"] = describe_error(error)
+        level = logging.CRITICAL if exit_code else logging.INFO
+        LOG.log(level, "The process ends.", exc_info=error, extra=fields)
--- a/packages/entry/src/ibiscart_entry/log.py
+++ b/packages/entry/src/ibiscart_entry/log.py
@@ -24,6 +24,8 @@
 LINES_AT_ONCE = 2000
 # a pipe that is writable takes this much without blocking
 WRITE_BYTES = select.PIPE_BUF
+# longest wait for a reader at the end of the process
+CLOSE_SECONDS = 0.2
 RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
 
 
@@ -96,6 +98,14 @@
             self._waiting.clear()
             self._waiting_bytes = 0
 
+    def close(self):
+        """Writes the lines that still wait, for which it waits a bounded time, and closes."""
+        deadline = time.monotonic() + CLOSE_SECONDS
+        while self._waiting and (left := deadline - time.monotonic()) > 0:
+            self._poll.poll(left * 1000)
+            self.flush()
+        super().close()
+
     def _take_token(self):
         now = self._clock()
         refill = (now - self._refilled_at) * LINES_PER_SECOND
--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -92,20 +92,29 @@
 class HttpServer:
     """Serves ``handler``, an async function from ``Request`` to ``Response``.
 
-    ``settings`` is a ``ServerSettings`` message. ``on_error`` is called with each
+    ``settings`` is a ``ServerSettings`` message; ``name`` is the operator's name of the setting
+    with the address, for the log. ``on_error`` is called with each
     ``ErrorKind`` that is answered. ``answer_headers`` returns headers for the answers that
     the server gives without the handler. ``traffic`` is the ``Traffic`` to which its bytes are
     added.
     """
 
     def __init__(
-        self, handler, settings, on_error=lambda kind: None, *, answer_headers=list, traffic=None
+        self,
+        handler,
+        settings,
+        on_error=lambda kind: None,
+        *,
+        answer_headers=list,
+        traffic=None,
+        name="server.address",
     ):
         self._handler = handler
         self._settings = settings
         self._on_error = on_error
         self._answer_headers = answer_headers
         self._traffic = traffic
+        self._name = name
         self._connections = 0
         self._requests = 0
         self._buffered = 0
@@ -129,8 +138,7 @@
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serves until cancelled; reports the bound port through ``task_status``."""
-        host, port = self._settings.address.rsplit(":", 1)
-        listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"), backlog=BACKLOG)
+        listeners = await self._bind()
         async with trio.open_nursery() as nursery:
             for listener in listeners:
                 nursery.start_soon(self._serve_listener, listener, nursery)
@@ -138,6 +146,21 @@
             # requests on open connections go on until the caller cancels this task
             await trio.sleep_forever()
 
+    async def _bind(self):
+        """Returns the listeners of the address."""
+        host, port = self._settings.address.rsplit(":", 1)
+        fields = {"setting": self._name, "address": self._settings.address}
+        try:
+            listeners = await trio.open_tcp_listeners(
+                int(port), host=host.strip("[]"), backlog=BACKLOG
+            )
+        except OSError as error:
+            cause = {"errno": error.errno, "cause": str(error)}
+            LOG.error("An address cannot be bound.", extra={**fields, **cause})
+            raise
+        LOG.info("An address is bound.", extra=fields)
+        return listeners
+
     def close_connections(self):
         """Answers from now on with ``Connection: close``."""
         self._closing = True
--- a/tests/entry/test_log.py
+++ b/tests/entry/test_log.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import os
+import threading
 import unittest
 
 from ibiscart_entry.log import LINES_AT_ONCE, MAX_WAITING_BYTES, BoundedHandler
@@ -24,9 +25,12 @@
         self.handler.emit(record)
 
     def read(self):
+        return self.read_available(self.handler.flush)
+
+    def read_available(self, before=lambda: None):
         lines = []
         while True:
-            self.handler.flush()
+            before()
             os.set_blocking(self.reader, False)
             try:
                 data = os.read(self.reader, 65536)
@@ -47,6 +51,18 @@
         numbers = [int(json.loads(line)["text"].split()[0]) for line in self.read()]
         self.assertEqual(list(range(500)), numbers)
 
+    def test_last_lines_are_written_at_the_end_if_the_reader_goes_on(self):
+        while not self.handler._waiting:
+            self.emit("x" * 400)
+        self.emit("last")
+        closing = threading.Thread(target=self.handler.close)
+        closing.start()
+        lines = []
+        while closing.is_alive():
+            lines += self.read_available()
+        lines += self.read_available()
+        self.assertIn("last", lines[-1])
+
     def test_next_line_says_how_many_were_dropped(self):
         for _ in range(LINES_AT_ONCE + 7):
             self.emit("x")
