--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -18,6 +18,25 @@
 heartbeatMs: 1500
 unknown: {a: 1}
 """
+FIGURES = {
+    "bounds.graceS": "graceS: 6",
+    "bounds.maxHoldMs": "maxHoldMs: 6000",
+    "bounds.status_s": "status_s: 120",
+    "bounds.revokeMs": "revokeMs: 5000",
+    "limits.cpuShare": "cpuShare: 0.5",
+    "limits.cores": "cores: 2",
+    "heartbeatMs": "heartbeatMs: 1500",
+}
+ADDRESSES = {
+    "listen.front": '"10.1.0.1:80"',
+    "listen.readiness": '"10.1.0.1:81"',
+    "platform.address": '"10.2.0.1:90"',
+}
+BAD_ADDRESSES = (
+    *("10.1.0.1", "", ":80", "10.1.0.1:", "10.1.0.1:http", "10.1.0.1:0", "10.1.0.1:65536"),
+    *("10.1.0.1:-1", "10.1.0.1:1.5", "10.1.0.1:\u0661", "h\u00e4st..x:80", "a b:80", "a..b:80"),
+    *("a" * 64 + ":80", "::1:80", "[::1:80", "10.1.0.1:" + "9" * 400, "10.1.0.1: 80", "a\\0:80"),
+)
 
 
 class PlatformSettingsTest(unittest.TestCase):
@@ -59,6 +78,68 @@
         for field in ("node", "zone", "bounds.maxHoldMs"):
             self.assertIn(field, problems)
 
+    def assert_problem(self, text, name, *words):
+        """Checks that ``text`` has one problem, which names the setting and tells what to do."""
+        with self.assertRaises(SettingsError, msg=text) as caught:
+            self.read(text)
+        problems = caught.exception.problems
+        self.assertEqual(len(problems), 1, problems)
+        for word in (name, "set it to", *words):
+            self.assertIn(word, problems[0])
+        self.assertLess(len(problems[0]), 300)
+
+    def test_figures_that_no_timer_can_use_are_refused(self):
+        for name, setting in FIGURES.items():
+            key = setting.partition(":")[0]
+            for value in (".nan", ".inf", "-.inf", "-1", "1" * 400, '"6"', "true", "1e300", "[]"):
+                with self.subTest(name=name, value=value[:20]):
+                    text = VALID.replace(setting, f"{key}: {value}")
+                    self.assert_problem(text, name, "number from 0 to")
+
+    def test_ports_out_of_range_are_refused(self):
+        for value in ("0", "-1", "65536", "9" * 400, "7000.5", ".inf", '"7000"', "true"):
+            with self.subTest(value=value[:20]):
+                text = VALID.replace("[7000, 7015]", f"[{value}, 7015]")
+                self.assert_problem(text, "internalPorts.0", "from 1 to 65535")
+        self.assert_problem(VALID.replace("[7000, 7015]", "[]"), "internalPorts.0", "missing")
+
+    def test_addresses_without_usable_host_and_port_are_refused(self):
+        for name, address in ADDRESSES.items():
+            for value in BAD_ADDRESSES:
+                with self.subTest(name=name, value=value[:20]):
+                    text = VALID.replace(address, f'"{value}"')
+                    self.assert_problem(text, name, "from 1 to 65535")
+        for value in ("", "a b", "10.1.0.1:80", "\u00e4"):
+            with self.subTest(name="ip", value=value):
+                self.assert_problem(VALID.replace("ip: 10.1.0.1", f'ip: "{value}"'), "ip")
+
+    def test_addresses_by_number_and_by_name_are_accepted(self):
+        for value in (
+            "127.0.0.1:65535",
+            "[::1]:1",
+            "localhost:80",
+            "a-b.example:8080",
+            "0.0.0.0:5",
+        ):
+            with self.subTest(value=value):
+                text = VALID.replace('"10.2.0.1:90"', f'"{value}"')
+                self.assertEqual(self.read(text).store_address, value)
+
+    def test_own_addresses_that_are_the_same_are_refused(self):
+        """A process would wait for ever for an address that it uses itself."""
+        self.assert_problem(VALID.replace("10.1.0.1:81", "10.1.0.1:80"), "listen.readiness")
+        self.assert_problem(VALID.replace("10.1.0.1:81", "10.1.0.1:7000"), "internalPorts.0")
+
+    def test_node_that_cannot_be_a_row_key_is_refused(self):
+        for value in ("", "a" * 190, "\\ud800", "a/b"):
+            with self.subTest(value=value[:20]):
+                self.assert_problem(VALID.replace("node: n1", f'node: "{value}"'), "node")
+
+    def test_name_of_the_file_that_is_not_set_is_told(self):
+        with self.assertRaises(SettingsError) as caught:
+            PlatformSettings.from_config("")
+        self.assertIn("IBISCART_CONFIG", str(caught.exception))
+
     def test_unreadable_file_raises_settings_error(self):
         with self.assertRaises(SettingsError):
             PlatformSettings.from_config("/nonexistent/boot.yaml")
