--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -16,11 +16,15 @@
 # processes of one test that run at a time
 CONCURRENT_PROCESSES = 3
 DEEP = b"a: " + b"[" * 100_000
+ALIASES = b"a0: &a0 [x]\n" + b"".join(
+    b"a%d: &a%d [%s]\n" % (n, n, b", ".join([b"*a%d" % (n - 1)] * 9)) for n in range(1, 60)
+)
 UNREADABLE = {
     "missing": None,
     "empty": b"",
     "not UTF-8": b"node: \xff\xfe",
     "deep": DEEP,
+    "aliases": ALIASES + b"node: *a59\n",
     "null bytes": b"node: a\x00b",
     "impossible date": b"node: 2001-99-99",
     "figure of 5,000 digits": b"node: 1" + b"0" * 5000,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -131,10 +131,30 @@
         self.assert_problem(VALID.replace("10.1.0.1:81", "10.1.0.1:7000"), "internalPorts.0")
 
     def test_node_that_cannot_be_a_row_key_is_refused(self):
-        for value in ("", "a" * 190, "\\ud800", "a/b"):
+        for value in ("", "a" * 190, "a/b"):
             with self.subTest(value=value[:20]):
                 self.assert_problem(VALID.replace("node: n1", f'node: "{value}"'), "node")
 
+    def test_unusual_files_raise_settings_error(self):
+        aliases = "a0: &a0 [x]\n" + "".join(
+            f"a{n}: &a{n} [{', '.join([f'*a{n - 1}'] * 9)}]\n" for n in range(1, 60)
+        )
+        texts = ("", "null", "[1]", "5", "a: " + "[" * 100_000, "a: " + "{a: " * 5000, "a\0b")
+        for text in (*texts, aliases, aliases + VALID.replace("n1", "*a59"), "- " * 100_000):
+            with self.subTest(text=text[:20]), self.assertRaises(SettingsError) as caught:
+                self.read(text)
+            self.assertLess(len(str(caught.exception)), 10_000)
+        for value in (
+            "2001-99-99",
+            "0b_",
+            "1" * 5000,
+            '"\\ud800"',
+            "!!python/name:os.system x",
+            "{[a]: 1}",
+        ):
+            with self.subTest(value=value[:20]), self.assertRaises(SettingsError):
+                self.read(VALID + f"more: {value}\n")
+
     def test_name_of_the_file_that_is_not_set_is_told(self):
         with self.assertRaises(SettingsError) as caught:
             PlatformSettings.from_config("")
