Signals: held from the first line on, read in start and shutdown, ignored at the exit

A Python process has the default actions of signals until it installs handlers, which happened after all imports and the reading of the settings; the receiver was read by nobody during the shutdown, sent its unread signals again when it closed, and the interpreter restores the defaults of other handlers in its finalization.

The first line of the program blocks the three signals. They are unblocked when the receiver opens: one that asks for a stop in the start ends it with exit code 0 before anything is bound, SIGHUP reads the settings again. The addresses are bound in a task, so that signals are handled meanwhile. During the shutdown further signals are logged and change nothing; before the receiver closes they are blocked again, and ignored until the exit. An entry is ready only once all its addresses are bound.

The four tests of test_process.SignalInStartTest and SignalInShutdownTest failed before (exit codes -1, -2) and pass, four times in a row.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -1,9 +1,14 @@
 """Starts one entry process from the source tree; libraries lie in ``target/deps``."""
 
-import json
-import sys
-import traceback
-from pathlib import Path
+import signal
+
+# before the other imports: a signal ends a process that has not arranged for it
+signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGINT, signal.SIGTERM))
+
+import json  # noqa: E402
+import sys  # noqa: E402
+import traceback  # noqa: E402
+from pathlib import Path  # noqa: E402
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = ("packages/schema/src", "packages/core/src", "packages/entry/src", "platform/src")
--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -7,7 +7,6 @@
 
 import logging
 import random
-import signal
 
 import trio
 
@@ -17,6 +16,13 @@
 from ibiscart_entry.coordination.leader import Leader
 from ibiscart_entry.coordination.leadership import Leadership
 from ibiscart_entry.server import HttpServer, Response
+from ibiscart_entry.signals import (
+    STOP_SIGNALS,
+    ignore_signals,
+    log_signal,
+    open_signals,
+    stop_requested,
+)
 from ibiscart_schema.generated.settings_pb2 import ServerSettings
 
 __all__ = ["EntryProcess"]
@@ -88,7 +94,6 @@
         self._read_settings = read_settings
         self._metrics = metrics
         self._catalogs = catalogs
-        self._draining = False
         # "starting", "serving" or "draining"
         self._state = "starting"
         address = f"{settings.ip}:{settings.first_port}"
@@ -142,33 +147,38 @@
 
         Returns the name of the signal that ended it.
         """
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        name = stop_requested()
+        if name is not None:
+            LOG.info("A signal was received.", extra={"signal": name, "state": self._state})
+            return name
+        with open_signals() as signals:
             async with trio.open_nursery() as nursery:
-                await nursery.start(self._readiness_server.serve)
-                await nursery.start(self._server.serve)
-                await nursery.start(self._peer_server.serve)
-                await nursery.start(self._table.monitor)
-                await nursery.start(self._catalogs.run)
-                await nursery.start(self._peer_directory.run)
-                await nursery.start(self._announcer.run)
-                await nursery.start(self._leader.run)
-                self._state = "serving"
-                LOG.info("The process has started.", extra={"address": self._settings.ip})
+                nursery.start_soon(self._start, nursery)
                 async for signal_number in signals:
-                    name = self._record_signal(signal_number)
-                    if signal_number != signal.SIGHUP:
+                    name = log_signal(signal_number, self._state)
+                    if signal_number in STOP_SIGNALS:
                         break
                     self._reload()
                 self._state = "draining"
+                nursery.start_soon(ignore_signals, signals, self._state)
                 await self._drain()
                 nursery.cancel_scope.cancel()
         return name
 
-    def _record_signal(self, signal_number):
-        """Logs a signal with the state of the process; returns the name of the signal."""
-        name = signal.Signals(signal_number).name
-        LOG.info("A signal was received.", extra={"signal": name, "state": self._state})
-        return name
+    async def _start(self, nursery):
+        """Starts the servers and, once all addresses are bound, the other components."""
+        async with trio.open_nursery() as binding:
+            for server in (self._readiness_server, self._server, self._peer_server):
+                binding.start_soon(nursery.start, server.serve)
+        # a connection of this process could otherwise take one of its ports
+        await nursery.start(self._table.monitor)
+        await nursery.start(self._catalogs.run)
+        await nursery.start(self._peer_directory.run)
+        await nursery.start(self._announcer.run)
+        await nursery.start(self._leader.run)
+        if self._state == "starting":
+            self._state = "serving"
+            LOG.info("The process has started.", extra={"address": self._settings.ip})
 
     def _reload(self):
         """Reads the settings and applies those that can change while the process runs."""
@@ -186,11 +196,12 @@
 
         Then waits for open requests for the rest of ``drain_seconds``.
         """
-        self._draining = True
         fields = {"leads": self._leader.leads, "requests": self._server.requests}
         LOG.info("The shutdown begins.", extra=fields)
         self._server.close_connections()
         await self._leader.resign()
+        if not self._server.bound:
+            return
         await trio.sleep(BALANCER_SECONDS)
         self._server.stop_accepting()
         await trio.sleep(SETTLE_SECONDS)
@@ -201,7 +212,7 @@
 
     async def _handle_readiness(self, request):
         """Responds to the load balancer with status 200 if this entry is ready, else 503."""
-        ready = not self._draining and self._catalogs.age_seconds < MAX_READY_AGE_SECONDS
+        ready = self._state == "serving" and self._catalogs.age_seconds < MAX_READY_AGE_SECONDS
         return Response.from_json(200 if ready else 503, {"ready": ready})
 
     async def _handle_peer(self, request):
--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -124,6 +124,7 @@
         self._idle_scopes = set()
         self._closing = False
         self._accepting = True
+        self._bound = False
         self._keeping_idle = True
 
     @property
@@ -136,6 +137,11 @@
         """Number of open connections."""
         return self._connections
 
+    @property
+    def bound(self):
+        """Whether the address has been bound, so that callers can connect."""
+        return self._bound
+
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serves until cancelled; reports the bound port through ``task_status``."""
         listeners = await self._bind()
@@ -158,6 +164,7 @@
             cause = {"errno": error.errno, "cause": str(error)}
             LOG.error("An address cannot be bound.", extra={**fields, **cause})
             raise
+        self._bound = True
         LOG.info("An address is bound.", extra=fields)
         return listeners
 
