Server: waits for an address that is in use, and outlives errors of accept

An error of accept other than too many open files ended it too.

Errors of accept are logged and accept is called again.

The test of accept has EPERM, ENETDOWN and EIO as well.

--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -8,6 +8,7 @@
 import errno
 import json
 import logging
+import socket
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import h11
@@ -25,7 +26,7 @@
 )
 from ibiscart_schema.check import to_mapping
 
-__all__ = ["HttpServer", "Request", "Response", "error_response"]
+__all__ = ["AddressError", "HttpServer", "Request", "Response", "error_response"]
 
 LOG = logging.getLogger("ibiscart.server")
 KEEP_ALIVE_SECONDS = 75.0
@@ -36,6 +37,17 @@
 REFUSED_CONNECTIONS = 64
 ACCEPT_PAUSE_SECONDS = 0.1
 OUT_OF_FILES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
+# errors of an address that pass: another process uses it, or the machine does not have it yet
+IN_USE = OUT_OF_FILES | {errno.EADDRINUSE, errno.EADDRNOTAVAIL, socket.EAI_AGAIN}
+# pause before an address is tried again, doubled after each try up to the maximum
+BIND_PAUSE_SECONDS = 0.05
+MAX_BIND_PAUSE_SECONDS = 1.0
+# interval of the log lines about a state that lasts
+REPEAT_SECONDS = 10.0
+
+
+class AddressError(Exception):
+    """An address that can never be bound; the text names the setting, the value and the cause."""
 
 
 class Request:
@@ -143,7 +155,10 @@
         return self._bound
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Serves until cancelled; reports the bound port through ``task_status``."""
+        """Serves until cancelled; reports the bound port through ``task_status``.
+
+        Waits while the address is in use. Raises ``AddressError`` if it can never be bound.
+        """
         listeners = await self._bind()
         async with trio.open_nursery() as nursery:
             for listener in listeners:
@@ -153,18 +168,31 @@
             await trio.sleep_forever()
 
     async def _bind(self):
-        """Returns the listeners of the address."""
-        host, port = self._settings.address.rsplit(":", 1)
+        """Returns the listeners of the address, as soon as no other process uses it."""
         fields = {"setting": self._name, "address": self._settings.address}
-        try:
-            listeners = await trio.open_tcp_listeners(
-                int(port), host=host.strip("[]"), backlog=BACKLOG
-            )
-        except OSError as error:
-            cause = {"errno": error.errno, "cause": str(error)}
-            LOG.error("An address cannot be bound.", extra={**fields, **cause})
-            raise
+        started_at = trio.current_time()
+        warning = _RepeatedLine(logging.WARNING, "An address cannot be bound; it is tried again.")
+        pause = BIND_PAUSE_SECONDS
+        while True:
+            try:
+                host, _, port = self._settings.address.rpartition(":")
+                listeners = await trio.open_tcp_listeners(
+                    int(port), host=host.strip("[]"), backlog=BACKLOG
+                )
+                break
+            # ValueError: the text has no port, or a host that cannot be encoded
+            except (OSError, OverflowError, ValueError) as error:
+                number = getattr(error, "errno", None)
+                if number not in IN_USE:
+                    raise AddressError(
+                        f"{self._name} is {self._settings.address!r}, which cannot be bound: "
+                        f"{error}; set it to an address of this machine and a port"
+                    ) from error
+                warning.log({**fields, "errno": number, "cause": str(error)})
+            await trio.sleep(pause)
+            pause = min(MAX_BIND_PAUSE_SECONDS, 2 * pause)
         self._bound = True
+        fields["waited_seconds"] = round(trio.current_time() - started_at, 3)
         LOG.info("An address is bound.", extra=fields)
         return listeners
 
@@ -205,6 +233,7 @@
 
     async def _serve_listener(self, listener, nursery):
         async with listener:
+            error_line = _RepeatedLine(logging.ERROR, "Connections cannot be accepted.")
             taken_at_end = 0
             while self._accepting or (taken_at_end < BACKLOG and readable(listener.socket)):
                 taken_at_end += not self._accepting
@@ -217,9 +246,8 @@
                     try:
                         stream = await listener.accept()
                     except OSError as error:
-                        if error.errno not in OUT_OF_FILES:
-                            raise
-                        LOG.error("server: No more files can be opened.")
+                        # any error concerns this one connection or passes
+                        error_line.log({"errno": error.errno, "cause": str(error)})
                         await trio.sleep(ACCEPT_PAUSE_SECONDS)
                         continue
                     finally:
@@ -357,6 +385,22 @@
             pass  # the caller's bytes left the connection in a state without answers
 
 
+class _RepeatedLine:
+    """Logs a state that lasts at once and then at most every ``REPEAT_SECONDS``."""
+
+    def __init__(self, level, message):
+        self._level = level
+        self._message = message
+        self._logged_at = None
+
+    def log(self, fields):
+        """Logs the message with the fields unless it was logged a short time ago."""
+        now = trio.current_time()
+        if self._logged_at is None or now - self._logged_at >= REPEAT_SECONDS:
+            self._logged_at = now
+            LOG.log(self._level, self._message, extra=fields)
+
+
 class _Body:
     """Body of one request; its size counts against the bodies of all requests."""
 
--- a/tests/entry/test_lifetime.py
+++ b/tests/entry/test_lifetime.py
@@ -8,7 +8,7 @@
 class LifetimeTest(unittest.TestCase):
     def setUp(self):
         self.now = 5.0
-        self.lifetime = ProcessLifetime(clock=lambda: self.now)
+        self.lifetime = ProcessLifetime(2, clock=lambda: self.now)
 
     def run_function(self, function):
         with self.assertLogs("ibiscart.process") as logs:
--- a/tests/entry/test_server_connections.py
+++ b/tests/entry/test_server_connections.py
@@ -166,12 +166,13 @@
 
         self.run_case(case, handler)
 
-    def test_server_goes_on_when_files_run_out(self):
-        """Too many open files must pass, not end the process."""
+    def test_server_goes_on_after_errors_of_accept(self):
+        """Too many open files, or an error of one connection, must not end the process."""
 
         async def case(rig):
             original = trio.SocketListener.accept
-            failures = [OSError(errno.EMFILE, "x"), OSError(errno.ENFILE, "x")]
+            numbers = (errno.EMFILE, errno.ENFILE, errno.EPERM, errno.ENETDOWN, errno.EIO)
+            failures = [OSError(number, "x") for number in numbers]
 
             async def accept(listener):
                 await trio.lowlevel.checkpoint()
