--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -5,10 +5,12 @@
 The state of all jobs and workers of one deployment, and the events that change it.
 """
 
+from ibiscart_core.workflow.crash import WorkerLosses
 from ibiscart_core.workflow.fleet import Fleet
 from ibiscart_core.workflow.job import AllocationState, EndCause, Outcome, UnitState
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_core.workflow.scheduler import Scheduler
+from ibiscart_core.workflow.suspension import Suspensions
 
 __all__ = ["Engine", "StartOrder", "StopOrder"]
 
@@ -72,16 +74,28 @@
     ``unsaved_job_ids`` has the ids of jobs whose record is to be written, in order of change. Times
     named ``now`` are in seconds of the monotonic clock.
     ``log_event`` is called with (event, fields) for each change an operator may ask about.
+
+    An unexpected error in the planning of one job suspends the planning of this job for a growing
+    time; its runs go on, and their ends are applied. ``on_job_error`` is called with the id of the
+    job and the error.
     """
 
-    def __init__(self, catalog=None, log_event=lambda event, **fields: None):
+    def __init__(
+        self,
+        catalog=None,
+        log_event=lambda event, **fields: None,
+        on_job_error=lambda job_id, error: None,
+    ):
         self.fleet = Fleet()
         self.jobs = {}
         self.catalog = catalog
         self.unsaved_job_ids = {}
         self._scheduler = Scheduler(self.fleet)
+        self._losses = WorkerLosses()
         self._stops = []
         self._log_event = log_event
+        self._on_job_error = on_job_error
+        self._suspensions = Suspensions()
 
     def add_job(self, job, now=0.0):
         """Adds an accepted job; allocates the resources of the runs on its record.
@@ -107,7 +121,10 @@
         """Applies a configuration; ends the jobs that have failed or completed by its limits."""
         self.catalog = catalog
         for job in list(self.jobs.values()):
-            self._update_outcome(job)
+            try:
+                self._update_outcome(job)
+            except Exception as error:
+                self._on_job_error(job.id, error)
 
     def cancel(self, job_id):
         """Cancels a job; returns False if the job is unknown or has already ended."""
@@ -121,6 +138,28 @@
     def remove_job(self, job_id):
         """Removes an ended job without allocations."""
         self.jobs.pop(job_id, None)
+        self._suspensions.discard(job_id)
+
+    def discard_job(self, job_id):
+        """Removes a job that could not be added, with the allocations that it has so far.
+
+        Workers that report runs of it get orders to stop them.
+        """
+        self.remove_job(job_id)
+        self.unsaved_job_ids.pop(job_id, None)
+        for worker in self.fleet.workers.values():
+            for task_key, run in list(worker.units_by_run):
+                if task_key[0] == job_id:
+                    worker.release(task_key, run)
+            worker.vanished_runs = [
+                (unit, index) for unit, index in worker.vanished_runs if unit.job.id != job_id
+            ]
+
+    def suspend_job(self, job_id, error, now):
+        """Leaves a job out of planning for a growing time after an unexpected ``error``."""
+        seconds = self._suspensions.suspend(job_id, now)
+        self._on_job_error(job_id, error)
+        self._log_event("job_suspended", job=job_id, seconds=seconds, reason=type(error).__name__)
 
     def count_pending_jobs(self):
         """Returns the number of accepted jobs without a started task, by queue name."""
@@ -130,9 +169,10 @@
                 counts[job.queue] = counts.get(job.queue, 0) + 1
         return counts
 
-    def end_lost_runs(self, worker_id, cause, now, reason):
-        """Ends all runs of a worker that has left, crashed or vanished until its leases expired.
+    def end_lost_runs(self, worker_id, cause, now, reason, except_runs=frozenset()):
+        """Ends the runs of a worker that has left, crashed or vanished until its leases expired.
 
+        ``except_runs`` has the (task key, run) of those that may go on.
         ``cause`` is ``LOST``, ``WORKER_CRASHED`` or ``WORKER_VANISHED``; a worker that was draining
         has left. ``reason`` is for the log.
         """
@@ -143,8 +183,11 @@
             cause = EndCause.LOST
         if cause is EndCause.WORKER_CRASHED:
             self._resolve_vanished_runs(worker, None)
+        if cause is not EndCause.LOST:
+            self._record_losses(now)
         for (task_key, run), unit in list(worker.units_by_run.items()):
-            self._end_run(worker, unit, task_key, run, cause, "", reason, now)
+            if (task_key, run) not in except_runs:
+                self._end_run(worker, unit, task_key, run, cause, "", reason, now)
 
     def apply_worker_status(self, worker_id, status, asked_at, now):
         """Applies a worker's status.
@@ -164,6 +207,9 @@
         counted_jobs = set()
         for end in status.ended:
             self._apply_end(worker, end, now, counted_jobs)
+        if not status.complete:
+            # a run that is not listed may have ended
+            return
         for key, unit in list(worker.units_by_run.items()):
             if key not in listed:
                 self._apply_missing_run(worker, key, unit, status.incarnation, asked_at, now)
@@ -202,17 +248,18 @@
         ``now_ms`` are in Unix milliseconds.
         """
         earliest_ms = None
-        for job in self.jobs.values():
+        for job in self._planned_jobs(now).values():
             if job.ended:
                 continue
-            for unit in job.create_due_units(now_ms):
-                unit.ready_at = now
-            if job.spec.scheduled:
-                following_ms = job.next_due_ms(now_ms)
-                if following_ms is not None:
-                    earliest_ms = (
-                        following_ms if earliest_ms is None else min(earliest_ms, following_ms)
-                    )
+            try:
+                following_ms = self._create_due_units(job, now, now_ms)
+            except Exception as error:
+                self.suspend_job(job.id, error, now)
+                continue
+            if following_ms is not None:
+                earliest_ms = (
+                    following_ms if earliest_ms is None else min(earliest_ms, following_ms)
+                )
         return earliest_ms
 
     def checkpoint_leaving_runs(self, now):
@@ -240,7 +287,13 @@
         """
         orders = []
         if self.catalog is not None:
-            starts, stops = self._scheduler.plan(self.jobs, self.catalog, now, now_ms)
+            starts, stops = self._scheduler.plan(
+                self._planned_jobs(now),
+                self.catalog,
+                now,
+                now_ms,
+                lambda job, error: self.suspend_job(job.id, error, now),
+            )
             for stop in stops:
                 self._log_event(
                     "unit_preempted",
@@ -252,10 +305,54 @@
                 for index in list(stop.unit.allocations):
                     self._request_stop(stop.unit, index, "preempted")
             for start in starts:
-                orders.extend(self._start_unit(start, now))
+                try:
+                    orders.extend(self._start_unit(start, now))
+                except Exception as error:
+                    self._withdraw_start(start.unit, start.allocations)
+                    self.suspend_job(start.unit.job.id, error, now)
         stop_orders, self._stops = self._stops, []
         return orders, stop_orders
 
+    def withdraw_starts(self, orders, job_ids):
+        """Returns the start orders of other jobs than ``job_ids``; withdraws the others.
+
+        Must be called before any of the orders is sent.
+        """
+        if not job_ids:
+            return orders
+        remaining = []
+        for order in orders:
+            if order.unit.job.id in job_ids:
+                self._withdraw_start(order.unit, {order.index: order.allocation})
+            else:
+                remaining.append(order)
+        return remaining
+
+    def _planned_jobs(self, now):
+        """Returns the jobs by id, without those that are left out of planning at ``now``."""
+        if not self._suspensions:
+            return self.jobs
+        return {
+            job_id: job
+            for job_id, job in self.jobs.items()
+            if not self._suspensions.suspended(job_id, now)
+        }
+
+    def _create_due_units(self, job, now, now_ms):
+        """Creates the due units of a job; returns when its next occurrence is due, or None."""
+        for unit in job.create_due_units(now_ms):
+            unit.ready_at = now
+        return job.next_due_ms(now_ms) if job.spec.scheduled else None
+
+    def _withdraw_start(self, unit, allocations):
+        """Ends the runs of planned starts for which no order was sent."""
+        for index, allocation in allocations.items():
+            worker = self.fleet.get(allocation.worker_id)
+            if worker is not None:
+                worker.release(unit.task_key(index), unit.run)
+            if unit.allocations.get(index) is allocation:
+                unit.end_task(index, EndCause.LOST)
+
     def _start_unit(self, start, now):
         """Begins the run of a ``StartDecision``; returns a ``StartOrder`` for each task."""
         unit = start.unit
@@ -430,13 +527,36 @@
     def _record_lost_worker(self, worker, unit, index, allocation, cause, now):
         """Adds a worker that was lost to the evidence against a task that ran on it."""
         crashed = cause is EndCause.WORKER_CRASHED
-        unit.record_lost_worker(index, allocation, crashed, worker.unreachable_at, now)
+        lost_at = now if worker.reachable else worker.unreachable_at
+        unit.record_lost_worker(
+            index,
+            allocation,
+            worker.unreachable_at,
+            now,
+            crashed=crashed,
+            correlated=self._losses.is_correlated(worker.id, lost_at, unit.job.id),
+        )
         if cause is EndCause.WORKER_VANISHED:
             worker.record_vanished_run(unit, index, now)
         if unit.hold_seconds:
             unit.retry_at = now + unit.hold_seconds
         self._log_crash_evidence(unit, index, worker.id)
 
+    def _record_losses(self, now):
+        """Records all workers with runs that do not answer, before the runs of one of them end."""
+        for worker in self.fleet.workers.values():
+            if worker.reachable or not worker.units_by_run:
+                continue
+            self._losses.record(
+                worker.id,
+                worker.unreachable_at,
+                {unit.job.id for unit in worker.units_by_run.values()},
+                blameless=not any(
+                    unit.may_have_crashed_worker(task_key[3], worker.unreachable_at, now)
+                    for (task_key, _), unit in worker.units_by_run.items()
+                ),
+            )
+
     def _resolve_vanished_runs(self, worker, incarnation):
         """Decides whether a worker that had vanished has crashed.
 
--- a/packages/entry/src/ibiscart_entry/coordination/relay.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay.py
@@ -10,11 +10,18 @@
 
 import trio
 
+from ibiscart_core.value import InvalidValueError, parse_json
 from ibiscart_entry.client import TransportError
 from ibiscart_entry.coordination.record import LEADER_KEY
 from ibiscart_entry.coordination.relay_message import RELAY_PATH, parse_response, write_document
 from ibiscart_entry.coordination.stall_detector import StallDetector
-from ibiscart_entry.table import FollowedTable, HistoryLost, StoreError, TableConflict
+from ibiscart_entry.table import (
+    FollowedTable,
+    HistoryLost,
+    StoreError,
+    TableConflict,
+    TransactionRejected,
+)
 
 __all__ = ["RelayTable"]
 
@@ -83,6 +90,16 @@
         """
         return self._reachable
 
+    @property
+    def max_value_bytes(self):
+        """Largest size of a row's value in bytes."""
+        return self._direct_table.max_value_bytes
+
+    @property
+    def max_transaction_bytes(self):
+        """Largest size of a transaction in bytes, as it is sent."""
+        return self._direct_table.max_transaction_bytes
+
     async def wait_answering(self):
         """Returns as soon as the store is reachable."""
         if not self._reachable:
@@ -239,7 +256,7 @@
             self._stall_detector.begin_call()
         try:
             value = await call_direct()
-        except (TableConflict, HistoryLost) as result:
+        except (TableConflict, TransactionRejected, HistoryLost) as result:
             value = result
         except StoreError as error:
             self._hedge_at_once_until = self._clock() + IMMEDIATE_HEDGE_SECONDS
@@ -309,8 +326,8 @@
     if response.status != 200:
         raise StoreError(f"peer_status_{response.status}", True)
     try:
-        return parse_response(operation, json.loads(response.body))
-    except (AttributeError, KeyError, TypeError, ValueError, RecursionError):
+        return parse_response(operation, parse_json(response.body, name="response"))
+    except InvalidValueError:
         raise StoreError("peer_malformed", True) from None
 
 
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -13,6 +13,7 @@
 from ibiscart_core.workflow.job import EndCause
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_entry.coordination.agent import AgentError
+from ibiscart_entry.isolation import run_isolated
 
 __all__ = ["WorkerSession", "remaining_lease_seconds"]
 
@@ -29,10 +30,6 @@
 # longest delay of a poll's response while a run is being stopped: a run that the worker does not
 # have ends with the first list that was read after its stop, and the worker reports no event for it
 STOPPING_POLL_SECONDS = 0.2
-# age of the worker's clock, as last read, from which the worker may have restarted unnoticed: a
-# long poll with a margin for its response reads it more often. A deadline that counts from the
-# clock of an earlier incarnation makes the worker grant its longest lease
-MAX_CLOCK_AGE_SECONDS = LONG_POLL_SECONDS + 1.0
 # interval at which leases are extended while the leader loads the jobs
 LOADING_POLL_SECONDS = 1.0
 # pause after a failed poll; a start that gets no response or misses its deadline has no pause after
@@ -52,6 +49,9 @@
 # pause before a failed stop is sent again; a call may fail at once, for example when the connection
 # is refused, and would then be repeated without a break; half the timeout of a call
 STOP_RETRY_SECONDS = 0.3
+# pause after the first unexpected error; it doubles with each further one, until it outlasts all
+# leases, so that even runs that cannot be stopped end
+MIN_RESTART_SECONDS = 0.25
 # leases are not extended when the last confirmed write of the leader's row is older: another entry
 # may lead and rely on their expiry
 MAX_UNCONFIRMED_SECONDS = 6.0
@@ -60,6 +60,10 @@
 class WorkerSession:
     """Extends the leases of one worker and sends starts and stops to it.
 
+    An unexpected error in any of these tasks is logged and counted; the session then begins again
+    with new connections after a pause, in which the worker counts as unreachable.
+
+    ``connect_agent`` returns the ``WorkerAgent`` for an address and a worker id.
     ``leadership`` provides the fencing token, ``hedge`` repeats orders without an answer.
     ``lease_limit_seconds`` is the longest lease that a worker grants.
     ``on_change`` is called after each change of the engine, ``on_fenced`` when the worker has seen
@@ -69,7 +73,7 @@
     def __init__(
         self,
         worker,
-        agent,
+        connect_agent,
         engine,
         leadership,
         hedge,
@@ -80,7 +84,8 @@
         metrics,
     ):
         self._worker = worker
-        self._agent = agent
+        self._connect_agent = connect_agent
+        self._agent = None
         self._engine = engine
         self._leadership = leadership
         self._hedge = hedge
@@ -91,6 +96,12 @@
         self._metrics = metrics
         self._worker_clock_ms = None
         self._worker_clock_read_at = 0.0
+        # latest deadline that was sent on the clock of the present incarnation or, until the
+        # restart is known, of the previous one
+        self._latest_deadline_ms = None
+        self._deadline_sent_at = 0.0
+        # (task key, run) of the starts without an answer since the worker's last status
+        self._unanswered_starts = set()
         self._incarnation = worker.info.incarnation
         self._recorded_sequence = 0
         self._acknowledged_sequence = 0
@@ -102,6 +113,13 @@
         self._expires_at = 0.0
         self._address = worker.info.address
         self._scope = trio.CancelScope()
+        # cancelled when an order ends with an unexpected error
+        self._attempt = trio.CancelScope()
+        # cancelled to end the pause after an unexpected error
+        self._pause = trio.CancelScope()
+        self._moved = False
+        # set while the session is connected
+        self._connected = trio.Event()
 
     @property
     def address(self):
@@ -138,6 +156,13 @@
         """Makes ``run`` check again whether a poll is needed."""
         self._wakeup.set()
 
+    def reconnect(self, address):
+        """Makes ``run`` begin again at another address of the worker; orders go on there."""
+        self._address = address
+        self._moved = True
+        self._pause.cancel()
+        self._disconnect()
+
     def close(self):
         """Ends ``run``."""
         self._scope.cancel()
@@ -147,27 +172,104 @@
 
         Until the event ``loaded``, when the engine has the runs on record, it only extends leases.
         """
+        longest_pause = self._lease_limit_seconds * CLOCK_SLOWNESS + MAX_STATUS_AGE_SECONDS
+        longest_pause += RETRY_SECONDS
+        pause_seconds = MIN_RESTART_SECONDS
+        with self._scope:
+            while True:
+                started_at = trio.current_time()
+                with trio.CancelScope() as self._attempt:
+                    await self._run_isolated(self._follow, loaded)
+                now = trio.current_time()
+                if now - started_at > longest_pause:
+                    pause_seconds = MIN_RESTART_SECONDS
+                if self._moved:
+                    await self._wait_disconnected(now, "moved")
+                else:
+                    await self._wait_disconnected(now + pause_seconds, "error")
+                    pause_seconds = min(2 * pause_seconds, longest_pause)
+                self._moved = False
+
+    async def send_start(self, order):
+        """Sends a ``StartOrder`` until its outcome is known or the attempts are exhausted."""
+        if not await self._run_isolated(self._send_start, order):
+            self._disconnect()
+
+    async def send_stop(self, stop_order):
+        """Sends a ``StopOrder`` until the worker has confirmed it or the allocation is released."""
+        while not await self._run_isolated(self._send_stop, stop_order):
+            self._disconnect()
+            if stop_order.allocation is None:
+                return
+            await self._connected.wait()
+
+    async def _run_isolated(self, function, *args):
+        """Awaits a function; returns False if it ended with an unexpected error."""
+        return await run_isolated(self._metrics, "worker", self._worker.id, function, *args)
+
+    async def _follow(self, loaded):
+        """Connects to the worker and polls it until cancelled; for ``loaded`` see ``run``."""
+        self._agent = self._connect_agent(self._address, self._worker.id)
+        self._connected.set()
         try:
-            with self._scope:
-                with trio.move_on_after(LOADING_POLL_SECONDS):
-                    await loaded.wait()
-                while not loaded.is_set():
-                    await self._extend_leases(loaded)
-                await self._poll_worker(0.0)
-                while True:
-                    await self._poll_when_needed()
+            with trio.move_on_after(LOADING_POLL_SECONDS):
+                await loaded.wait()
+            while not loaded.is_set():
+                await self._extend_leases(loaded)
+            await self._poll_worker(0.0)
+            while True:
+                await self._poll_when_needed()
         finally:
             with trio.CancelScope(shield=True):
                 await self._agent.aclose()
 
-    async def send_start(self, order):
-        """Sends a ``StartOrder`` until its outcome is known or the attempts are exhausted."""
+    def _disconnect(self):
+        """Makes ``run`` begin again, after a pause unless the worker has moved."""
+        if self._connected.is_set():
+            self._connected = trio.Event()
+        self._attempt.cancel()
+
+    async def _wait_disconnected(self, restart_at, reason):
+        """Waits until ``restart_at`` or ``reconnect``, and ends the runs whose leases expire."""
+        self._disconnect()
+        # the error may have been caused by the clock
+        self._worker_clock_ms = None
+        self._answered_at = None
+        with trio.CancelScope(deadline=restart_at) as self._pause:
+            await self._run_isolated(self._end_runs_with_leases, reason)
+            await trio.sleep_forever()
+
+    async def _end_runs_with_leases(self, reason):
+        """Marks the worker as unreachable, and ends its runs once their leases have expired."""
+        self._mark_unreachable(reason, replaced=False)
+        await trio.sleep_until(self._expires_at + RETRY_SECONDS)
+        self._mark_unreachable(reason, replaced=False)
+
+    async def _send_start(self, order):
+        """Sends a ``StartOrder`` and applies its result; an error leaves the order unanswered."""
+        self.wake()
+        try:
+            result = await self._request_start(order)
+        except Exception:
+            self._apply_start_result(order, StartResult.UNKNOWN)
+            raise
+        if result is not None:
+            self._apply_start_result(order, result)
+
+    async def _request_start(self, order):
+        """Sends a ``StartOrder`` until its outcome is known or the attempts are exhausted.
+
+        Returns the ``StartResult``, None if the run no longer waits for it.
+        """
         result = StartResult.UNKNOWN
         any_unanswered = False
-        self.wake()
         for attempt in range(MAX_START_ATTEMPTS):
-            if not order.awaits_answer or self._worker_clock_ms is None:
-                return
+            if not order.awaits_answer:
+                return None
+            if self._worker_clock_ms is None:
+                # the session has begun again, or the worker has
+                result = StartResult.UNKNOWN if attempt else StartResult.NOT_SENT
+                break
             call = self._repeat_start if attempt else self._call_start
             (result, clock_ms), unanswered = await self._hedge.call(
                 functools.partial(call, order),
@@ -187,6 +289,10 @@
             # a start request without a response may still take effect, even if a later one was
             # refused
             result = StartResult.UNKNOWN
+        return result
+
+    def _apply_start_result(self, order, result):
+        """Applies the ``StartResult`` of a ``StartOrder`` to the engine."""
         if result is not StartResult.STARTED:
             LOG.warning(
                 "A start was not taken.",
@@ -201,7 +307,7 @@
         self._engine.apply_start_result(order, result, trio.current_time())
         self._on_change()
 
-    async def send_stop(self, stop_order):
+    async def _send_stop(self, stop_order):
         """Sends a ``StopOrder`` until the worker has confirmed it or the allocation is released."""
         while (
             stop_order.allocation is None
@@ -249,21 +355,29 @@
             return None
         if self._leadership.unconfirmed_seconds >= MAX_UNCONFIRMED_SECONDS:
             return None
-        self._extend_lease_expiry(now)
-        return self._lease_deadline_ms(now)
+        return self._extend_deadline(now)
 
     async def _call_start(self, order):
-        """Orders a start once; returns (``StartResult``, worker's clock in ms or None)."""
-        sent_at = trio.current_time()
-        self._extend_lease_expiry(sent_at)
-        return await self._agent.start(
-            self._leadership.epoch,
-            order.task_key,
-            order.run,
-            order.unit.job.spec.payload,
-            order.unit.checkpoint,
-            self._lease_deadline_ms(sent_at),
-        )
+        """Orders a start once; returns (``StartResult``, worker's clock in ms or None).
+
+        Without an answer the worker may have restarted unnoticed and have granted the run its
+        longest lease, as the deadline counts from the clock of its earlier incarnation.
+        """
+        deadline_ms = self._extend_deadline(trio.current_time())
+        result, clock_ms = StartResult.UNKNOWN, None
+        try:
+            result, clock_ms = await self._agent.start(
+                self._leadership.epoch,
+                order.task_key,
+                order.run,
+                order.unit.job.spec.payload,
+                order.unit.checkpoint,
+                deadline_ms,
+            )
+        finally:
+            if clock_ms is None and result is not StartResult.NOT_SENT:
+                self._unanswered_starts.add((order.task_key, order.run))
+        return result, clock_ms
 
     async def _repeat_start(self, order):
         """Orders a start again unless the worker has the run; returns as ``_call_start`` does.
@@ -369,9 +483,12 @@
             self._worker.info.incarnation = status.incarnation
             self._applied_sequence = self._recorded_sequence = self._acknowledged_sequence = 0
             self._worker_clock_ms = None
+            self._expires_at = max(self._expires_at, self._longest_lease_expiry())
+            self._latest_deadline_ms = None
         else:
             self._acknowledged_sequence = max(self._acknowledged_sequence, acknowledged_end)
         self._record_clock(status.clock_ms)
+        self._unanswered_starts.clear()
         now = trio.current_time()
         self._answered_at = now
         self._engine.apply_worker_status(self._worker.id, status, sent_at, now)
@@ -401,27 +518,44 @@
             self._engine.end_lost_runs(self._worker.id, EndCause.WORKER_CRASHED, now, reason)
             self._on_change()
         elif self._worker.units_by_run and now > self._expires_at:
+            uncertain = self._unanswered_starts if now <= self._longest_lease_expiry() else ()
             cause = EndCause.WORKER_VANISHED
-            self._engine.end_lost_runs(self._worker.id, cause, now, "lease_expired")
+            self._engine.end_lost_runs(self._worker.id, cause, now, "lease_expired", uncertain)
             self._on_change()
 
     def _record_clock(self, clock_ms):
-        """Records the worker's clock, if a response has it; lease deadlines count from it."""
-        if clock_ms is not None:
-            self._worker_clock_ms = clock_ms
-            self._worker_clock_read_at = trio.current_time()
+        """Records the worker's clock, if a response has it; lease deadlines count from it.
 
-    def _lease_deadline_ms(self, now):
-        """Returns when a lease that is extended now expires, in ms of the worker's clock."""
-        elapsed = now - self._worker_clock_read_at
-        return int(self._worker_clock_ms + (elapsed + self._lease_seconds) * 1000)
+        It also tells how far away the deadlines are, which after a restart may be further than a
+        lease.
+        """
+        if clock_ms is None:
+            return
+        now = trio.current_time()
+        if self._latest_deadline_ms is not None:
+            seconds = (self._latest_deadline_ms - clock_ms) / 1000 * CLOCK_SLOWNESS
+            expires_at = min(now + seconds, self._longest_lease_expiry())
+            self._expires_at = max(self._expires_at, expires_at)
+        self._worker_clock_ms = clock_ms
+        self._worker_clock_read_at = now
+
+    def _extend_deadline(self, now):
+        """Returns the deadline of leases that are extended now, in ms of the worker's clock.
 
-    def _extend_lease_expiry(self, now):
-        """Moves ``expires_at`` to the latest expiry of a lease that is extended now."""
-        clock_is_recent = now - self._worker_clock_read_at <= MAX_CLOCK_AGE_SECONDS
-        seconds = self._lease_seconds if clock_is_recent else self._lease_limit_seconds
-        expires_at = now + seconds * CLOCK_SLOWNESS + MAX_STATUS_AGE_SECONDS
+        Moves ``expires_at`` to their expiry, if the worker has not restarted.
+        """
+        elapsed = now - self._worker_clock_read_at
+        deadline_ms = int(self._worker_clock_ms + (elapsed + self._lease_seconds) * 1000)
+        self._latest_deadline_ms = max(deadline_ms, self._latest_deadline_ms or 0)
+        self._deadline_sent_at = now
+        expires_at = now + self._lease_seconds * CLOCK_SLOWNESS + MAX_STATUS_AGE_SECONDS
         self._expires_at = max(self._expires_at, expires_at)
+        return deadline_ms
+
+    def _longest_lease_expiry(self):
+        """Returns the expiry of the longest lease that a deadline sent so far may have extended."""
+        seconds = self._lease_limit_seconds * CLOCK_SLOWNESS + MAX_STATUS_AGE_SECONDS
+        return self._deadline_sent_at + seconds
 
     def _may_acknowledge(self, now):
         """Returns True if the worker is certainly still in the incarnation of the last status."""
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -1,5 +1,6 @@
 """A complete deployment in one process in virtual time: store, workers and entries."""
 
+import contextlib
 import functools
 import json
 import random
@@ -49,6 +50,8 @@
 JOB_ID = "00000000000000a1"
 OTHER_JOB_ID = "10000000000000a2"
 STORE_ADDRESS = "store"
+# the network delivers to names; an address in a row has a port too
+PEER_PORT = ":7000"
 API_KEY = "key-a"
 HOST = "host.example"
 QUEUE_PATH = "/q/"
@@ -98,19 +101,27 @@
 
     def __init__(self, deployment, name, rng):
         connect = deployment.network.connect_from(name)
+
+        def connect_peer(address):
+            return connect(address.removesuffix(PEER_PORT))
+
         self.name = name
         self.metrics = Metrics()
         self.direct_table = PlatformTable(
             connect(STORE_ADDRESS), connect(STORE_ADDRESS), self.metrics
         )
-        self.peer_directory = PeerDirectory(name, name, self.direct_table, deployment.now_ms)
-        self.table = RelayTable(self.direct_table, self.peer_directory, connect, self.metrics, rng)
+        self.peer_directory = PeerDirectory(
+            name, name + PEER_PORT, self.direct_table, deployment.now_ms
+        )
+        self.table = RelayTable(
+            self.direct_table, self.peer_directory, connect_peer, self.metrics, rng
+        )
         # seconds for which the entry's machine was suspended
         self.suspended_seconds = 0.0
         self.catalogs = CatalogWatch(
             PlatformCatalogSource(self.direct_table),
             self.boot_time,
-            CatalogClient(self.peer_directory, connect, self.metrics, rng, self.boot_time),
+            CatalogClient(self.peer_directory, connect_peer, self.metrics, rng, self.boot_time),
         )
         self.catalog_server = CatalogServer(self.catalogs, self.boot_time)
         self.job_service = JobService(self.table, deployment.now_ms)
@@ -121,21 +132,26 @@
             key_revocation_seconds=deployment.key_revocation_seconds,
         )
         self.leadership = Leadership(
-            self.table, name, f"{name}/{rng.random()}", name, rng=rng, clock=self.boot_time
+            self.table,
+            name,
+            f"{name}/{rng.random()}",
+            name + PEER_PORT,
+            rng=rng,
+            clock=self.boot_time,
         )
         self.leader = Leader(
             self.leadership,
             self.table,
             PlatformDirectory(self.table),
             self.catalogs,
-            lambda address, worker: PlatformAgent(connect(address), connect(address), worker),
+            functools.partial(deployment.connect_agent, connect),
             self.metrics,
             lease_limit_seconds=deployment.lease_limit_seconds,
-            retention_seconds=120.0,
+            retention_seconds=deployment.retention_seconds,
             directory_ttl_seconds=3.0,
             wall_clock=lambda: deployment.now_ms() / 1000,
         )
-        self.announcer = Announcer(self.leadership, self.leader, connect, self.metrics)
+        self.announcer = Announcer(self.leadership, self.leader, connect_peer, self.metrics)
         self.job_service.announce = self.announcer.announce
         self.relay_server = RelayServer(self.direct_table)
         self.cancel_scope = trio.CancelScope()
@@ -172,7 +188,11 @@
 
 
 class Deployment:
-    """Store, workers and entries, within ``async with Deployment() as deployment``."""
+    """Store, workers and entries, within ``async with Deployment() as deployment``.
+
+    ``wrap_agent`` is called with an agent and the id of its worker, and returns the agent by which
+    leaders call that worker.
+    """
 
     def __init__(
         self,
@@ -182,19 +202,33 @@
         seed=1,
         key_revocation_seconds=None,
         lease_limit_seconds=6.0,
+        retention_seconds=120.0,
+        wrap_agent=lambda agent, worker: agent,
     ):
         self.key_revocation_seconds = key_revocation_seconds
         self.lease_limit_seconds = lease_limit_seconds
+        self.retention_seconds = retention_seconds
         self._entry_count, self._worker_count, self._rack_size = entries, workers, rack_size
         self.seed = seed
         self.entries = {}
         self.fleet = WorkerFleet()
+        self._wrap_agent = wrap_agent
         self._addresses = {}
         self._replacements = 0
 
     async def __aenter__(self):
-        self._nursery_manager = trio.open_nursery()
-        self.nursery = await self._nursery_manager.__aenter__()
+        async with contextlib.AsyncExitStack() as stack:
+            self.nursery = await stack.enter_async_context(trio.open_nursery())
+            await self._start()
+            self._exit_stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *error):
+        self.nursery.cancel_scope.cancel()
+        await self._exit_stack.aclose()
+
+    async def _start(self):
+        """Starts all processes and waits for a leader."""
         self.network = Network(self.nursery, latency=0.001)
         self.store = PlatformStore(self.seed)
         await self.nursery.start(self.store.run)
@@ -205,11 +239,11 @@
         for number in range(self._entry_count):
             self.start_entry(f"e{number}")
         await self.wait_until(lambda: self.leader() is not None)
-        return self
 
-    async def __aexit__(self, *error):
-        self.nursery.cancel_scope.cancel()
-        await self._nursery_manager.__aexit__(None, None, None)
+    def connect_agent(self, connect, address, worker):
+        """Returns the agent by which a leader calls the worker with an id at an address."""
+        agent = PlatformAgent(connect(address), connect(address), worker)
+        return self._wrap_agent(agent, worker)
 
     def now_ms(self):
         """Returns the Unix time in milliseconds that the deployment's clocks show."""
@@ -226,6 +260,12 @@
         rack = f"r{int(address.partition(':')[0][1:]) // self._rack_size}"
         self.store.put("servers", name, worker.registration(address, rack=rack, **fields))
 
+    def move_worker(self, name, address):
+        """Registers a worker at another address, at which it answers too."""
+        self.network.handlers[address] = self.fleet.workers[name].handle
+        self._addresses[name] = address
+        self.register(name)
+
     def crash_worker(self, name, back_after_seconds=3.2):
         """Crashes a worker; another one is at its address ``back_after_seconds`` later.
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -109,9 +109,9 @@
                 with self.subTest(name=name, value=value[:20]):
                     text = VALID.replace(address, f'"{value}"')
                     self.assert_problem(text, name, "from 1 to 65535")
-        for value in ("", "a b", "10.1.0.1:80", "\u00e4"):
+        for value in ('""', "a b", '"10.1.0.1:80"', "\u00e4", "5", "[]"):
             with self.subTest(name="ip", value=value):
-                self.assert_problem(VALID.replace("ip: 10.1.0.1", f'ip: "{value}"'), "ip")
+                self.assert_problem(VALID.replace("ip: 10.1.0.1", f"ip: {value}"), "ip")
 
     def test_addresses_by_number_and_by_name_are_accepted(self):
         for value in (
@@ -131,7 +131,7 @@
         self.assert_problem(VALID.replace("10.1.0.1:81", "10.1.0.1:7000"), "internalPorts.0")
 
     def test_node_that_cannot_be_a_row_key_is_refused(self):
-        for value in ("", "a" * 190, "a/b"):
+        for value in ("", "a" * 201, "a/b"):
             with self.subTest(value=value[:20]):
                 self.assert_problem(VALID.replace("node: n1", f'node: "{value}"'), "node")
 
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -41,6 +41,58 @@
 
         run_virtual(main)
 
+    def test_order_that_finds_no_clock_of_its_worker_is_not_lost(self):
+        # the order was dropped without a result when its worker had changed its address meanwhile,
+        # and the task waited for a start that nobody sent
+        async def main():
+            async with Deployment(workers=1, entries=1) as deployment:
+                worker = deployment.fleet.workers["w0"]
+                entry = deployment.first_entry().name
+
+                def delay(sender, address, request):
+                    return 1.0 if (sender, request.path) == (entry, "/rows-tx") else 0.0
+
+                deployment.network.request_delay = delay
+                await deployment.submit(JOB_ID, job(step(), ms=500))
+                planned = functools.partial(self.has_planned_run, deployment)
+                await deployment.wait_until(planned)
+                worker.unanswered_path = "/hold"
+                deployment.move_worker("w0", "w0:81")
+                await trio.sleep(3)
+                self.assertFalse(worker.highest_run_by_task)
+                worker.unanswered_path = ""
+                await deployment.wait_for_state(JOB_ID, "completed", 15)
+
+        run_virtual(main)
+
+    @staticmethod
+    def has_planned_run(deployment):
+        """Returns True once the leader's engine has a run on a worker."""
+        engine = deployment.leader().leader.coordinator._engine
+        return any(worker.units_by_run for worker in engine.fleet.workers.values())
+
+    def test_stop_reaches_a_worker_that_has_changed_its_address(self):
+        # the stop went on to the earlier address, and the run kept its allocation for good
+        async def main(restart):
+            async with Deployment(workers=1) as deployment:
+                worker = await deployment.occupy_worker(60_000)
+                worker.unanswered_path = "/run-stop"
+                await deployment.first_entry().call("DELETE", f"/q/{JOB_ID}")
+                await trio.sleep(0.3)
+                deployment.network.handlers.pop(f"{worker.id}:80")
+                if restart:
+                    worker.restart()
+                worker.unanswered_path = ""
+                deployment.move_worker(worker.id, f"{worker.id}:81")
+                await deployment.wait_until(lambda: not worker.running, 3)
+                await deployment.submit(OTHER_JOB_ID, job(step(1, 8), ms=500))
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed", 3)
+                self.assertEqual([], deployment.fleet.violations)
+
+        for restart in (False, True):
+            with self.subTest(restart=restart):
+                run_virtual(functools.partial(main, restart))
+
     def test_order_without_an_answer_is_not_sent_again_to_a_worker_that_has_the_run(self):
         # six orders for one run went to a worker whose answers were lost
         async def main():
@@ -154,6 +206,56 @@
 
         run_virtual(main)
 
+    def test_run_on_a_worker_that_restarted_a_moment_ago_does_not_start_again_during_its_lease(
+        self,
+    ):
+        # the deadlines of the start and the poll beside it counted from the clock of the worker's
+        # earlier incarnation, which was recent, and the leader expected a lease of its usual length
+        async def main(answered, hold_back):
+            async with Deployment(workers=2, entries=1, lease_limit_seconds=10.0) as deployment:
+                workers = deployment.fleet.workers
+                await deployment.submit(OTHER_JOB_ID, job(step(2, 8), ms=9000))
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed")
+                await trio.sleep(1)
+                for worker in workers.values():
+                    worker.restart()
+                    worker.lose_start_answers = not answered
+                    worker.unanswered_path = hold_back
+                await deployment.submit(JOB_ID, job(step(1, 8), ms=9900))
+                await deployment.wait_until(lambda: any(w.running for w in workers.values()))
+                await trio.sleep(0.1)
+                worker = next(w for w in workers.values() if w.running)
+                entries = list(deployment.entries)
+                deployment.network.partition(entries, [f"{worker.id}:80"])
+                for other in workers.values():
+                    other.lose_start_answers, other.unanswered_path = False, ""
+                await deployment.wait_for_state(JOB_ID, "completed", 60)
+                self.assertEqual([], deployment.fleet.violations)
+
+        for answered in (True, False):
+            for hold_back in ("", "/hold"):
+                with self.subTest(answered=answered, hold_back=hold_back):
+                    run_virtual(functools.partial(main, answered, hold_back))
+
+    def test_start_without_an_answer_holds_back_no_other_run_of_its_worker(self):
+        async def main():
+            async with Deployment(workers=1, lease_limit_seconds=10.0) as deployment:
+                worker = deployment.fleet.workers["w0"]
+                await deployment.submit(JOB_ID, job(step(1, 4), ms=4000))
+                await deployment.wait_for_state(JOB_ID, "running")
+                worker.lose_start_answers = True
+                await deployment.submit(OTHER_JOB_ID, job(step(1, 4), ms=4000))
+                await deployment.wait_until(lambda: len(worker.running) == 2)
+                worker.unresponsive = True
+                deployment.network.partition(list(deployment.entries), ["w0:80"])
+                deployment.add_worker(1)
+                # a lease of 6 s, the time until its expiry is noticed, and the run
+                await deployment.wait_for_state(JOB_ID, "completed", 6.6 + 1.2 + 4 + 0.5)
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed", 10)
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
     def test_runs_of_an_unresponsive_worker_end_with_their_leases(self):
         # calls that the worker did not answer extended the lease expiry that the leader assumed,
         # so the run never ended
@@ -188,6 +290,7 @@
                 await deployment.submit(OTHER_JOB_ID, job(step(4), ms=100))
                 await deployment.wait_for_state(OTHER_JOB_ID, "completed")
                 await trio.sleep(1)
+                await trio.sleep(1)
                 worker = deployment.fleet.workers["w0"]
                 worker.restart()
                 worker.unanswered_path = "/hold"
