--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -5,13 +5,35 @@
 State of one job and of its units.
 """
 
+import re
 from enum import Enum
 
+from ibiscart_core.value import (
+    MAX_INT,
+    MAX_NAME_BYTES,
+    MAX_TEXT_BYTES,
+    InvalidValueError,
+    require_bool,
+    require_choice,
+    require_int,
+    require_list,
+    require_object,
+    require_text,
+)
 from ibiscart_core.workflow.catalog import QueueEntry
 from ibiscart_core.workflow.crash import PROMPT_SECONDS, STABLE_RUN_SECONDS, CrashEvidence
-from ibiscart_core.workflow.spec import JobSpec
+from ibiscart_core.workflow.spec import MAX_TIME_MS, JobSpec
 
-__all__ = ["Allocation", "AllocationState", "EndCause", "Job", "Outcome", "Unit", "UnitState"]
+__all__ = [
+    "OUTCOMES",
+    "Allocation",
+    "AllocationState",
+    "EndCause",
+    "Job",
+    "Outcome",
+    "Unit",
+    "UnitState",
+]
 
 
 class EndCause(Enum):
@@ -42,6 +64,15 @@
     CANCELLED = "cancelled"
 
 
+OUTCOMES = frozenset(outcome.value for outcome in Outcome)
+# fields of a unit in the job's record: the last two are for tasks under which workers were lost
+MIN_UNIT_FIELDS = 6
+MAX_UNIT_FIELDS = 8
+# most rows of one list in the job's record, as protection against a malformed one
+MAX_ROWS = 100_000
+STEP_NUMBER = re.compile(r"0|[1-9][0-9]{0,8}")
+
+
 class UnitState(Enum):
     """State of a unit: waiting for workers, active with allocations, done."""
 
@@ -87,6 +118,18 @@
         self.confirmed_at = None
         self.stop_acknowledged_at = None
 
+    def run_seconds(self, unreachable_at, now):
+        """Returns how long the task ran until its worker was lost, None if it is unknown.
+
+        It is unknown for a run that an earlier leader ordered. ``unreachable_at``, when the worker
+        last stopped answering, and ``now`` are in seconds of the monotonic clock.
+        """
+        started_at = self.confirmed_at if self.confirmed_at is not None else self.ordered_at
+        if started_at is None:
+            return None
+        # a worker that restarts between two polls is never seen as unreachable
+        return (unreachable_at if unreachable_at >= started_at else now) - started_at
+
 
 class Unit:
     """Tasks that start together: all tasks of a gang step, else a single task.
@@ -172,6 +215,18 @@
         """True if workers were lost under one of the tasks."""
         return any(evidence.lost_workers for evidence in self.crash_evidence.values())
 
+    def may_have_crashed_worker(self, index, unreachable_at, now):
+        """Returns True unless it is certain that a task did not crash the worker that it ran on.
+
+        ``unreachable_at``, when the worker last stopped answering, and ``now`` are in seconds of
+        the monotonic clock.
+        """
+        allocation = self.allocations.get(index)
+        run_seconds = None
+        if allocation is not None:
+            run_seconds = allocation.run_seconds(unreachable_at, now)
+        return self.crash_suspect or run_seconds is None or run_seconds <= PROMPT_SECONDS
+
     @property
     def isolated(self):
         """True if the unit is to share no worker with another unit that is a crash suspect."""
@@ -188,21 +243,14 @@
         evidence = self.crash_evidence.values()
         return max((found.hold_seconds for found in evidence), default=0.0)
 
-    def record_lost_worker(self, index, allocation, crashed, unreachable_at, now):
+    def record_lost_worker(self, index, allocation, unreachable_at, now, *, crashed, correlated):
         """Adds the worker of a task's run, which was lost, to the evidence against the task.
 
-        ``crashed`` is True if it has crashed for certain. ``unreachable_at``, when it last stopped
-        answering, and ``now`` are in seconds of the monotonic clock.
+        ``crashed`` is True if it has crashed for certain, ``correlated`` if it was lost together
+        with workers that did not run the task. ``unreachable_at``, when it last stopped answering,
+        and ``now`` are in seconds of the monotonic clock.
         """
-        started_at = allocation.confirmed_at
-        if started_at is None:
-            started_at = allocation.ordered_at
-        # unknown for a run that an earlier leader ordered
-        run_seconds = None
-        if started_at is not None:
-            # a worker that restarts between two polls is never seen as unreachable
-            lost_at = unreachable_at if unreachable_at >= started_at else now
-            run_seconds = lost_at - started_at
+        run_seconds = allocation.run_seconds(unreachable_at, now)
         if run_seconds is not None and run_seconds > STABLE_RUN_SECONDS:
             self.crash_evidence.pop(index, None)
             return
@@ -212,6 +260,7 @@
             crashed=crashed,
             started=allocation.started,
             prompt=run_seconds is not None and run_seconds <= PROMPT_SECONDS,
+            correlated=correlated,
         )
 
     def task_key(self, index):
@@ -264,27 +313,40 @@
         return [*row, evidence, started]
 
     def load_record(self, record):
-        """Restores the state that ``to_record`` returned."""
-        _, done, self.run, self.failures, self.checkpoint, allocations, *rest = record
-        _check_types(int, self.run, self.failures)
-        _check_types(str, self.checkpoint)
-        if done:
-            self.state = UnitState.DONE
-            return
-        evidence, started, *_ = (*rest, (), ())
-        for index, row in evidence:
-            self.crash_evidence[index] = CrashEvidence.from_record(row)
-        for index, worker_id, incarnation in allocations:
-            _check_types(str, worker_id)
-            _check_types(int, incarnation)
-            if index not in self.task_indexes:
-                raise ValueError(f"the step has no task {index}")
-            self.allocations[index] = Allocation(worker_id, incarnation)
-        for index in started:
+        """Restores the state that ``to_record`` returned; raises ``InvalidValueError``."""
+        if not MIN_UNIT_FIELDS <= len(require_list(record, MAX_UNIT_FIELDS, "unit")):
+            raise InvalidValueError("unit", record, f"a list of {MIN_UNIT_FIELDS} items or more")
+        _, done, run, failures, checkpoint, allocations, *rest = record
+        evidence, started, *_ = (*rest, [], [])
+        done = require_int(done, 0, 1, "done")
+        self.run = require_int(run, 0, MAX_INT, "run")
+        self.failures = require_int(failures, 0, MAX_INT, "failures")
+        self.checkpoint = require_text(checkpoint, MAX_TEXT_BYTES, "checkpoint")
+        for index, worker_id, incarnation in _require_rows(allocations, 3, "allocations"):
+            self.allocations[self._require_index(index)] = Allocation(
+                require_text(worker_id, MAX_NAME_BYTES, "worker"),
+                require_int(incarnation, 0, MAX_INT, "incarnation"),
+            )
+        if len(self.allocations) != len(allocations):
+            raise InvalidValueError("allocations", allocations, "a list without repeated tasks")
+        for index, row in _require_rows(evidence, 2, "evidence"):
+            self.crash_evidence[self._require_index(index)] = CrashEvidence.from_record(row)
+        for index in require_list(started, self.size, "started"):
+            if self._require_index(index) not in self.allocations:
+                raise InvalidValueError("started", index, "a task with an allocation")
             self.allocations[index].started = True
-        if self.allocations:
+        if done:
+            # counted when the job adds its units
+            self._state = UnitState.DONE
+            self.allocations, self.crash_evidence = {}, {}
+        elif self.allocations:
             self.state = UnitState.ACTIVE
 
+    def _require_index(self, value):
+        """Returns the index of one of the unit's tasks; raises ``InvalidValueError``."""
+        indexes = self.task_indexes
+        return require_int(value, indexes.start, indexes.stop - 1, "task")
+
 
 class Job:
     """One accepted job with the state of its units.
@@ -333,13 +395,18 @@
 
     @classmethod
     def from_document(cls, job_id, document):
-        """Builds a job from the mapping that ``to_document`` returns."""
-        spec = JobSpec.from_document(document["spec"])
-        queue = document["queue"]
-        accepted_queue = None
-        if document.get("accepted_queue"):
-            accepted_queue = QueueEntry.from_document(queue, document["accepted_queue"])
-        account, accepted_ms = document["account"], document["accepted_ms"]
+        """Builds a job from the mapping that ``to_document`` returns.
+
+        Raises ``InvalidValueError`` if it is no valid job.
+        """
+        require_object(document, "job")
+        spec = JobSpec.from_document(document.get("spec"))
+        account = require_text(document.get("account"), MAX_TEXT_BYTES, "account")
+        queue = require_text(document.get("queue"), MAX_TEXT_BYTES, "queue")
+        accepted_ms = require_int(document.get("accepted_ms"), 0, MAX_TIME_MS, "accepted_ms")
+        accepted_queue = document.get("accepted_queue")
+        if accepted_queue is not None:
+            accepted_queue = QueueEntry.from_document(queue, accepted_queue)
         return cls(job_id, account, queue, spec, accepted_ms, accepted_queue)
 
     def to_document(self):
@@ -444,21 +511,40 @@
         return record
 
     def load_record(self, record):
-        """Restores the state that ``to_record`` returned; another value raises an error."""
-        self.started = record.get("started", False)
-        for name, rows in record["units"].items():
-            occurrence, step_index = map(int, name.split("."))
-            if not 0 <= occurrence < self.spec.occurrence_count:
-                raise ValueError(f"the job has no occurrence {occurrence}")
-            if not 0 <= step_index < len(self.spec.steps):
-                raise ValueError(f"the job has no step {step_index}")
-            step = self.spec.steps[step_index]
-            units = self._create_units(occurrence, step_index, step)
-            units_by_first_index = {unit.first_index: unit for unit in units}
-            for row in rows:
-                units_by_first_index[row[0]].load_record(row)
+        """Restores the state that ``to_record`` returned.
+
+        Raises ``InvalidValueError``, and changes nothing, if ``record`` cannot be read.
+        """
+        require_object(record, "record")
+        started = require_bool(record.get("started", False), "started")
+        outcome = None
         if "outcome" in record:
-            self.outcome = Outcome(record["outcome"])
+            outcome = Outcome(require_choice(record["outcome"], OUTCOMES, "outcome"))
+        loaded = {}
+        for name, rows in require_object(record.get("units"), "units").items():
+            key = self._parse_step_name(name)
+            step = self.spec.steps[key[1]]
+            units = loaded[key] = self._make_units(*key, step)
+            units_by_first_index = {unit.first_index: unit for unit in units}
+            for row in require_list(rows, len(units), name):
+                first_index = require_list(row, MAX_UNIT_FIELDS, name)[:1]
+                index = require_int(*(first_index or [None]), 0, step.tasks - 1, name)
+                unit = units_by_first_index.pop(index, None)
+                if unit is None:
+                    raise InvalidValueError(name, index, "the first task of a unit, only once")
+                unit.load_record(row)
+        self.started, self.outcome = started, outcome
+        for key, units in loaded.items():
+            self._add_units(key, units)
+
+    def _parse_step_name(self, name):
+        """Returns (occurrence, index of the step) of a name in the job's record."""
+        occurrence, _, step_index = name.partition(".")
+        if all(map(STEP_NUMBER.fullmatch, (occurrence, step_index))):
+            key = int(occurrence), int(step_index)
+            if key[0] < self.spec.occurrence_count and key[1] < len(self.spec.steps):
+                return key
+        raise InvalidValueError("units", name, "named OCCURRENCE.STEP, both of the job")
 
     def _dependencies_done(self, occurrence, step):
         """Returns True if all steps that a ``StepSpec`` depends on are done in the occurrence."""
@@ -473,19 +559,28 @@
         return self._steps_done == self.spec.occurrence_count * len(self.spec.steps)
 
     def _create_units(self, occurrence, step_index, step):
-        """Adds and returns the units of a step: one unit for a gang, else one for each task."""
+        """Adds and returns the units of a step."""
+        units = self._make_units(occurrence, step_index, step)
+        self._add_units((occurrence, step_index), units)
+        return units
+
+    def _make_units(self, occurrence, step_index, step):
+        """Returns new units of a step: one unit for a gang, else one for each task."""
         if step.gang:
-            units = [Unit(self, occurrence, step_index, 0, step.tasks)]
-        else:
-            units = [Unit(self, occurrence, step_index, index, 1) for index in range(step.tasks)]
-        key = (occurrence, step_index)
+            return [Unit(self, occurrence, step_index, 0, step.tasks)]
+        return [Unit(self, occurrence, step_index, index, 1) for index in range(step.tasks)]
+
+    def _add_units(self, key, units):
+        """Adds the units of a step; ``key`` is (occurrence, index of the step)."""
         self._units[key] = units
-        self._undone[key] = len(units)
-        return units
+        self._undone[key] = sum(unit.state is not UnitState.DONE for unit in units)
+        if not self._undone[key]:
+            self._steps_done += 1
 
 
-def _check_types(expected, *values):
-    """Raises ``ValueError`` unless the type of each value is ``expected``."""
-    for value in values:
-        if type(value) is not expected:
-            raise ValueError(f"{value!r:.40} is not of type {expected.__name__}")
+def _require_rows(value, length, name):
+    """Returns a list of lists of ``length`` items; raises ``InvalidValueError``."""
+    for row in require_list(value, MAX_ROWS, name):
+        if len(require_list(row, length, name)) < length:
+            raise InvalidValueError(name, row, f"a list of {length} items")
+    return value
--- a/tests/platform/test_large_jobs.py
+++ b/tests/platform/test_large_jobs.py
@@ -118,11 +118,12 @@
     def test_job_beyond_a_bound_is_refused_with_its_field_and_bound(self):
         repeated = {"repeatCount": 100, "startAtMs": 1, "intervalMs": 1}
         cases = (
-            (job(small_tasks(10_001)), "steps[0].tasks", "10000"),
+            (job(small_tasks(10_001)), "steps[0].count", "10000"),
             (job(small_tasks(6000), small_tasks(6000)), "steps", "10000"),
             ({**job(small_tasks(101)), **repeated}, "steps", "10000"),
-            ({"spec": "\x01" * 20_000, "steps": [step()]}, "spec", "49152"),
-            (job(step(1, requires="x" * 60_000)), "steps", "49152"),
+            ({"spec": "\x01" * 20_000, "steps": [step()]}, "spec", "4000"),
+            (job(step(1, requires="x" * 60_000)), "steps[0].requires", "4096"),
+            (job(*[step(1, requires="x" * 4000)] * 20), "steps", "49152"),
         )
 
         async def main():
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -53,6 +53,12 @@
 END = [1, "00000000000000a1.0.0.1", 1, "done", ""]
 STATUS = {"clockMs": 5, "born": 1, "running": [RUN, RUN], "endedRuns": [END, END]}
 JOB = json.loads(json.dumps(job(step(2), step(after=[0]), startAtMs=1, repeatCount=2)))
+STORED_JOB = {
+    "spec": {"payload": "", "steps": [{"tasks": 1, "resources": [1, 1, 1]}]},
+    "queue": "q",
+    "account": "",
+    "accepted_ms": 1,
+}
 REGISTRATION = {
     "service": "pool",
     "address": "10.0.0.1:80",
@@ -181,10 +187,9 @@
         self.assertTrue(all(isinstance(step.tasks, int) for step in spec.steps))
 
     @settings(max_examples=200, deadline=None, derandomize=True)
-    @given(mutated({"spec": {"payload": "", "steps": []}, "queue": "q"}) | st.just(DEEPLY_NESTED))
+    @given(mutated(STORED_JOB) | st.just(DEEPLY_NESTED))
     def test_stored_jobs(self, data):
-        good = {"spec": {"payload": "", "steps": []}, "queue": "q", "account": "", "accepted_ms": 1}
-        rows = [Row("jobs.a/a1", data, 1), Row("jobs.b/b1", json.dumps(good).encode(), 2)]
+        rows = [Row("jobs.a/a1", data, 1), Row("jobs.b/b1", json.dumps(STORED_JOB).encode(), 2)]
         jobs, _ = jobs_from_rows(rows)
         self.assertIn("b1", jobs)
 
@@ -277,6 +282,33 @@
 
         run_virtual(main)
 
+    def test_damaged_leader_row_stops_no_election(self):
+        """The next leader's fencing token must be higher, or workers refuse its calls."""
+
+        async def main():
+            async with Deployment() as deployment:
+                entries = dict(deployment.entries)
+                await deployment.occupy_worker(ms=8_000)
+                fence = deployment.leader().leadership.epoch
+                odd = {"node": [], "holder": "x", "epoch": HUGE}
+                for value in (b"\xff", DEEPLY_NESTED, b"null", odd, {"later": 1}):
+                    deployment.store.put("leader", "leader", value)
+                    await deployment.wait_until(
+                        lambda fence=fence: (leader := deployment.leader()) is not None
+                        and leader.leadership.epoch > fence
+                    )
+                    await trio.sleep(2)
+                    fence = deployment.leader().leadership.epoch
+                await deployment.submit(OTHER_JOB_ID, job(step(2), ms=500))
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed", 10)
+                await deployment.wait_for_state(JOB_ID, "completed", 10)
+                self.assertEqual(entries, deployment.entries)
+                self.assertEqual([], deployment.fleet.violations)
+                for entry in entries.values():
+                    self.assertNotIn("task_errors_total{", entry.metrics.render())
+
+        run_virtual(main)
+
     def test_rows_that_cannot_be_read_stop_no_leader(self):
         """Replays rows of jobs, entries and workers that another writer damaged."""
 
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -20,6 +20,8 @@
 STOP_DELAY_SECONDS = 0.1
 GANG_START_TIMEOUT_SECONDS = 3.0
 CLOCK_START_MS = 1000
+# the platform's limit: further ends are listed once these are acknowledged
+MAX_LISTED_ENDS = 500
 # the platform's limit: a capacity that has shrunk counts this much later, 3 s and one heartbeat
 CAPACITY_GRACE_SECONDS = 4.5
 # time from the start of a task that crashes its worker to the crash
@@ -115,6 +117,8 @@
 
     ``late_rate`` is the probability that a start order gets no response and is applied
     ``late_seconds`` later. With ``lose_start_answers``, starts take effect without a response.
+    ``odd_answer_rate`` is the probability that a start order is refused, or an answer replaced,
+    with one of the bodies ``odd_answers``.
     Requests that arrive while ``unresponsive`` is set, and requests to
     the path ``unanswered_path``, get no response within 30 s. With ``fail_all_runs`` every run
     fails.
@@ -128,6 +132,8 @@
         self.late_rate = 0.0
         self.late_seconds = 2.0
         self.unresponsive = False
+        self.odd_answer_rate = 0.0
+        self.odd_answers = (b"null",)
         # called without arguments when a task crashes the worker
         self.crash = self.restart
         self.unanswered_path = ""
@@ -188,6 +194,14 @@
 
     async def handle(self, request):
         """Handles one request of the worker interface."""
+        odd = self.odd_answer_rate and self.random.random() < self.odd_answer_rate
+        if odd and request.path == "/run-start" and self.random.random() < 0.5:
+            return Response(409, self.random.choice(self.odd_answers))
+        response = await self._handle(request)
+        return Response(response.status, self.random.choice(self.odd_answers)) if odd else response
+
+    async def _handle(self, request):
+        """Handles one request; returns the true ``Response``."""
         incarnation = self.incarnation
         if self.unresponsive or request.path == self.unanswered_path:
             await trio.sleep(UNANSWERED_SECONDS)
@@ -333,7 +347,8 @@
             while not self.ended:
                 await self._changed.wait()
         rows = [[task, run.number, "", 100] for task, run in self.running.items()]
-        body = {"clockMs": self.clock_ms, "running": rows, "endedRuns": self.ended}
+        ended = self.ended[:MAX_LISTED_ENDS]
+        body = {"clockMs": self.clock_ms, "running": rows, "endedRuns": ended}
         return Response.from_json(200, {**body, "born": self.incarnation})
 
     async def _expire_leases(self):
