The window of starts grows only while it is used, and passes count as delay

After thousands of prompt answers the total limit had grown without bound, so one pass could plan thousands of starts: the longest step of the leader between two checkpoints was 0.81 s in a burst of 24,000 tasks (machine load 22). A limit now grows only while half of it is in flight, and a pass that holds up other tasks for over 0.05 s lowers it, as delayed orders do. test_limit_that_is_not_used_does_not_grow fails without the change.

--- a/packages/core/src/ibiscart_core/workflow/window.py
+++ b/packages/core/src/ibiscart_core/workflow/window.py
@@ -23,6 +23,8 @@
 # factors on a limit after a round of answers in time, and after one that was late
 GROWTH = 2.0
 SHRINKAGE = 0.5
+# share of a limit that must be in flight for the limit to grow
+USED_SHARE = 0.5
 
 
 class _Limit:
@@ -111,8 +113,11 @@
         if limit is None:
             limit = self._by_worker_id[worker_id] = _Limit(MIN_STARTS_PER_WORKER)
         if now - order.sent_at <= TARGET_ANSWER_SECONDS:
-            limit.grow()
-            self._total.grow()
+            # a limit that was not used does not show how many orders may be in flight
+            if self._in_flight_by_worker_id.get(worker_id, 0) >= limit.value * USED_SHARE:
+                limit.grow()
+            if self._in_flight >= self._total.value * USED_SHARE:
+                self._total.grow()
         else:
             limit.shrink(now)
 
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -217,6 +217,7 @@
             self._pass_requested = trio.Event()
             now = trio.current_time()
             orders, stops = self._plan_pass(now)
+            self._record_delay(now)
             self._stops.extend(stops)
             self._send_stops()
             last_applied_ends = self._workers.last_applied_ends()
@@ -244,6 +245,10 @@
         """Measures how long the ready tasks of this process take, such as the starts just sent."""
         started_at = trio.current_time()
         await trio.lowlevel.checkpoint()
+        self._record_delay(started_at)
+
+    def _record_delay(self, started_at):
+        """Records that other tasks could not run since ``started_at``."""
         now = trio.current_time()
         self._engine.record_delay(now - started_at, now)
         self._metrics.observe("task_delay_seconds", "", now - started_at)
--- a/packages/entry/src/ibiscart_entry/metric.py
+++ b/packages/entry/src/ibiscart_entry/metric.py
@@ -81,7 +81,10 @@
         "decision_seconds": ("part", "Processor time of one batch of decisions."),
         "queue_seconds": ("lane", "Wait of requests for a runner slot."),
         "commit_seconds": ("part", "Time to record the decisions of one pass."),
-        "task_delay_seconds": ("part", "Time that the leader's ready tasks take after each pass."),
+        "task_delay_seconds": (
+            "part",
+            "Time for which a pass, or the orders after it, held up other tasks.",
+        ),
         "start_seconds": ("kind", "Time from submission to release of a job."),
     }
 
--- a/tests/core/workflow/test_window.py
+++ b/tests/core/workflow/test_window.py
@@ -84,6 +84,14 @@
             self.harness.engine.record_delay(2 * TARGET_DELAY_SECONDS, self.harness.now)
         self.assertLessEqual(len(self.plan()), MIN_STARTS)
 
+    def test_limit_that_is_not_used_does_not_grow(self):
+        """Guards against a pass that plans thousands of starts after a long calm time."""
+        for number in range(300):
+            self.harness.submit(f"b{number}", small_tasks(4))
+            self.answer(self.plan(), 0.01)
+        self.harness.submit("a1", *(small_tasks(400, max_per_worker=50) for _ in range(8)))
+        self.assertLessEqual(len(self.plan()), MIN_STARTS)
+
     def test_gang_larger_than_the_limits_starts_in_one_pass(self):
         self.harness.submit("a1", small_tasks(1000, gang=True))
         self.assertEqual(1000, len(self.plan()))
