Orders count as in flight until 0.6 s after they were sent, not planned

With a slow store the record of a start may take longer than that, and the window then took the order for one to an unreachable worker.

--- a/packages/core/src/ibiscart_core/workflow/window.py
+++ b/packages/core/src/ibiscart_core/workflow/window.py
@@ -78,7 +78,8 @@
         self._orders = [
             order
             for order in self._orders
-            if order.awaits_answer and now - order.allocation.ordered_at < ANSWER_SECONDS
+            if order.awaits_answer
+            and (order.sent_at is None or now - order.sent_at < ANSWER_SECONDS)
         ]
         self._in_flight = 0
         self._in_flight_by_worker_id = {}
--- a/tests/core/workflow/test_window.py
+++ b/tests/core/workflow/test_window.py
@@ -65,6 +65,11 @@
         self.plan()
         self.assertTrue(self.plan(2 * ANSWER_SECONDS))
 
+    def test_orders_that_are_still_being_recorded_count(self):
+        self.harness.submit("a1", small_tasks(1000))
+        self.harness.plan()
+        self.assertEqual([], self.plan(2 * ANSWER_SECONDS))
+
     def test_late_answers_of_a_worker_keep_its_limit_low(self):
         self.harness.submit("a1", small_tasks(1000))
         for _ in range(10):
