Process: an unexpected error in a component, or beside a cancellation, ends no process

Callers would see an entry end with a traceback for any error in the store's monitor, the configuration, the directory of entries, the announcer, the leader, the resignation or the reading of settings: all ran in one nursery. An error that a request's handler raised while it was cancelled escaped the server and made the shutdown end with exit code 1.

Each component is run under supervision: its error is logged with the traceback and counted (task_errors, kind component), and it starts again after 0.1 s, doubled up to 5 s. Errors beside a cancellation stay with their connection. Requests that end with an unexpected error are counted as well (kind request).

test_isolation: pauses in virtual time; test_server_connections: an error beside a cancellation, which failed on the old server.

--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -10,11 +10,13 @@
 
 import trio
 
+from ibiscart_core.error import ErrorKind
 from ibiscart_entry.clock import boot_time
 from ibiscart_entry.coordination.announcer import ANNOUNCE_PATH, Announcer
 from ibiscart_entry.coordination.catalog_exchange import CATALOG_PATH, CatalogServer
 from ibiscart_entry.coordination.leader import Leader
 from ibiscart_entry.coordination.leadership import Leadership
+from ibiscart_entry.isolation import record_error, run_isolated, run_supervised
 from ibiscart_entry.server import HttpServer, Response
 from ibiscart_entry.signals import (
     STOP_SIGNALS,
@@ -122,11 +124,13 @@
         self._server = HttpServer(
             handler,
             _server_settings(settings.front_address),
+            self._count_error,
             name=settings.field_name("front_address"),
         )
         self._readiness_server = HttpServer(
             self._handle_readiness,
             _server_settings(settings.readiness_address),
+            self._count_error,
             name=settings.field_name("readiness_address"),
         )
         self._peer_directory = peer_directory
@@ -136,6 +140,7 @@
         self._peer_server = HttpServer(
             self._handle_peer,
             _server_settings(address),
+            self._count_error,
             traffic=metrics.traffic("peers"),
             name=settings.field_name("first_port"),
         )
@@ -171,18 +176,25 @@
             for server in (self._readiness_server, self._server, self._peer_server):
                 binding.start_soon(nursery.start, server.serve)
         # a connection of this process could otherwise take one of its ports
-        await nursery.start(self._table.monitor)
-        await nursery.start(self._catalogs.run)
-        await nursery.start(self._peer_directory.run)
-        await nursery.start(self._announcer.run)
-        await nursery.start(self._leader.run)
+        for name, run in (
+            ("store_monitor", self._table.monitor),
+            ("configuration", self._catalogs.run),
+            ("peer_directory", self._peer_directory.run),
+            ("announcer", self._announcer.run),
+            ("leader", self._leader.run),
+        ):
+            nursery.start_soon(run_supervised, self._metrics, name, run)
         if self._state == "starting":
             self._state = "serving"
             LOG.info("The process has started.", extra={"address": self._settings.ip})
 
     def _reload(self):
         """Reads the settings and applies those that can change while the process runs."""
-        settings = self._read_settings()
+        try:
+            settings = self._read_settings()
+        except Exception as error:
+            record_error(self._metrics, "component", "settings", error)
+            return
         if settings is None:
             return
         changed = settings.differences(self._settings)
@@ -199,7 +211,7 @@
         fields = {"leads": self._leader.leads, "requests": self._server.requests}
         LOG.info("The shutdown begins.", extra=fields)
         self._server.close_connections()
-        await self._leader.resign()
+        await run_isolated(self._metrics, "component", "leader", self._leader.resign)
         if not self._server.bound:
             return
         await trio.sleep(BALANCER_SECONDS)
@@ -210,6 +222,11 @@
         with trio.move_on_after(max(0.0, left_seconds - EXIT_MARGIN_SECONDS)):
             await self._server.wait_closed()
 
+    def _count_error(self, kind):
+        """Counts a request that ended with an unexpected error."""
+        if kind is ErrorKind.INTERNAL:
+            self._metrics.count("task_errors", "request")
+
     async def _handle_readiness(self, request):
         """Responds to the load balancer with status 200 if this entry is ready, else 503."""
         ready = self._state == "serving" and self._catalogs.age_seconds < MAX_READY_AGE_SECONDS
--- a/packages/entry/src/ibiscart_entry/isolation.py
+++ b/packages/entry/src/ibiscart_entry/isolation.py
@@ -7,9 +7,14 @@
 
 import logging
 
-__all__ = ["describe_error", "record_error", "run_isolated"]
+import trio
+
+__all__ = ["describe_error", "record_error", "run_isolated", "run_supervised"]
 
 LOG = logging.getLogger("ibiscart.isolation")
+# pause before a component starts again, doubled after each further error up to the maximum
+FIRST_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 5.0
 
 
 async def run_isolated(metrics, kind, name, function, *args, passed=()):
@@ -39,6 +44,18 @@
     return True
 
 
+async def run_supervised(metrics, name, function, *args):
+    """Runs a component, which starts again after a growing pause when it ends with an error."""
+    pause_seconds = FIRST_PAUSE_SECONDS
+    started_at = trio.current_time()
+    while not await run_isolated(metrics, "component", name, function, *args):
+        if trio.current_time() - started_at > MAX_PAUSE_SECONDS:
+            pause_seconds = FIRST_PAUSE_SECONDS
+        await trio.sleep(pause_seconds)
+        pause_seconds = min(2 * pause_seconds, MAX_PAUSE_SECONDS)
+        started_at = trio.current_time()
+
+
 def record_error(metrics, kind, name, error):
     """Logs and counts an unexpected error of the task ``name`` of a kind."""
     metrics.count("task_errors", kind)
--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -272,6 +272,12 @@
             pass  # the caller went away or does not read
         except Exception:
             LOG.exception("server: A connection failed.")
+        except BaseExceptionGroup as group:
+            # an error beside a cancellation must not end the server
+            unexpected, cancelled = group.split(lambda error: isinstance(error, Exception))
+            if unexpected is not None:
+                LOG.error("server: A connection failed.", exc_info=unexpected)
+            raise cancelled from None
         finally:
             self._connections -= 1
             self._tell_change()
--- a/tests/entry/test_isolation.py
+++ b/tests/entry/test_isolation.py
@@ -1,10 +1,17 @@
 """An unexpected error ends the task in which it occurs and nothing else."""
 
+import itertools
 import unittest
 
 import trio
-
-from ibiscart_entry.isolation import run_isolated
+import trio.testing
+
+from ibiscart_entry.isolation import (
+    FIRST_PAUSE_SECONDS,
+    MAX_PAUSE_SECONDS,
+    run_isolated,
+    run_supervised,
+)
 from ibiscart_entry.metric import Metrics
 
 
@@ -70,3 +77,25 @@
             await trio.sleep_forever()
         finally:
             raise ValueError("odd")
+
+    def test_component_starts_again_after_growing_pauses_until_it_ends_without_error(self):
+        starts = []
+
+        async def fail_often():
+            starts.append(trio.current_time())
+            if len(starts) == 9:
+                # an error after a long run is not another one of the same series
+                await trio.sleep(MAX_PAUSE_SECONDS + 1)
+            if len(starts) < 11:
+                raise ExceptionGroup("", [ValueError("odd")])
+
+        async def main():
+            await run_supervised(self.metrics, "announcer", fail_often)
+
+        with self.assertLogs("ibiscart.isolation", "ERROR"):
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        pauses = [round(after - before, 6) for before, after in itertools.pairwise(starts)]
+        longest, first = MAX_PAUSE_SECONDS, FIRST_PAUSE_SECONDS
+        doubled = [min(longest, first * 2**count) for count in range(8)]
+        self.assertEqual(pauses, [*doubled, longest + 1 + first, 2 * first])
+        self.assertEqual(self.metrics.value("task_errors", "component"), 10)
--- a/tests/entry/test_server_connections.py
+++ b/tests/entry/test_server_connections.py
@@ -13,6 +13,7 @@
 from ibiscart_entry.server import HttpServer, Response
 from tests.entry.serving import (
     GET,
+    LOOPBACK,
     Rig,
     ServerCase,
     echo,
@@ -189,6 +190,32 @@
 
         self.run_case(case)
 
+    def test_error_beside_a_cancellation_does_not_escape_the_server(self):
+        async def fail_when_cancelled():
+            try:
+                await trio.sleep_forever()
+            finally:
+                raise ValueError("odd")
+
+        async def handler(request):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fail_when_cancelled)
+                await trio.sleep_forever()
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                server = HttpServer(handler, settings())
+                port = await nursery.start(server.serve)
+                stream = await trio.open_tcp_stream(LOOPBACK, port)
+                await stream.send_all(GET)
+                while not server.requests:
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+            await stream.aclose()
+
+        with self.assertLogs("ibiscart.server", logging.ERROR):
+            trio.run(main)
+
     def test_mutated_requests(self):
         """Damage at any byte must end in an answer or a closed connection, and nothing else."""
         generator = random.Random(11)
