Shutdown: a store that does not answer does not delay it beyond the grace time

The resignation was awaited before the wait for the balancer, for as long as the calls to a silent store took (up to 2 s each, and again through other entries), so that SIGKILL could come before the requests under way were answered. Both now run at the same time, within drain_seconds less the margin for the exit.

test_entry_process, in virtual time: with a resignation that never ends the shutdown did not end before; it does.

--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -204,23 +204,26 @@
         self._leader.retention_seconds = settings.retention_seconds
 
     async def _drain(self):
-        """Shuts down: resigns and stops accepting connections.
-
-        Then waits for open requests for the rest of ``drain_seconds``.
-        """
+        """Shuts down within ``drain_seconds``: resigns, and answers the requests under way."""
         fields = {"leads": self._leader.leads, "requests": self._server.requests}
         LOG.info("The shutdown begins.", extra=fields)
+        with trio.move_on_after(max(0.0, self._settings.drain_seconds - EXIT_MARGIN_SECONDS)):
+            async with trio.open_nursery() as nursery:
+                # the store may not answer
+                nursery.start_soon(
+                    run_isolated, self._metrics, "component", "leader", self._leader.resign
+                )
+                if self._server.bound:
+                    await self._drain_server()
+
+    async def _drain_server(self):
+        """Stops accepting connections once the load balancer opens no more; waits for the rest."""
         self._server.close_connections()
-        await run_isolated(self._metrics, "component", "leader", self._leader.resign)
-        if not self._server.bound:
-            return
         await trio.sleep(BALANCER_SECONDS)
         self._server.stop_accepting()
         await trio.sleep(SETTLE_SECONDS)
         self._server.close_idle()
-        left_seconds = self._settings.drain_seconds - BALANCER_SECONDS - SETTLE_SECONDS
-        with trio.move_on_after(max(0.0, left_seconds - EXIT_MARGIN_SECONDS)):
-            await self._server.wait_closed()
+        await self._server.wait_closed()
 
     def _count_error(self, kind):
         """Counts a request that ended with an unexpected error."""
