--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -5,14 +5,35 @@
 State of one job and of its units.
 """
 
+import re
 from enum import Enum
 
-from ibiscart_core.value import MAX_TEXT_BYTES, require_int, require_object, require_text
+from ibiscart_core.value import (
+    MAX_INT,
+    MAX_NAME_BYTES,
+    MAX_TEXT_BYTES,
+    InvalidValueError,
+    require_bool,
+    require_choice,
+    require_int,
+    require_list,
+    require_object,
+    require_text,
+)
 from ibiscart_core.workflow.catalog import QueueEntry
 from ibiscart_core.workflow.crash import PROMPT_SECONDS, STABLE_RUN_SECONDS, CrashEvidence
 from ibiscart_core.workflow.spec import MAX_TIME_MS, JobSpec
 
-__all__ = ["Allocation", "AllocationState", "EndCause", "Job", "Outcome", "Unit", "UnitState"]
+__all__ = [
+    "OUTCOMES",
+    "Allocation",
+    "AllocationState",
+    "EndCause",
+    "Job",
+    "Outcome",
+    "Unit",
+    "UnitState",
+]
 
 
 class EndCause(Enum):
@@ -43,6 +64,15 @@
     CANCELLED = "cancelled"
 
 
+OUTCOMES = frozenset(outcome.value for outcome in Outcome)
+# fields of a unit in the job's record: the last two are for tasks under which workers were lost
+MIN_UNIT_FIELDS = 6
+MAX_UNIT_FIELDS = 8
+# most rows of one list in the job's record, as protection against a malformed one
+MAX_ROWS = 100_000
+STEP_NUMBER = re.compile(r"0|[1-9][0-9]{0,8}")
+
+
 class UnitState(Enum):
     """State of a unit: waiting for workers, active with allocations, done."""
 
@@ -115,6 +145,7 @@
     """
 
     __slots__ = (
+        "_state",
         "allocations",
         "checkpoint",
         "crash_evidence",
@@ -127,7 +158,6 @@
         "retry_at",
         "run",
         "size",
-        "state",
         "step",
     )
 
@@ -137,7 +167,7 @@
         self.step = step
         self.first_index = first_index
         self.size = size
-        self.state = UnitState.WAITING
+        self._state = UnitState.WAITING
         self.run = 0
         self.failures = 0
         self.checkpoint = ""
@@ -147,6 +177,17 @@
         self.ready_at = 0.0
         self.retry_at = 0.0
 
+    @property
+    def state(self):
+        """The ``UnitState``; a unit that is done stays so."""
+        return self._state
+
+    @state.setter
+    def state(self, state):
+        if state is UnitState.DONE and self._state is not UnitState.DONE:
+            self.job.record_done(self)
+        self._state = state
+
     @property
     def spec(self):
         """The ``StepSpec`` of this unit's step."""
@@ -272,27 +313,40 @@
         return [*row, evidence, started]
 
     def load_record(self, record):
-        """Restores the state that ``to_record`` returned."""
-        _, done, self.run, self.failures, self.checkpoint, allocations, *rest = record
-        _check_types(int, self.run, self.failures)
-        _check_types(str, self.checkpoint)
-        if done:
-            self.state = UnitState.DONE
-            return
-        evidence, started, *_ = (*rest, (), ())
-        for index, row in evidence:
-            self.crash_evidence[index] = CrashEvidence.from_record(row)
-        for index, worker_id, incarnation in allocations:
-            _check_types(str, worker_id)
-            _check_types(int, incarnation)
-            if index not in self.task_indexes:
-                raise ValueError(f"the step has no task {index}")
-            self.allocations[index] = Allocation(worker_id, incarnation)
-        for index in started:
+        """Restores the state that ``to_record`` returned; raises ``InvalidValueError``."""
+        if not MIN_UNIT_FIELDS <= len(require_list(record, MAX_UNIT_FIELDS, "unit")):
+            raise InvalidValueError("unit", record, f"a list of {MIN_UNIT_FIELDS} items or more")
+        _, done, run, failures, checkpoint, allocations, *rest = record
+        evidence, started, *_ = (*rest, [], [])
+        done = require_int(done, 0, 1, "done")
+        self.run = require_int(run, 0, MAX_INT, "run")
+        self.failures = require_int(failures, 0, MAX_INT, "failures")
+        self.checkpoint = require_text(checkpoint, MAX_TEXT_BYTES, "checkpoint")
+        for index, worker_id, incarnation in _require_rows(allocations, 3, "allocations"):
+            self.allocations[self._require_index(index)] = Allocation(
+                require_text(worker_id, MAX_NAME_BYTES, "worker"),
+                require_int(incarnation, 0, MAX_INT, "incarnation"),
+            )
+        if len(self.allocations) != len(allocations):
+            raise InvalidValueError("allocations", allocations, "a list without repeated tasks")
+        for index, row in _require_rows(evidence, 2, "evidence"):
+            self.crash_evidence[self._require_index(index)] = CrashEvidence.from_record(row)
+        for index in require_list(started, self.size, "started"):
+            if self._require_index(index) not in self.allocations:
+                raise InvalidValueError("started", index, "a task with an allocation")
             self.allocations[index].started = True
-        if self.allocations:
+        if done:
+            # counted when the job adds its units
+            self._state = UnitState.DONE
+            self.allocations, self.crash_evidence = {}, {}
+        elif self.allocations:
             self.state = UnitState.ACTIVE
 
+    def _require_index(self, value):
+        """Returns the index of one of the unit's tasks; raises ``InvalidValueError``."""
+        indexes = self.task_indexes
+        return require_int(value, indexes.start, indexes.stop - 1, "task")
+
 
 class Job:
     """One accepted job with the state of its units.
@@ -304,6 +358,8 @@
     """
 
     __slots__ = (
+        "_steps_done",
+        "_undone",
         "_units",
         "accepted_ms",
         "accepted_queue",
@@ -327,6 +383,10 @@
         self.started = False
         self.record_version = 0
         self._units = {}
+        # numbers of units that are not done, by the keys of ``_units``
+        self._undone = {}
+        # number of these keys whose units are all done
+        self._steps_done = 0
 
     @property
     def ended(self):
@@ -388,8 +448,7 @@
             for step_index, step in enumerate(self.spec.steps):
                 key = (occurrence, step_index)
                 if key not in self._units and self._dependencies_done(occurrence, step):
-                    self._units[key] = self._make_units(occurrence, step_index, step)
-                    created.extend(self._units[key])
+                    created.extend(self._create_units(occurrence, step_index, step))
         return created
 
     def next_due_ms(self, now_ms):
@@ -400,25 +459,29 @@
                 return due
         return None
 
-    def update_outcome(self, max_failures):
+    def record_done(self, unit):
+        """Counts a unit that has just been done."""
+        key = (unit.occurrence, unit.step)
+        self._undone[key] -= 1
+        if not self._undone[key]:
+            self._steps_done += 1
+
+    def update_outcome(self, max_failures, units=None):
         """Sets the outcome if the job has failed or completed; returns True if it was set now.
 
-        The job fails when one unit has ``max_failures`` failed runs, never if ``max_failures`` is
-        None, and when a unit that is not done is given up.
+        ``units`` are those that have changed, None for all. The job fails when one unit has
+        ``max_failures`` failed runs, never if ``max_failures`` is None, and when a unit that is not
+        done is given up.
         """
         if self.ended:
             return False
-        if any(unit.given_up and unit.state is not UnitState.DONE for unit in self.units()):
-            self.outcome = Outcome.FAILED
-            return True
-        if max_failures is not None and any(
-            unit.failures >= max_failures
-            and unit.state is not UnitState.DONE
-            and not unit.spec.long_running
-            for unit in self.units()
-        ):
-            self.outcome = Outcome.FAILED
-            return True
+        for unit in self.units() if units is None else units:
+            if unit.state is UnitState.DONE:
+                continue
+            exhausted = max_failures is not None and unit.failures >= max_failures
+            if unit.given_up or (exhausted and not unit.spec.long_running):
+                self.outcome = Outcome.FAILED
+                return True
         if self._all_done():
             self.outcome = Outcome.COMPLETED
             return True
@@ -448,18 +511,40 @@
         return record
 
     def load_record(self, record):
-        """Restores the state that ``to_record`` returned; another value raises an error."""
-        self.started = record.get("started", False)
-        for name, rows in record["units"].items():
-            occurrence, step_index = map(int, name.split("."))
-            step = self.spec.steps[step_index]
-            units = self._make_units(occurrence, step_index, step)
-            units_by_first_index = {unit.first_index: unit for unit in units}
-            for row in rows:
-                units_by_first_index[row[0]].load_record(row)
-            self._units[(occurrence, step_index)] = units
+        """Restores the state that ``to_record`` returned.
+
+        Raises ``InvalidValueError``, and changes nothing, if ``record`` cannot be read.
+        """
+        require_object(record, "record")
+        started = require_bool(record.get("started", False), "started")
+        outcome = None
         if "outcome" in record:
-            self.outcome = Outcome(record["outcome"])
+            outcome = Outcome(require_choice(record["outcome"], OUTCOMES, "outcome"))
+        loaded = {}
+        for name, rows in require_object(record.get("units"), "units").items():
+            key = self._parse_step_name(name)
+            step = self.spec.steps[key[1]]
+            units = loaded[key] = self._make_units(*key, step)
+            units_by_first_index = {unit.first_index: unit for unit in units}
+            for row in require_list(rows, len(units), name):
+                first_index = require_list(row, MAX_UNIT_FIELDS, name)[:1]
+                index = require_int(*(first_index or [None]), 0, step.tasks - 1, name)
+                unit = units_by_first_index.pop(index, None)
+                if unit is None:
+                    raise InvalidValueError(name, index, "the first task of a unit, only once")
+                unit.load_record(row)
+        self.started, self.outcome = started, outcome
+        for key, units in loaded.items():
+            self._add_units(key, units)
+
+    def _parse_step_name(self, name):
+        """Returns (occurrence, index of the step) of a name in the job's record."""
+        occurrence, _, step_index = name.partition(".")
+        if all(map(STEP_NUMBER.fullmatch, (occurrence, step_index))):
+            key = int(occurrence), int(step_index)
+            if key[0] < self.spec.occurrence_count and key[1] < len(self.spec.steps):
+                return key
+        raise InvalidValueError("units", name, "named OCCURRENCE.STEP, both of the job")
 
     def _dependencies_done(self, occurrence, step):
         """Returns True if all steps that a ``StepSpec`` depends on are done in the occurrence."""
@@ -467,17 +552,17 @@
 
     def _step_done(self, occurrence, step_index):
         """Returns True if all units of the step are done in the occurrence."""
-        units = self._units.get((occurrence, step_index))
-        return units is not None and all(unit.state is UnitState.DONE for unit in units)
+        return self._undone.get((occurrence, step_index)) == 0
 
     def _all_done(self):
         """Returns True if all steps are done in all occurrences."""
-        steps = range(len(self.spec.steps))
-        return all(
-            self._step_done(occurrence, step_index)
-            for occurrence in range(self.spec.occurrence_count)
-            for step_index in steps
-        )
+        return self._steps_done == self.spec.occurrence_count * len(self.spec.steps)
+
+    def _create_units(self, occurrence, step_index, step):
+        """Adds and returns the units of a step."""
+        units = self._make_units(occurrence, step_index, step)
+        self._add_units((occurrence, step_index), units)
+        return units
 
     def _make_units(self, occurrence, step_index, step):
         """Returns new units of a step: one unit for a gang, else one for each task."""
@@ -485,9 +570,17 @@
             return [Unit(self, occurrence, step_index, 0, step.tasks)]
         return [Unit(self, occurrence, step_index, index, 1) for index in range(step.tasks)]
 
+    def _add_units(self, key, units):
+        """Adds the units of a step; ``key`` is (occurrence, index of the step)."""
+        self._units[key] = units
+        self._undone[key] = sum(unit.state is not UnitState.DONE for unit in units)
+        if not self._undone[key]:
+            self._steps_done += 1
+
 
-def _check_types(expected, *values):
-    """Raises ``ValueError`` unless the type of each value is ``expected``."""
-    for value in values:
-        if type(value) is not expected:
-            raise ValueError(f"{value!r:.40} is not of type {expected.__name__}")
+def _require_rows(value, length, name):
+    """Returns a list of lists of ``length`` items; raises ``InvalidValueError``."""
+    for row in require_list(value, MAX_ROWS, name):
+        if len(require_list(row, length, name)) < length:
+            raise InvalidValueError(name, row, f"a list of {length} items")
+    return value
