--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -8,6 +8,7 @@
 import errno
 import json
 import logging
+import socket
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import h11
@@ -25,7 +26,7 @@
 )
 from ibiscart_schema.check import to_mapping
 
-__all__ = ["HttpServer", "Request", "Response", "error_response"]
+__all__ = ["AddressError", "HttpServer", "Request", "Response", "error_response"]
 
 LOG = logging.getLogger("ibiscart.server")
 KEEP_ALIVE_SECONDS = 75.0
@@ -36,6 +37,17 @@
 REFUSED_CONNECTIONS = 64
 ACCEPT_PAUSE_SECONDS = 0.1
 OUT_OF_FILES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
+# errors of an address that pass: another process uses it, or the machine does not have it yet
+IN_USE = OUT_OF_FILES | {errno.EADDRINUSE, errno.EADDRNOTAVAIL, socket.EAI_AGAIN}
+# pause before an address is tried again, doubled after each try up to the maximum
+BIND_PAUSE_SECONDS = 0.05
+MAX_BIND_PAUSE_SECONDS = 1.0
+# interval of the log lines about a state that lasts
+REPEAT_SECONDS = 10.0
+
+
+class AddressError(Exception):
+    """An address that can never be bound; the text names the setting, the value and the cause."""
 
 
 class Request:
@@ -92,20 +104,29 @@
 class HttpServer:
     """Serves ``handler``, an async function from ``Request`` to ``Response``.
 
-    ``settings`` is a ``ServerSettings`` message. ``on_error`` is called with each
+    ``settings`` is a ``ServerSettings`` message; ``name`` is the operator's name of the setting
+    with the address, for the log. ``on_error`` is called with each
     ``ErrorKind`` that is answered. ``answer_headers`` returns headers for the answers that
     the server gives without the handler. ``traffic`` is the ``Traffic`` to which its bytes are
     added.
     """
 
     def __init__(
-        self, handler, settings, on_error=lambda kind: None, *, answer_headers=list, traffic=None
+        self,
+        handler,
+        settings,
+        on_error=lambda kind: None,
+        *,
+        answer_headers=list,
+        traffic=None,
+        name="server.address",
     ):
         self._handler = handler
         self._settings = settings
         self._on_error = on_error
         self._answer_headers = answer_headers
         self._traffic = traffic
+        self._name = name
         self._connections = 0
         self._requests = 0
         self._buffered = 0
@@ -115,6 +136,7 @@
         self._idle_scopes = set()
         self._closing = False
         self._accepting = True
+        self._bound = False
         self._keeping_idle = True
 
     @property
@@ -127,10 +149,17 @@
         """Number of open connections."""
         return self._connections
 
+    @property
+    def bound(self):
+        """Whether the address has been bound, so that callers can connect."""
+        return self._bound
+
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Serves until cancelled; reports the bound port through ``task_status``."""
-        host, port = self._settings.address.rsplit(":", 1)
-        listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"), backlog=BACKLOG)
+        """Serves until cancelled; reports the bound port through ``task_status``.
+
+        Waits while the address is in use. Raises ``AddressError`` if it can never be bound.
+        """
+        listeners = await self._bind()
         async with trio.open_nursery() as nursery:
             for listener in listeners:
                 nursery.start_soon(self._serve_listener, listener, nursery)
@@ -138,6 +167,35 @@
             # requests on open connections go on until the caller cancels this task
             await trio.sleep_forever()
 
+    async def _bind(self):
+        """Returns the listeners of the address, as soon as no other process uses it."""
+        fields = {"setting": self._name, "address": self._settings.address}
+        started_at = trio.current_time()
+        warning = _RepeatedLine(logging.WARNING, "An address cannot be bound; it is tried again.")
+        pause = BIND_PAUSE_SECONDS
+        while True:
+            try:
+                host, _, port = self._settings.address.rpartition(":")
+                listeners = await trio.open_tcp_listeners(
+                    int(port), host=host.strip("[]"), backlog=BACKLOG
+                )
+                break
+            # ValueError: the text has no port, or a host that cannot be encoded
+            except (OSError, OverflowError, ValueError) as error:
+                number = getattr(error, "errno", None)
+                if number not in IN_USE:
+                    raise AddressError(
+                        f"{self._name} is {self._settings.address!r}, which cannot be bound: "
+                        f"{error}; set it to an address of this machine and a port"
+                    ) from error
+                warning.log({**fields, "errno": number, "cause": str(error)})
+            await trio.sleep(pause)
+            pause = min(MAX_BIND_PAUSE_SECONDS, 2 * pause)
+        self._bound = True
+        fields["waited_seconds"] = round(trio.current_time() - started_at, 3)
+        LOG.info("An address is bound.", extra=fields)
+        return listeners
+
     def close_connections(self):
         """Answers from now on with ``Connection: close``."""
         self._closing = True
@@ -175,6 +233,7 @@
 
     async def _serve_listener(self, listener, nursery):
         async with listener:
+            error_line = _RepeatedLine(logging.ERROR, "Connections cannot be accepted.")
             taken_at_end = 0
             while self._accepting or (taken_at_end < BACKLOG and readable(listener.socket)):
                 taken_at_end += not self._accepting
@@ -187,9 +246,8 @@
                     try:
                         stream = await listener.accept()
                     except OSError as error:
-                        if error.errno not in OUT_OF_FILES:
-                            raise
-                        LOG.error("server: No more files can be opened.")
+                        # any error concerns this one connection or passes
+                        error_line.log({"errno": error.errno, "cause": str(error)})
                         await trio.sleep(ACCEPT_PAUSE_SECONDS)
                         continue
                     finally:
@@ -327,6 +385,22 @@
             pass  # the caller's bytes left the connection in a state without answers
 
 
+class _RepeatedLine:
+    """Logs a state that lasts at once and then at most every ``REPEAT_SECONDS``."""
+
+    def __init__(self, level, message):
+        self._level = level
+        self._message = message
+        self._logged_at = None
+
+    def log(self, fields):
+        """Logs the message with the fields unless it was logged a short time ago."""
+        now = trio.current_time()
+        if self._logged_at is None or now - self._logged_at >= REPEAT_SECONDS:
+            self._logged_at = now
+            LOG.log(self._level, self._message, extra=fields)
+
+
 class _Body:
     """Body of one request; its size counts against the bodies of all requests."""
 
