Store: failing tests of writes that the store rejects

A status of 400 or 413 became TransactionRejected, which is no StoreError, when records got several rows. Three callers expect a StoreError only. With a real process and a store that answers 400 to the entry's registration, the process ended with exit code 1 after 0.03 s; SIGTERM to a leader whose row the store rejects ended it with 1 instead of 0, without the drain. A job whose rows cannot be removed ended the leader's term every few seconds (epoch 3 instead of 1 after 12 s of virtual time).

--- a/tests/platform/test_store_failures.py
+++ b/tests/platform/test_store_failures.py
@@ -29,6 +29,57 @@
 SLOW_LINK_BYTES_PER_SECOND = 250_000
 
 
+class RejectedWriteTest(unittest.TestCase):
+    def test_rejected_registration_does_not_end_the_entry(self):
+        async def main():
+            async with Deployment() as deployment:
+                entry = deployment.first_entry()
+                key = ("nodes", "entries", entry.name)
+                deployment.store.refused_rows.add(("nodes", entry.name))
+                version = deployment.store.rows[key][1]
+                await trio.sleep(12)
+                self.assertEqual(deployment.store.rows[key][1], version)
+                self.assertEqual(200, await deployment.submit(JOB_ID, job(step()), entry=entry))
+                deployment.store.refused_rows.clear()
+                await deployment.wait_until(lambda: deployment.store.rows[key][1] > version)
+
+        run_virtual(main)
+
+    def test_rejected_resignation_does_not_disturb_the_shutdown(self):
+        async def main():
+            async with Deployment() as deployment:
+                leader = deployment.leader()
+                deployment.store.refused_rows.add(("leader", "leader"))
+                await leader.leader.resign()
+                deployment.store.refused_rows.clear()
+                await deployment.wait_until(lambda: deployment.leader() not in (None, leader))
+
+        run_virtual(main)
+
+    def test_rejected_removal_of_a_job_concerns_this_job_alone(self):
+        async def main():
+            async with Deployment(retention_seconds=1.0) as deployment:
+                leader = deployment.leader()
+                epoch = leader.leadership.epoch
+                for job_id in (JOB_ID, OTHER_JOB_ID):
+                    await deployment.submit(job_id, job(step()))
+                for job_id in (JOB_ID, OTHER_JOB_ID):
+                    await deployment.wait_for_state(job_id, "completed")
+                deployment.store.refused_rows.add(("jobs", JOB_ID))
+                await deployment.wait_until(
+                    lambda: ("jobs", OTHER_JOB_ID[0], OTHER_JOB_ID) not in deployment.store.rows
+                )
+                await trio.sleep(12)
+                self.assertIn(("jobs", JOB_ID[0], JOB_ID), deployment.store.rows)
+                self.assertEqual(leader.leadership.epoch, epoch)
+                deployment.store.refused_rows.clear()
+                await deployment.wait_until(
+                    lambda: ("jobs", JOB_ID[0], JOB_ID) not in deployment.store.rows
+                )
+
+        run_virtual(main)
+
+
 class StoreFailureTest(unittest.TestCase):
     def test_entry_refused_by_the_store_serves_callers_through_a_peer(self):
         # callers of an entry whose requests the store refused got 503 for as long as the refusals
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -136,9 +136,10 @@
             MAX_CALL_ENTRIES
         ):
             return 400
-        for row in call.get("puts", ()):
+        for row in (*call.get("puts", ()), *call.get("remove", ())):
             if (row["table"], row["key"]) in self.refused_rows:
                 return 400
+        for row in call.get("puts", ()):
             if len(b64decode(row["value"])) > self.max_value_bytes:
                 return 400
         return 200
