Store: a rejected write concerns its writer, and ends neither process nor term

The registration of an entry is logged and tried again at the next interval, a resignation is logged as one without an answer is, and a job whose rows cannot be removed no longer holds back the removal of the others.

--- a/packages/entry/src/ibiscart_entry/coordination/job_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_feed.py
@@ -221,6 +221,10 @@
                 except StoreError as error:
                     LOG.warning("A job was not removed.", extra={"cause": error.reason})
                     break
+                except TransactionRejected as rejection:
+                    fields = {"job": job_id, "cause": rejection.reason}
+                    LOG.warning("A job was not removed.", extra=fields)
+                    continue
                 for row in rows:
                     self._removals[row.key] = (row.version, trio.current_time())
                 del self._ended_at[job_id]
--- a/packages/entry/src/ibiscart_entry/coordination/leadership.py
+++ b/packages/entry/src/ibiscart_entry/coordination/leadership.py
@@ -245,7 +245,7 @@
             empty = LeaderRow(epoch=self._row.epoch, batch=self._row.batch + 1)
             try:
                 await self._table.transact([self._leader_row_write(empty)])
-            except (StoreError, TableConflict) as error:
+            except (StoreError, TableConflict, TransactionRejected) as error:
                 LOG.warning("The leader's row was not released.", extra={"cause": str(error)})
 
     async def _acquire(self, stored, version):
--- a/packages/entry/src/ibiscart_entry/coordination/peer_directory.py
+++ b/packages/entry/src/ibiscart_entry/coordination/peer_directory.py
@@ -17,7 +17,7 @@
     require_object,
 )
 from ibiscart_entry.coordination.record import NODES_PARTITION, decode, encode
-from ibiscart_entry.table import StoreError, TableConflict
+from ibiscart_entry.table import StoreError, TableConflict, TransactionRejected
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
 __all__ = ["PeerDirectory"]
@@ -57,7 +57,7 @@
         while True:
             try:
                 await self._refresh()
-            except (StoreError, TableConflict) as error:
+            except (StoreError, TableConflict, TransactionRejected) as error:
                 LOG.warning("The entries cannot be refreshed.", extra={"cause": str(error)})
             # while no other entry is known, calls cannot be relayed: reads the rows again after 1 s
             await trio.sleep(REGISTRATION_INTERVAL_SECONDS if self._peers else 1.0)
