--- a/tests/entry/test_client.py
+++ b/tests/entry/test_client.py
@@ -148,6 +148,22 @@
 
         trio.run(main)
 
+    def test_connection_blocks_no_listener_at_its_local_port(self):
+        """A listener could not bind it for 60 s after the end of the connection."""
+
+        async def main():
+            async with scripted(says(OK, wait=5.0)) as (client, seen):
+                await client.request("GET", "/", timeout=1.0)
+                host, port = seen[0].socket.getpeername()
+                for state in ("open", "closed"):
+                    with self.subTest(state=state):
+                        listeners = await trio.open_tcp_listeners(port, host=host)
+                        for listener in listeners:
+                            await listener.aclose()
+                    await client.aclose()
+
+        trio.run(main)
+
     def test_interim_responses_are_skipped(self):
         """A 100 or 103 is not the response."""
         interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
