Client: a connection blocks no listener at its local port

An outgoing socket without SO_REUSEADDR keeps its local port from every listener, in TIME_WAIT too; two sockets that both set it share the port as long as none of them listens.

The client sets it. Connections of other programs still hold their ports; the entry waits for those.

--- a/packages/entry/src/ibiscart_entry/client.py
+++ b/packages/entry/src/ibiscart_entry/client.py
@@ -107,7 +107,7 @@
     async def _connect(self):
         try:
             with trio.fail_after(self._connect_timeout):
-                stream = await trio.open_tcp_stream(self._host, self._port)
+                stream = await _open_stream(self._host, self._port)
         except trio.TooSlowError:
             raise TransportError("connect_timeout", False) from None
         except OSError:
@@ -215,3 +215,27 @@
             b"transfer-encoding",
         }:
             raise TransportError("malformed", True)
+
+
+async def _open_stream(host, port):
+    """Returns a stream to the first address of a host that accepts; raises ``OSError``."""
+    failure = OSError("the host has no address")
+    addresses = await trio.socket.getaddrinfo(host, port, type=trio.socket.SOCK_STREAM)
+    for family, kind, protocol, _, address in addresses:
+        try:
+            return await _connect_socket(trio.socket.socket(family, kind, protocol), address)
+        except OSError as error:
+            failure = error
+    raise failure
+
+
+async def _connect_socket(connection, address):
+    """Returns the stream of a socket once it is connected; raises ``OSError``."""
+    try:
+        # a listener could not bind the local port otherwise, even for some time after the end
+        connection.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        await connection.connect(address)
+        return trio.SocketStream(connection)
+    except BaseException:
+        connection.close()
+        raise
