Log: failing test of a process whose standard output is closed

It ends with exit code 1 before its first log line: AttributeError, 'NoneType' object has no attribute 'fileno'. Without standard input or standard error it serves.

--- a/tests/platform/process.py
+++ b/tests/platform/process.py
@@ -79,11 +79,14 @@
 
     @classmethod
     @asynccontextmanager
-    async def running(cls, document, *interpreter_options):
-        """Starts a process, and kills it in the end if it has not exited."""
+    async def running(cls, document, *interpreter_options, closed=""):
+        """Starts a process, and kills it in the end if it has not exited.
+
+        ``closed`` has the digits of the standard streams that the process starts without.
+        """
         with tempfile.TemporaryDirectory() as directory:
             process = cls(directory, document)
-            process.start(interpreter_options)
+            process.start(interpreter_options, closed)
             try:
                 yield process
             finally:
@@ -102,12 +105,16 @@
         new_path.write_bytes(document)
         new_path.replace(self.settings_path)
 
-    def start(self, interpreter_options=()):
+    def start(self, interpreter_options=(), closed=""):
         """Starts the process."""
         environment = {**os.environ, "IBISCART_CONFIG": str(self.settings_path)}
+        command = [sys.executable, *interpreter_options, str(PROGRAM)]
+        if closed:
+            redirections = " ".join(f"{descriptor}>&-" for descriptor in closed)
+            command = ["sh", "-c", f'exec "$@" {redirections}', "sh", *command]
         with open(self._log_path, "wb") as log, open(self._error_path, "wb") as errors:
             self._process = subprocess.Popen(
-                [sys.executable, *interpreter_options, str(PROGRAM)],
+                command,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=errors,
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -78,6 +78,22 @@
 
         run_with_store(case)
 
+    def test_process_serves_without_standard_streams(self):
+        # a daemon may be started with all of them closed
+        async def case(store_port):
+            async def check(descriptor):
+                document = settings_document(store_port)
+                async with RealProcess.running(document, closed=descriptor) as process:
+                    await process.wait_ready()
+                    if descriptor == "1":
+                        self.assertIn("The process has started", process.errors)
+                    process.send(signal.SIGTERM)
+                    self.assertEqual(await process.wait_exit(), 0, process.errors)
+
+            await run_each(check, [("0",), ("1",), ("2",), ("012",)])
+
+        run_with_store(case)
+
     def test_missing_libraries_are_told_in_the_log(self):
         async def case(store_port):
             async with RealProcess.running(settings_document(store_port), "-S") as process:
