Log: a process that is started without standard output serves

The log goes to standard error then, and nowhere if that is closed too.

test_process_serves_without_standard_streams failed before and passes.

--- a/packages/entry/src/ibiscart_entry/log.py
+++ b/packages/entry/src/ibiscart_entry/log.py
@@ -120,11 +120,15 @@
 def configure_log(level="info", *, fields=None, stream=None):
     """Sends the logs of all components to ``stream``, by default standard output.
 
+    Standard error replaces a standard output that the process was started without.
     ``fields`` are added to each line, such as the entry id and the region. Calling it
     again replaces the earlier set-up.
     """
-    if stream is None:
-        handler = BoundedHandler(sys.stdout.fileno())
+    output = sys.stdout or sys.stderr
+    if stream is None and output is None:
+        handler = logging.NullHandler()
+    elif stream is None:
+        handler = BoundedHandler(output.fileno())
     else:
         handler = logging.StreamHandler(stream)
     handler.setFormatter(
