Peers: failing tests of rows and answers that disturb other entries

A row of another writer in the entries' table, under a key whose parts contain a slash or that the store refuses to remove, fails the transaction that also has the entry's own registration: no entry registers any more. A peer's answer to a read may claim lost history, a conflict or a rejection; the caller gets an error that is no StoreError, and in the probe of the store nothing confines it.

--- a/tests/entry/coordination/test_hostile_peers.py
+++ b/tests/entry/coordination/test_hostile_peers.py
@@ -157,6 +157,15 @@
             cases += [(name, json.dumps({"conflict": odd}).encode()) for odd in rows]
         cases += [("transact", b'{"rows":[]}'), ("transact", b'{"conflict":[]}')]
         cases += [("get", json.dumps({"rows": [row, row]}).encode())]
+        # results that only other operations have
+        cases += [
+            (name, b'{"history_lost":"t"}') for name in ("get", "scan", "transact", "snapshot")
+        ]
+        for name in ("get", "scan", "changes", "snapshot"):
+            cases += [
+                (name, b'{"rejected":"status_400"}'),
+                (name, json.dumps({"conflict": [row]}).encode()),
+            ]
         cases += [("get", json.dumps({"error": odd, "sent": True}).encode()) for odd in TEXTS]
         cases += [
             ("get", json.dumps({"error": "x", "sent": odd}).encode()) for odd in (5, None, [])
--- a/tests/platform/test_store_failures.py
+++ b/tests/platform/test_store_failures.py
@@ -1,6 +1,7 @@
 """Tests of store failures over the stand-ins, in virtual time."""
 
 import functools
+import random
 import unittest
 from unittest import mock
 
@@ -45,6 +46,24 @@
 
         run_virtual(main)
 
+    def test_entries_know_one_another_beside_a_row_that_cannot_be_removed(self):
+        async def main():
+            async with Deployment() as deployment:
+                for partition in ("", "other", "a/b", "entries/a"):
+                    deployment.store.put("nodes", "odd", {}, partition=partition)
+                deployment.store.put("nodes", "refused", {}, partition="entries")
+                deployment.store.refused_rows.add(("nodes", "refused"))
+                deployment.start_entry("e9")
+                await trio.sleep(12)
+                key = ("nodes", "entries", "e9")
+                self.assertIn(key, deployment.store.rows)
+                version = deployment.store.rows[key][1]
+                await deployment.wait_until(lambda: deployment.store.rows[key][1] > version)
+                for entry in deployment.entries.values():
+                    self.assertEqual(3, len(entry.peer_directory.candidates(random)), entry.name)
+
+        run_virtual(main)
+
     def test_rejected_resignation_does_not_disturb_the_shutdown(self):
         async def main():
             async with Deployment() as deployment:
