Peers: an entry registers whatever other rows hold

The registration is written first and alone, each removal follows by itself, and rows in other partitions are no entries.

test_entries_know_one_another_beside_a_row_that_cannot_be_removed failed before and passes.

--- a/packages/entry/src/ibiscart_entry/coordination/peer_directory.py
+++ b/packages/entry/src/ibiscart_entry/coordination/peer_directory.py
@@ -31,8 +31,8 @@
 REGISTRATION_INTERVAL_SECONDS = 5.0
 # the row of an entry is ignored and removed when it has not been written for this time
 STALE_MS = 30_000
-# most rows that are written or removed at once, as the store bounds a transaction
-MAX_WRITES = 100
+# most rows that are removed at each interval
+MAX_REMOVALS = 50
 
 
 class PeerDirectory:
@@ -89,24 +89,32 @@
 
     async def _refresh(self):
         """Writes this entry's row, reads those of the other entries and removes stale ones."""
+        own_key = f"{NODES_PARTITION}/{self._entry_name}"
         own_registration = {"address": self._address, "at_ms": self._now_ms()}
-        writes = [
-            TableWrite(key=f"{NODES_PARTITION}/{self._entry_name}", value=encode(own_registration))
-        ]
         snapshot = await self._table.snapshot(NODES_PARTITION.partition(".")[0])
-        peers = {}
+        peers, removals = {}, []
         for row in snapshot.rows:
-            row_name = row.key.partition("/")[2]
-            if row_name == self._entry_name:
+            partition, _, row_name = row.key.partition("/")
+            if row.key == own_key or partition != NODES_PARTITION:
                 continue
             address = _live_address(row.value, self._now_ms())
             if address is None:
                 removal = TableWrite(key=row.key, delete=True, expected_version=row.version)
-                writes.append(removal)
+                removals.append(removal)
             else:
                 peers[row_name] = address
         self._peers = peers
-        await self._table.transact(writes[:MAX_WRITES])
+        await self._table.transact([TableWrite(key=own_key, value=encode(own_registration))])
+        for removal in removals[:MAX_REMOVALS]:
+            await self._remove(removal)
+
+    async def _remove(self, removal):
+        """Removes the row of an entry unless it has changed or the store keeps it."""
+        try:
+            await self._table.transact([removal])
+        except (TableConflict, TransactionRejected) as error:
+            fields = {"key": removal.key, "cause": str(error)}
+            LOG.warning("The row of an entry was not removed.", extra=fields)
 
 
 def _live_address(value, now_ms):
