Relay: an answer has a result of its own operation, or is malformed

Only answers to changes may state lost history, only those to transactions a conflict or a rejection.

test_response_to_a_relayed_call_with_odd_values_is_malformed failed before for these answers and passes.

--- a/packages/entry/src/ibiscart_entry/coordination/relay_message.py
+++ b/packages/entry/src/ibiscart_entry/coordination/relay_message.py
@@ -107,11 +107,11 @@
     if "error" in document:
         reason = require_text(document["error"], MAX_NAME_BYTES, "error")
         raise StoreError(reason, require_bool(document.get("sent"), "sent"))
-    if "conflict" in document:
+    if operation == "transact" and "conflict" in document:
         return TableConflict(_parse_rows(document, "conflict", 1))
-    if "rejected" in document:
+    if operation == "transact" and "rejected" in document:
         return TransactionRejected(require_text(document["rejected"], MAX_TEXT_BYTES, "rejected"))
-    if "history_lost" in document:
+    if operation == "changes" and "history_lost" in document:
         return HistoryLost(require_text(document["history_lost"], MAX_KEY_BYTES, "history_lost"))
     rows = _parse_rows(document, "rows", 1 if operation == "transact" else 0)
     if operation in ("changes", "snapshot"):
