Workers: failing test of a registration that nobody answers

One valid entry of a worker that nobody answers for, left by another writer, with 64 accelerators in a rack of its own: jobs that prefer this rack, and gangs for one rack that fit no real rack, stay queued (60 s of virtual time; without the entry they complete in 1 s). The scheduler counts every registered worker when it looks for a rack that fits the unit once it is empty.

--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -7,6 +7,8 @@
 
 from tests.platform.deployment import JOB_ID, OTHER_JOB_ID, Deployment, job, run_virtual, step
 
+CAPACITY = {"cpu": 64_000, "memMb": 64_000, "gpu": 64}
+
 
 class WorkerFailureTest(unittest.TestCase):
     def test_delayed_start_order_runs_the_task_once(self):
@@ -367,6 +369,21 @@
 
         run_virtual(main)
 
+    def test_registration_that_nobody_answers_holds_up_no_job(self):
+        # its rack seemed to fit units that wait for an empty rack
+        async def main(fields):
+            async with Deployment() as deployment:
+                stale = deployment.fleet.workers["w0"].registration("w9:80", rack="r9")
+                deployment.store.put("servers", "w9", {**stale, "capacity": CAPACITY})
+                await trio.sleep(1)
+                await deployment.submit(JOB_ID, job(step(20, **fields)))
+                await deployment.wait_for_state(JOB_ID, "completed", 60)
+                self.assertEqual([], deployment.fleet.violations)
+
+        for fields in ({"affinity": "r9"}, {"sameRack": True, "gang": True}):
+            with self.subTest(fields=fields):
+                run_virtual(functools.partial(main, fields))
+
     def test_worker_that_fails_all_runs_gets_no_new_work(self):
         async def main():
             async with Deployment(workers=2) as deployment:
