Scheduler: only workers that can be expected to answer make up an empty rack

After a unit has waited 1 s, a worker counts for the rack only if it answers, or has stopped a short time ago (30 s, as for workers that vanish). The first second covers a new leader, which has not heard of its workers yet.

test_registration_that_nobody_answers_holds_up_no_job failed before for both kinds of jobs and passes; the 77 tests of the workflow and the 21 of worker failures pass.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -205,7 +205,7 @@
         worker = self.fleet.get(worker_id)
         if worker is None:
             return
-        worker.reachable = True
+        worker.reachable = worker.answered = True
         if status.incarnation is not None:
             self._resolve_vanished_runs(worker, status.incarnation)
         listed = {}
--- a/packages/core/src/ibiscart_core/workflow/fleet.py
+++ b/packages/core/src/ibiscart_core/workflow/fleet.py
@@ -70,12 +70,14 @@
     until its list of runs has been read, and while it does not answer. ``units_by_run`` maps
     (task key, run) to the unit of the run. ``vanished_runs`` has (unit, index of the task)
     of the runs that were lost while it did not answer, until it is known whether it crashed.
+    ``answered`` is True once the worker has answered.
     ``leaves_at``, ``reported_after``, ``suspended_until``, ``unreachable_at`` (when it stopped
     answering) and ``vanished_at`` are in seconds of the monotonic clock. The worker wrote its last
     report after ``reported_after``, which is None if that time is unknown.
     """
 
     __slots__ = (
+        "answered",
         "info",
         "leaves_at",
         "reachable",
@@ -95,6 +97,7 @@
         self.units_by_run = {}
         self.used = Resources()
         self.reachable = False
+        self.answered = False
         self.registered = True
         self.suspended_until = 0.0
         self.reliability = Reliability()
@@ -123,6 +126,12 @@
             if task_key[3] in unit.allocations
         )
 
+    def expected(self, now):
+        """Returns True if the worker answers, or has stopped answering a short time ago."""
+        if not self.registered:
+            return False
+        return self.reachable or (self.answered and now - self.unreachable_at < RETURN_SECONDS)
+
     def usable(self, now):
         """Returns True if new work may be placed on the worker at ``now``."""
         return (
--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -242,16 +242,23 @@
             return True
         if free_share >= SPREAD_FREE_SHARE and now - unit.ready_at >= SPREAD_AFTER_SECONDS:
             return True
-        return not self._fits_empty_rack(unit, pool)
+        return not self._fits_empty_rack(unit, pool, now)
 
-    def _fits_empty_rack(self, unit, pool):
-        """Returns True if an empty rack fits the unit; only its preferred rack counts, if any."""
+    def _fits_empty_rack(self, unit, pool, now):
+        """Returns True if an empty rack fits the unit; only its preferred rack counts, if any.
+
+        While the unit has waited for a short time only, all registered workers count, as a new
+        leader has not heard of them yet; later those that can be expected to answer.
+        """
+        waited = now - unit.ready_at >= SPREAD_AFTER_SECONDS
         step = unit.spec
         counts = {}
         for worker in self._fleet.workers.values():
             info = worker.info
             if not worker.registered or info.pool != pool or info.draining:
                 continue
+            if waited and not worker.expected(now):
+                continue
             if step.required_label and step.required_label not in info.labels:
                 continue
             max_tasks = step.demand.times_within(info.capacity)
