Signals: the receiver leaves no moment with the default actions behind it

A handler that does nothing is installed first, so that it is what the receiver restores.

test_signals failed before (exit code -15) and passes, three times; the four tests of signals with real processes pass.

--- a/packages/entry/src/ibiscart_entry/signals.py
+++ b/packages/entry/src/ibiscart_entry/signals.py
@@ -41,6 +41,10 @@
 
     Signals that arrive after its use are ignored until the process exits.
     """
+    for number in HANDLED:
+        # restored when the receiver closes; the default would end the process if another thread,
+        # which does not hold signals, gets one then
+        signal.signal(number, _pass_over)
     try:
         with trio.open_signal_receiver(*HANDLED) as received:
             signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED)
@@ -55,6 +59,10 @@
             signal.signal(number, signal.SIG_IGN)
 
 
+def _pass_over(number, frame):
+    """Handles a signal that changes nothing."""
+
+
 async def ignore_signals(received, state):
     """Logs further signals until cancelled; ``state`` is that of the process."""
     async for number in received:
