Records: failing test of a short row that stands for a huge record

A progress record of several rows is bounded by its bytes only, 64 MB. One row of 44 KB that decompresses to 15 million empty lists (45 MB) took 1,266 MB and 24 s to decode, in which no other task of the process runs; a leader with 300 MB is killed, and each further one after it.

--- a/tests/entry/coordination/test_record.py
+++ b/tests/entry/coordination/test_record.py
@@ -3,6 +3,7 @@
 import json
 import math
 import unittest
+import zlib
 
 from ibiscart_core.error import ErrorKind, IbiscartError
 from ibiscart_core.resource import Resources
@@ -16,6 +17,7 @@
     LeaderRow,
     cancel_key,
     decode,
+    decode_progress,
     job_key,
     jobs_from_rows,
     parse_progress,
@@ -154,6 +156,15 @@
         with self.assertRaises(InvalidValueError):
             decode(b"[" * 100_000)
 
+    def test_short_row_that_stands_for_a_huge_record_is_not_decoded(self):
+        """Guards against leaders that took over 1 GB of memory and 20 s for one row."""
+        for item in (b"[]", b"{}"):
+            document = b'{"account":"a","units":{"0.0":[' + b",".join([item] * 2_000_000) + b"]}}"
+            part = zlib.compress(document, 9)
+            self.assertLess(len(part), _Table.max_value_bytes)
+            with self.subTest(item=item), self.assertRaises(InvalidValueError):
+                decode_progress(b'{"account":"a","parts":1}', [part])
+
 
 class DamagedServiceTest(unittest.TestCase):
     """Guards against callers that got an internal error without a cause."""
