Own interface: signals and addresses as on the platform

The own interface had the same two faults: a signal after the receiver of Drain.run had closed, or during the imports, ended the process, SIGHUP always did, and an address in use ended it with exit code 3. Its program now holds signals first (ibiscart_entry.start), handles them while it starts, and logs start, signals and end as the platform's program does; Drain keeps signals away up to the exit. Exit code 3 is left for addresses that can never be bound.

test_drain: a process that gets SIGTERM, SIGHUP and SIGINT up to its exit. The test of signals now serves, as a drain of a server that is not bound ends at once.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -136,7 +136,7 @@
         """Starts an entry process, for the first time or again."""
         path = self.folder / f"{entry.id}.yaml"
         path.write_text(yaml.safe_dump(self._settings(entry)))
-        entry.child = Child(entry.id, ["-m", "ibiscart_entry.main", str(path)], self.folder)
+        entry.child = Child(entry.id, ["-m", "ibiscart_entry.start", str(path)], self.folder)
         self.children[entry.id] = entry.child
 
     async def wait_ready(self, entry):
--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -64,6 +64,9 @@
 # time for receiving a request's body; longer than any caller waits for a response
 BODY_TIMEOUT_SECONDS = 5.0
 
+# kind of the tasks that answer requests, in the counter of unexpected errors
+REQUEST_TASK = "request"
+
 
 class EntryProcess:
     """Builds and supervises the tasks of one process.
@@ -228,7 +231,7 @@
     def _count_error(self, kind):
         """Counts a request that ended with an unexpected error."""
         if kind is ErrorKind.INTERNAL:
-            self._metrics.count("task_errors", "request")
+            self._metrics.count("task_errors", REQUEST_TASK)
 
     async def _handle_readiness(self, request):
         """Responds to the load balancer with status 200 if this entry is ready, else 503."""
--- a/packages/entry/src/ibiscart_entry/drain.py
+++ b/packages/entry/src/ibiscart_entry/drain.py
@@ -6,15 +6,15 @@
 """
 
 import logging
-import signal
 
 import trio
 
+from ibiscart_entry.signals import STOP_SIGNALS, ignore_signals, log_signal, open_signals
+
 __all__ = ["Drain"]
 
 LOG = logging.getLogger("ibiscart.drain")
 
-SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # bytes sent at the very end of the balancer's lag arrive within this time; network delays
 # between balancer and entry are a few milliseconds
 SETTLE_SECONDS = 0.5
@@ -50,26 +50,31 @@
     async def run(self, signals=None, task_status=trio.TASK_STATUS_IGNORED):
         """Waits for a signal, drains, and returns when the process may exit.
 
-        ``signals`` is an open receiver of signal numbers; by default one for ``SIGNALS``.
+        ``signals`` is an open receiver of signal numbers; by default one of ``open_signals``.
+        Returns the name of the signal.
         """
         if signals is None:
-            with trio.open_signal_receiver(*SIGNALS) as received:
-                await self.run(received, task_status=task_status)
-            return
+            with open_signals() as received:
+                return await self.run(received, task_status=task_status)
         task_status.started()
         async for number in signals:
-            LOG.info("The shutdown begins.", extra={"signal": number})
-            break
+            name = log_signal(number, "serving")
+            if number in STOP_SIGNALS:
+                break
+        LOG.info("The shutdown begins.")
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._ignore, signals)
+            nursery.start_soon(ignore_signals, signals, "draining")
             await self.drain()
             nursery.cancel_scope.cancel()
+        return name
 
     async def drain(self):
         """Runs the steps of the shutdown; returns the number of requests that were cut."""
         self._started = self._clock()
         for call in self._on_start:
             call()
+        if not self._server.bound:
+            return 0
         self._server.close_connections()
         # the balancer goes on sending until it has noticed that the entry is not ready
         await self._sleep(self._settings.balancer_lag_seconds)
@@ -91,7 +96,3 @@
 
     async def _sleep(self, seconds):
         await trio.sleep(max(0, min(seconds, self._remaining())))
-
-    async def _ignore(self, received):
-        async for number in received:
-            LOG.info("A further signal was ignored.", extra={"signal": number})
--- a/packages/entry/src/ibiscart_entry/main.py
+++ b/packages/entry/src/ibiscart_entry/main.py
@@ -5,19 +5,18 @@
 Command line of the entry process.
 """
 
-import logging
 import sys
 
 import click
-import trio
 
+from ibiscart_entry.lifetime import ProcessLifetime
 from ibiscart_entry.log import configure_log
 from ibiscart_entry.process import EntryProcess
 from ibiscart_entry.settings import Settings, SettingsError
+from ibiscart_entry.signals import hold_signals
 
 __all__ = ["main"]
 
-LOG = logging.getLogger("ibiscart.process")
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 3
 
@@ -29,7 +28,8 @@
     ibiscart-entry --check entry-1.yaml
 
 Exit codes: 0 after a graceful shutdown (SIGTERM or SIGINT), 1 after an internal error,
-2 for settings that cannot be used, 3 when an address cannot be bound.
+2 for settings that cannot be used, 3 when an address can never be bound. While an address is in
+use, the process waits for it and logs that.
 """
 
 
@@ -39,6 +39,9 @@
 @click.argument("settings_file", type=click.Path(dir_okay=False))
 def main(check, settings_file):
     """Run one entry process with the settings of SETTINGS_FILE (YAML)."""
+    if not check:
+        hold_signals()
+    lifetime = ProcessLifetime(EXIT_ADDRESS)
     try:
         settings = Settings.from_config(settings_file)
     except SettingsError as error:
@@ -48,15 +51,13 @@
         click.echo(f"{settings_file}: the settings are valid")
         return
     configure_log(settings.log.level, fields={"entry": settings.entry_id})
-    try:
-        trio.run(_run, settings)
-    except* OSError as group:
-        LOG.error("An address cannot be bound.", extra={"cause": str(group.exceptions[0])})
-        sys.exit(EXIT_ADDRESS)
+    lifetime.log_start(settings=settings_file)
+    sys.exit(lifetime.run(_run, settings))
 
 
 async def _run(settings):
-    await EntryProcess(settings).run()
+    """Runs the process; returns the cause of its end."""
+    return await EntryProcess(settings).run()
 
 
 if __name__ == "__main__":
--- a/packages/entry/src/ibiscart_entry/process.py
+++ b/packages/entry/src/ibiscart_entry/process.py
@@ -29,6 +29,7 @@
 from ibiscart_entry.recorder import Recorder
 from ibiscart_entry.server import HttpServer
 from ibiscart_entry.sign import TargetSigns
+from ibiscart_entry.signals import open_signals, stop_requested
 from ibiscart_entry.store import ObjectStore, StoreBudget
 from ibiscart_entry.tables.http import HttpTable
 from ibiscart_entry.writer import Writer
@@ -130,7 +131,10 @@
             traffic=metrics.traffic("callers"),
         )
         self._peer_server = HttpServer(
-            self._peers.handle, _peer_server_settings(settings), traffic=metrics.traffic("peers")
+            self._peers.handle,
+            _peer_server_settings(settings),
+            traffic=metrics.traffic("peers"),
+            name="peer.address",
         )
         self._recorder = Recorder.from_config(settings, self._journal, objects, metrics)
         if self._recorder is not None:
@@ -143,20 +147,28 @@
         self._register_gauges()
 
     async def run(self):
-        """Serves until SIGTERM or SIGINT, then drains.
+        """Serves until SIGTERM or SIGINT, then drains; returns the name of the signal.
 
-        Raises ``OSError`` when an address cannot be bound.
+        Raises ``AddressError`` when an address can never be bound.
         """
+        name = stop_requested()
+        if name is not None:
+            return name
+        with open_signals() as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._start, nursery)
+                name = await self._drain.run(signals)
+                nursery.cancel_scope.cancel()
+        return name
+
+    async def _start(self, nursery):
+        """Starts all parts, the server of callers last."""
+        await nursery.start(self._peer_server.serve)
+        for part in self._parts():
+            await nursery.start(part.run)
+        await nursery.start(self._server.serve)
         fields = {"region": self._settings.region, "address": self._settings.server.address}
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._peer_server.serve)
-            for part in self._parts():
-                await nursery.start(part.run)
-            await nursery.start(self._server.serve)
-            LOG.info("The entry process listens.", extra=fields)
-            await self._drain.run()
-            nursery.cancel_scope.cancel()
-        LOG.info("The entry process has stopped.", extra=fields)
+        LOG.info("The entry process listens.", extra=fields)
 
     def _parts(self):
         parts = [self._membership, self._peers, self._journal, self._writer]
--- /dev/null
+++ b/packages/entry/src/ibiscart_entry/start.py
@@ -0,0 +1,23 @@
+"""
+ibiscart_entry.start
+~~~~~~~~~~~~~~~~~~~~
+
+Program of the entry process: holds signals before anything else is imported.
+"""
+
+import signal
+
+__all__ = ["main"]
+
+
+def main():
+    """Runs the command line of the entry process."""
+    # a signal ends a process that has not arranged for it
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGINT, signal.SIGTERM))
+    from ibiscart_entry.main import main as run
+
+    run()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -2,6 +2,10 @@
 
 import os
 import signal
+import subprocess
+import sys
+import threading
+import time
 import unittest
 from unittest import mock
 
@@ -18,6 +22,25 @@
 LAG_SECONDS = 5.0
 # real time without activity before the virtual clock jumps; loopback delivers sooner
 AUTOJUMP_SECONDS = 0.005
+PROGRAM = """
+import trio
+from ibiscart_entry.drain import Drain
+from ibiscart_entry.server import HttpServer
+from ibiscart_entry.signals import hold_signals
+from ibiscart_schema.generated.settings_pb2 import DrainSettings
+from tests.entry.test_drain import server_settings, slow
+
+async def main():
+    async with trio.open_nursery() as nursery:
+        server = HttpServer(slow, server_settings())
+        await nursery.start(server.serve)
+        print("ready", flush=True)
+        await Drain(DrainSettings(balancer_lag_seconds=0.1, deadline_seconds=5), server).run()
+        nursery.cancel_scope.cancel()
+
+hold_signals()
+trio.run(main)
+"""
 
 
 def server_settings():
@@ -220,17 +243,37 @@
             settings = DrainSettings(balancer_lag_seconds=0.3, deadline_seconds=5)
             drain = Drain(settings, server)
             with trio.fail_after(10), mock.patch.object(drain_module, "SETTLE_SECONDS", 0.05):
-                async with trio.open_nursery() as nursery:
-                    await nursery.start(drain.run)
-                    start = trio.current_time()
-                    os.kill(os.getpid(), signal.SIGTERM)
-                    await trio.sleep(0.1)
-                    self.assertTrue(drain.draining)
-                    os.kill(os.getpid(), signal.SIGTERM)
-                self.assertGreaterEqual(trio.current_time() - start, 0.34)
-
+                async with trio.open_nursery() as serving:
+                    await serving.start(server.serve)
+                    async with trio.open_nursery() as nursery:
+                        await nursery.start(drain.run)
+                        start = trio.current_time()
+                        os.kill(os.getpid(), signal.SIGTERM)
+                        await trio.sleep(0.1)
+                        self.assertTrue(drain.draining)
+                        os.kill(os.getpid(), signal.SIGTERM)
+                    self.assertGreaterEqual(trio.current_time() - start, 0.34)
+                    serving.cancel_scope.cancel()
+
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        self.addCleanup(signal.pthread_sigmask, signal.SIG_SETMASK, signal.pthread_sigmask(0, ()))
         trio.run(main)
 
+    def test_further_signals_up_to_the_exit_of_a_process_change_nothing(self):
+        """A signal after the end of the shutdown ended the process by itself."""
+        with subprocess.Popen([sys.executable, "-c", PROGRAM], stdout=subprocess.PIPE) as process:
+            self.assertEqual(process.stdout.readline(), b"ready\n")
+            process.send_signal(signal.SIGTERM)
+            watchdog = threading.Timer(30, process.kill)
+            watchdog.start()
+            while process.poll() is None:
+                for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+                    process.send_signal(number)
+                time.sleep(0.001)
+            watchdog.cancel()
+        self.assertEqual(process.returncode, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
