Store: failing test of entries that flood a store without history

Each entry follows three tables. When the store has lost the changes, the configuration and the jobs are read again and followed again without a pause: 634 calls a second and entry in virtual time, as long as the loss lasts; nine entries may make 2,000 reads a second together.

--- a/tests/platform/test_store_failures.py
+++ b/tests/platform/test_store_failures.py
@@ -28,6 +28,9 @@
 LINK_BYTES_PER_SECOND = 1_250_000
 # a link of 2 Mbit/s
 SLOW_LINK_BYTES_PER_SECOND = 250_000
+# reads a second that the platform's store allows, and entries of its small deployments
+READS_PER_SECOND = 2000
+ENTRIES = 9
 
 
 class RejectedWriteTest(unittest.TestCase):
@@ -225,6 +228,23 @@
 
         run_virtual(main)
 
+    def test_history_that_stays_lost_does_not_flood_the_store(self):
+        # an entry read everything again without a pause, over 600 calls a second
+        async def main():
+            async with Deployment() as deployment:
+                await deployment.submit(JOB_ID, job(step()))
+                await deployment.wait_for_state(JOB_ID, "completed")
+                store = deployment.store
+                store.history_lost = True
+                calls = sum(store.calls.values())
+                await trio.sleep(10)
+                rate = (sum(store.calls.values()) - calls) / 10 / len(deployment.entries)
+                self.assertLess(rate, READS_PER_SECOND / ENTRIES)
+                self.assertEqual(200, await deployment.submit(OTHER_JOB_ID, job(step())))
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed")
+
+        run_virtual(main)
+
     def test_configuration_takes_effect_within_two_seconds(self):
         async def main():
             async with Deployment() as deployment:
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -34,8 +34,9 @@
     ``drop_answer_rate`` is the probability that a write takes effect without a response;
     ``late_rate`` that it gets no response and takes effect ``late_seconds`` later, if its
     expected versions still match. ``delay`` delays every request, in seconds. A transaction with
-    a row of ``refused_rows`` gets status 400, as one beyond the store's bounds does. ``calls``
-    counts the requests by path, ``rejected`` the transactions with such a status.
+    a row of ``refused_rows`` gets status 400, as one beyond the store's bounds does. While
+    ``history_lost``, no changes are returned. ``calls`` counts the requests by path, ``rejected``
+    the transactions with such a status.
     """
 
     def __init__(self, seed=0):
@@ -52,6 +53,7 @@
         self.late_seconds = 2.0
         self.random = random.Random(seed)
         self.refused_rows = set()
+        self.history_lost = False
         self.max_value_bytes = 65536
         self.max_call_bytes = MAX_CALL_BYTES
         self.calls = {}
@@ -124,6 +126,8 @@
                 {partition for row_table, partition, _ in self.rows if row_table == table}
             )
             return Response.from_json(200, {"parts": partitions, "ver": self.version})
+        if request.path == "/rows-feed" and self.history_lost:
+            return Response.from_json(410, {})
         if request.path == "/rows-feed":
             return await self._watch_rows(request.query)
         return Response.from_json(404, {})
