--- a/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
+++ b/packages/entry/src/ibiscart_entry/coordination/catalog_watch.py
@@ -114,6 +114,8 @@
                     )
             except HistoryLost:
                 table_version = None
+                # the history may stay lost
+                await trio.sleep(RETRY_SECONDS)
                 continue
             except StoreError as error:
                 if self._reachable:
--- a/packages/entry/src/ibiscart_entry/coordination/job_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_feed.py
@@ -107,6 +107,8 @@
             except HistoryLost:
                 changes = await self._read_with_retries(lambda: self._table.snapshot(JOBS_TABLE))
                 LOG.info("The jobs were read again.", extra={"version": changes.version})
+                # the history may stay lost
+                await trio.sleep(RETRY_SECONDS)
             except StoreError as error:
                 LOG.warning("The jobs cannot be followed.", extra={"cause": error.reason})
                 await trio.sleep(RETRY_SECONDS)
