--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -10,11 +10,13 @@
 
 import trio
 
+from ibiscart_core.error import ErrorKind
 from ibiscart_entry.clock import boot_time
 from ibiscart_entry.coordination.announcer import ANNOUNCE_PATH, Announcer
 from ibiscart_entry.coordination.catalog_exchange import CATALOG_PATH, CatalogServer
 from ibiscart_entry.coordination.leader import Leader
 from ibiscart_entry.coordination.leadership import Leadership
+from ibiscart_entry.isolation import record_error, run_isolated, run_supervised
 from ibiscart_entry.server import HttpServer, Response
 from ibiscart_entry.signals import (
     STOP_SIGNALS,
@@ -122,11 +124,13 @@
         self._server = HttpServer(
             handler,
             _server_settings(settings.front_address),
+            self._count_error,
             name=settings.field_name("front_address"),
         )
         self._readiness_server = HttpServer(
             self._handle_readiness,
             _server_settings(settings.readiness_address),
+            self._count_error,
             name=settings.field_name("readiness_address"),
         )
         self._peer_directory = peer_directory
@@ -136,6 +140,7 @@
         self._peer_server = HttpServer(
             self._handle_peer,
             _server_settings(address),
+            self._count_error,
             traffic=metrics.traffic("peers"),
             name=settings.field_name("first_port"),
         )
@@ -171,18 +176,25 @@
             for server in (self._readiness_server, self._server, self._peer_server):
                 binding.start_soon(nursery.start, server.serve)
         # a connection of this process could otherwise take one of its ports
-        await nursery.start(self._table.monitor)
-        await nursery.start(self._catalogs.run)
-        await nursery.start(self._peer_directory.run)
-        await nursery.start(self._announcer.run)
-        await nursery.start(self._leader.run)
+        for name, run in (
+            ("store_monitor", self._table.monitor),
+            ("configuration", self._catalogs.run),
+            ("peer_directory", self._peer_directory.run),
+            ("announcer", self._announcer.run),
+            ("leader", self._leader.run),
+        ):
+            nursery.start_soon(run_supervised, self._metrics, name, run)
         if self._state == "starting":
             self._state = "serving"
             LOG.info("The process has started.", extra={"address": self._settings.ip})
 
     def _reload(self):
         """Reads the settings and applies those that can change while the process runs."""
-        settings = self._read_settings()
+        try:
+            settings = self._read_settings()
+        except Exception as error:
+            record_error(self._metrics, "component", "settings", error)
+            return
         if settings is None:
             return
         changed = settings.differences(self._settings)
@@ -192,23 +204,31 @@
         self._leader.retention_seconds = settings.retention_seconds
 
     async def _drain(self):
-        """Shuts down: resigns and stops accepting connections.
-
-        Then waits for open requests for the rest of ``drain_seconds``.
-        """
+        """Shuts down within ``drain_seconds``: resigns, and answers the requests under way."""
         fields = {"leads": self._leader.leads, "requests": self._server.requests}
         LOG.info("The shutdown begins.", extra=fields)
+        with trio.move_on_after(max(0.0, self._settings.drain_seconds - EXIT_MARGIN_SECONDS)):
+            async with trio.open_nursery() as nursery:
+                # the store may not answer
+                nursery.start_soon(
+                    run_isolated, self._metrics, "component", "leader", self._leader.resign
+                )
+                if self._server.bound:
+                    await self._drain_server()
+
+    async def _drain_server(self):
+        """Stops accepting connections once the load balancer opens no more; waits for the rest."""
         self._server.close_connections()
-        await self._leader.resign()
-        if not self._server.bound:
-            return
         await trio.sleep(BALANCER_SECONDS)
         self._server.stop_accepting()
         await trio.sleep(SETTLE_SECONDS)
         self._server.close_idle()
-        left_seconds = self._settings.drain_seconds - BALANCER_SECONDS - SETTLE_SECONDS
-        with trio.move_on_after(max(0.0, left_seconds - EXIT_MARGIN_SECONDS)):
-            await self._server.wait_closed()
+        await self._server.wait_closed()
+
+    def _count_error(self, kind):
+        """Counts a request that ended with an unexpected error."""
+        if kind is ErrorKind.INTERNAL:
+            self._metrics.count("task_errors", "request")
 
     async def _handle_readiness(self, request):
         """Responds to the load balancer with status 200 if this entry is ready, else 503."""
