--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -376,7 +376,9 @@
     failed = []
 
     def report(seed, violations):
-        if violations:
+        if not violations:
+            print(f"seed {seed}: no violation", flush=True)
+        else:
             failed.append(seed)
             print(f"seed {seed}, {len(violations) - 1} violations:", flush=True)
             for text in [*violations[:5], violations[-1]]:
