Configuration: a negative priority is invalid

Callers saw: nothing yet. A queue of priority -1 raised ZeroDivisionError in the rank of each of its jobs; -2 turned the order of jobs around. Cause: the range of a priority was symmetric, but 0 is the highest. Change: 0 and above, in the configuration and in the row of a job.

--- a/packages/core/src/ibiscart_core/workflow/catalog.py
+++ b/packages/core/src/ibiscart_core/workflow/catalog.py
@@ -77,7 +77,7 @@
             "",
             "",
             require_text(pool, MAX_TEXT_BYTES, "pool"),
-            priority=require_int(priority, -MAX_INT, MAX_INT, "priority"),
+            priority=require_int(priority, 0, MAX_INT, "priority"),
             max_attempts=require_int(max_attempts, 0, MAX_INT, "max_attempts"),
             stretch=require_number(stretch, 0, MAX_INT, "stretch"),
             target_latency_ms=require_number(target_latency_ms, 0, MAX_INT, "target_latency_ms"),
--- a/tests/entry/coordination/test_record.py
+++ b/tests/entry/coordination/test_record.py
@@ -102,7 +102,13 @@
         values = list(DAMAGED)
         for fields in ({"account": 5}, {"queue": []}, {"accepted_ms": HUGE}, {"accepted_queue": 5}):
             values.append(json.dumps({**valid, **fields}).encode())
-        for queue in (["p"], [[], 0, 1, 1.0, 0], ["p", HUGE, 1, 1.0, 0], ["p", 0, 1, math.nan, 0]):
+        for queue in (
+            ["p"],
+            [[], 0, 1, 1.0, 0],
+            ["p", HUGE, 1, 1.0, 0],
+            ["p", -1, 1, 1.0, 0],
+            ["p", 0, 1, math.nan, 0],
+        ):
             values.append(json.dumps({**valid, "accepted_queue": queue}).encode())
         for fields in (
             *({"tasks": tasks} for tasks in (0, HUGE, 1e308, True, [], 10_001)),
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -16,6 +16,7 @@
     (("version",), (*NUMBERS, None, -1, 0.5)),
     *(((name,), (5, {}, "x", None, [5], [[]])) for name in ("routes", "services", "tenants")),
     *((("routes", 1, name), NUMBERS) for name in ("priority", "maxAttempts", "stretch")),
+    (("routes", 1, "priority"), (-1, -2)),
     (("routes", 1, "targetLatencyMs"), NUMBERS),
     (("routes", 1, "public"), (1, "true", [])),
     *((("routes", 1, name), TEXTS) for name in ("name", "host", "pathPrefix", "service")),
