Makefile: the tests import the sources of their own tree

The folders on PYTHONPATH were joined with a space behind each colon, so that all but the first and the last ones named no folder. A tree whose environment is a copy of another one's then tested core, entry and cli of that other tree: 'make test' failed in one test whose fix was committed in its own tree only, and passed there once the other tree had the fix. Measured: ibiscart_entry was imported from the other tree before, now from its own.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 PACKAGES := schema core entry cli
-export PYTHONPATH := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src:)$(CURDIR)/platform/src:$(CURDIR)
+EMPTY :=
+SPACE := $(EMPTY) $(EMPTY)
+SOURCES := $(PACKAGES:%=$(CURDIR)/packages/%/src) $(CURDIR)/platform/src $(CURDIR)
+export PYTHONPATH := $(subst $(SPACE),:,$(SOURCES))
 export PYTHONDONTWRITEBYTECODE := 1
 
 .PHONY: help setup demo test lint format generate generated-check measure prove soak clean
