--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -311,8 +311,8 @@
             for handle in handlers:
                 request = Request("POST", "/", {}, data, "peer")
                 self.assertIn(trio.run(handle, request).status, (200, 400))
-            for job_id in announced:
-                job_key(job_id).encode()
+            while announced:
+                job_key(announced.pop()).encode()
 
         message = {"jobs": ["a1", "b2"], "after": 1, "wait_seconds": 0.0}
         self.fuzz(message, use)
