--- a/tools/operator_docs.py
+++ b/tools/operator_docs.py
@@ -174,8 +174,16 @@
     ),
     "task_errors": (
         "A fault of the product: the log has a line with the kind and the traceback; please report "
-        "it. Only that worker, job or request is affected.",
-        {"*": "Kind of the task that ended, such as `worker`."},
+        "it. Only that worker, job, request or component is affected.",
+        {
+            "worker": "The session with one worker; it begins again after a pause.",
+            "job": "The planning or the record of one job; it is left out for a growing time.",
+            "term": "The term of a leader; the leadership is released.",
+            "campaign": "An election; the entry tries again after a pause.",
+            "component": "A component of the process, which starts again after a pause.",
+            "request": "One request; its caller got 500.",
+            "*": "Kind of the task that ended.",
+        },
     ),
     "store_errors": (
         "See [outages](outages.md).",
