--- a/tests/platform/fault_scenario.py
+++ b/tests/platform/fault_scenario.py
@@ -63,13 +63,15 @@
             if entry is None:
                 await trio.sleep(0.3)
                 continue
-            status, _ = await entry.call("POST", QUEUE_PATH + job_id, document)
-            if status == 200:
+            statuses = self.refused_statuses.setdefault(job_id, [])
+            # unknown if the scenario ends before the response
+            statuses.append(NO_RESPONSE)
+            statuses[-1], _ = await entry.call("POST", QUEUE_PATH + job_id, document)
+            if statuses[-1] == 200:
                 self.expected_states[job_id] = final_state
                 if self.random.random() < 0.1:
                     await self._cancel_job(job_id)
                 return
-            self.refused_statuses.setdefault(job_id, []).append(status)
             await trio.sleep(0.3)
 
     async def _cancel_job(self, job_id):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -183,9 +183,10 @@
             process = entry.process
             while entry.alive and entry.process is process:
                 await trio.sleep(self.random.choice([0.01, 0.1, 1.0]) * self.random.random())
-                entry.send_signal(
-                    self.random.choice([signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
-                )
+                number = self.random.choice([signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+                # another fault may have started the next process meanwhile
+                if entry.process is process:
+                    entry.send_signal(number)
             await entry.wait_exit()
             await trio.sleep(RESTART_DELAY_SECONDS)
             await entry.start()
