Planning: a job is not held up by the tasks of others while workers are free

Cause: the start window limits the starts of a pass, and jobs were served in the order of their ranks until it was full, so that the first jobs with thousands of tasks took all of it in each pass. Class of fault: an order made for scarce capacity decides who waits for another resource.

Change: while the starts that the window allows leave the pool mostly free, each job without a run starts one unit first, in the order of ranks. Where capacity is scarce, nothing changes.

Tests: test_job_is_not_held_up_by_larger_ones_while_workers_are_free failed before (11 of 12 jobs without a run after two passes); test_full_workers_go_to_the_jobs_in_their_order guards the ranks.

--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -7,7 +7,7 @@
 
 from ibiscart_core.workflow.backfill import FutureStarts, PromiseBudget
 from ibiscart_core.workflow.headroom import Headroom
-from ibiscart_core.workflow.ordering import JobRanking, cores_of, unit_age_seconds
+from ibiscart_core.workflow.ordering import JobRanking, cores_of, share_of, unit_age_seconds
 from ibiscart_core.workflow.placement import PoolCapacity
 from ibiscart_core.workflow.preemption import choose_victims
 from ibiscart_core.workflow.unit import Allocation, UnitState
@@ -61,7 +61,8 @@
     """State of one planning pass over one pool.
 
     ``ranks`` maps job ids to (priority of the queue, ``JobRank``). ``blocked`` has the
-    ``equivalence_key`` of units that cannot be placed in this pass.
+    ``equivalence_key`` of units that cannot be placed in this pass, ``started_early`` the keys of
+    those that were placed ahead of the order of the jobs.
     """
 
     __slots__ = (
@@ -74,6 +75,7 @@
         "promise_budget",
         "ranks",
         "start_window",
+        "started_early",
         "starts",
         "stops",
     )
@@ -90,6 +92,7 @@
         self.promise_budget = promise_budget
         self.start_window = window
         self.blocked = set()
+        self.started_early = set()
         self.starts, self.stops = [], []
 
     @property
@@ -175,11 +178,21 @@
         )
         pool_pass.starts, pool_pass.stops = starts, stops
         jobs = [job for *_, job in sorted(waiting, key=lambda item: item[:3])]
+        startable_share = _startable_share(jobs, start_window, total_capacity)
+        if pool_pass.free_share - startable_share >= SPREAD_FREE_SHARE:
+            # the window limits the starts, not the capacity: without this, jobs with thousands of
+            # tasks would hold up all jobs behind them
+            for job in jobs:
+                if not any(job.active_units()):
+                    self._place_units(pool_pass, job, 1, on_job_error)
         for job in jobs:
-            self._place_units(pool_pass, job, on_job_error)
+            self._place_units(pool_pass, job, None, on_job_error)
 
-    def _place_units(self, pool_pass, job, on_job_error):
-        """Adds the decisions for the waiting units of a job to a ``_PoolPass``."""
+    def _place_units(self, pool_pass, job, limit, on_job_error):
+        """Adds the decisions for the waiting units of a job to a ``_PoolPass``.
+
+        Starts at most ``limit`` units unless it is None, and none once the window is full.
+        """
         now, start_window, blocked_keys = pool_pass.now, pool_pass.start_window, pool_pass.blocked
         starts, free_capacity = pool_pass.starts, pool_pass.free_capacity
         guaranteed = job.id in pool_pass.guaranteed_jobs
@@ -189,6 +202,8 @@
             for unit in job.waiting_units(now, blocked_keys):
                 if start_window.full:
                     return
+                if unit.key in pool_pass.started_early:
+                    continue
                 any_rack = self._may_use_any_rack(unit, pool_pass.pool, pool_pass.free_share, now)
                 ends_at = now + self.ranking.expected_run_seconds(unit)
                 chosen = free_capacity.find_workers(unit, any_rack, urgent, ends_at)
@@ -203,6 +218,11 @@
                     self._future_starts.discard(unit)
                     reason = "guaranteed" if guaranteed else "ordered"
                     starts.append(StartDecision(unit, _make_allocations(unit, chosen), reason))
+                    if limit is not None:
+                        pool_pass.started_early.add(unit.key)
+                        limit -= 1
+                        if not limit:
+                            return
                 elif not self._preempt(unit, pool_pass):
                     blocked_keys.add(unit.equivalence_key)
                     if pool_pass.promise_budget.allows(unit):
@@ -339,6 +359,23 @@
     return cores * unit_age_seconds(victim, now) * WASTE_PER_CORE_SECOND
 
 
+def _startable_share(jobs, start_window, pool_capacity):
+    """Returns the share of the pool that the starts which the window allows would take.
+
+    Returns 1 if the window allows to start all tasks of ``jobs``, which come in this order.
+    """
+    remaining = start_window.remaining
+    share = 0.0
+    for job in jobs:
+        for units in job.step_units:
+            tasks = min(remaining, units.waiting * units.unit_size)
+            share += tasks * share_of(job.spec.steps[units.step].demand, pool_capacity)
+            remaining -= tasks
+            if not remaining:
+                return share
+    return 1.0
+
+
 def _guaranteed_jobs(queued_jobs, catalog):
     """Returns the ids of the urgent jobs within their accounts' guarantees.
 
--- a/packages/core/src/ibiscart_core/workflow/window.py
+++ b/packages/core/src/ibiscart_core/workflow/window.py
@@ -68,6 +68,11 @@
         """True if no further unit may start now."""
         return self._in_flight >= self._total.value
 
+    @property
+    def remaining(self):
+        """Number of further orders that may be in flight now."""
+        return max(0, int(self._total.value) - self._in_flight)
+
     @property
     def limit(self):
         """Total number of orders that may be in flight."""
--- a/tests/core/workflow/test_window.py
+++ b/tests/core/workflow/test_window.py
@@ -149,6 +149,20 @@
                 self.assertTrue(self.harness.run_pass(0.1))
         self.assertLess(made.call_count, self.JOBS * self.TASKS / 10)
 
+    def test_job_is_not_held_up_by_larger_ones_while_workers_are_free(self):
+        """Guards against accepted jobs that stay queued behind thousands of other tasks."""
+        for _ in range(2):
+            self.harness.run_pass(0.1)
+        self.assertEqual([], [job.id for job in self.jobs if not _count_runs(job)])
+
+    def test_full_workers_go_to_the_jobs_in_their_order(self):
+        harness = EngineHarness(workers=2)
+        first = harness.submit("first", step(100, 1), priority=0)
+        second = harness.submit("second", step(100, 1), priority=2)
+        harness.run_pass()
+        harness.run_pass(1.0)
+        self.assertEqual([16, 0], [_count_runs(first), _count_runs(second)])
+
 
 if __name__ == "__main__":
     unittest.main()
