Workers' answers and records: a bound on the number of values

A worker that answers a poll with 15 MB of empty lists costs the leader 440 MB, over a limit of 300 MB, and so ends it.

Cause: answers and records were bounded in bytes, and a short value takes many times its bytes once it is parsed. The check of records counted lists and objects, but not numbers and texts. Class of fault: a bound on the wrong quantity.

Change: parse_json bounds the number of values before it parses.

--- a/packages/core/src/ibiscart_core/value.py
+++ b/packages/core/src/ibiscart_core/value.py
@@ -82,14 +82,18 @@
     return text if len(text) <= MAX_SHOWN_CHARACTERS else text[:MAX_SHOWN_CHARACTERS] + "..."
 
 
-def parse_json(data, *, max_bytes=None, max_depth=MAX_DEPTH, name="document"):
+def parse_json(data, *, max_bytes=None, max_depth=MAX_DEPTH, max_values=None, name="document"):
     """Returns the value of a JSON document in bytes, its numbers and texts unchecked.
 
-    ``max_bytes`` is None if the length of ``data`` is bounded elsewhere.
+    ``max_bytes`` is None if the length of ``data`` is bounded elsewhere. ``max_values`` bounds the
+    memory that the values take once they are parsed: many times their bytes if these are short.
+    Commas and brackets in texts count as well.
     """
     if max_bytes is not None and len(data) > max_bytes:
         shown = f"{len(data)} bytes long"
         raise InvalidValueError(name, data, f"at most {max_bytes} bytes", shown=shown)
+    if max_values is not None and sum(map(data.count, (b",", b"[", b"{"))) > max_values:
+        raise InvalidValueError(name, data, f"at most {max_values} values")
     try:
         value = json.loads(data)
     except RecursionError:
--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -72,9 +72,9 @@
 MAX_PARTS = 1000
 PART_NUMBER = re.compile(r"[0-9]{3}")
 MAX_RECORD_BYTES = 64_000_000
-# most lists and objects of such a record; the longest list of units with three lists in each has a
-# third of them, and each takes many times its two bytes when it is decoded
-MAX_RECORD_CONTAINERS = 1_000_000
+# most values in a row or record; the largest job has under half of them with four lost workers for
+# each of its tasks
+MAX_VALUES = 1_000_000
 
 
 def encode(value):
@@ -84,7 +84,7 @@
 
 def decode(data):
     """Returns the value of a row, JSON bytes; raises ``InvalidValueError``."""
-    return parse_json(data, name="row")
+    return parse_json(data, max_values=MAX_VALUES, name="row")
 
 
 def require_job_id(value):
@@ -177,8 +177,6 @@
         raise InvalidValueError("parts", str(error), "compressed data") from None
     if not decompressor.eof:
         raise InvalidValueError("parts", data, f"complete, at most {MAX_RECORD_BYTES} bytes")
-    if data.count(b"[") + data.count(b"{") > MAX_RECORD_CONTAINERS:
-        raise InvalidValueError("parts", data, f"at most {MAX_RECORD_CONTAINERS} lists and objects")
     return parse_progress(data)
 
 
--- a/tests/entry/coordination/test_record.py
+++ b/tests/entry/coordination/test_record.py
@@ -164,7 +164,7 @@
 
     def test_short_row_that_stands_for_a_huge_record_is_not_decoded(self):
         """Guards against leaders that took over 1 GB of memory and 20 s for one row."""
-        for item in (b"[]", b"{}"):
+        for item in (b"[]", b"{}", b"1e9", b'""'):
             document = b'{"account":"a","units":{"0.0":[' + b",".join([item] * 2_000_000) + b"]}}"
             part = zlib.compress(document, 9)
             self.assertLess(len(part), _Table.max_value_bytes)
--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -2,7 +2,9 @@
 
 import json
 import math
+import tracemalloc
 import unittest
+from unittest import mock
 
 import trio
 
@@ -10,6 +12,7 @@
 from ibiscart_core.workflow.unit import EndCause
 from ibiscart_entry.client import Response
 from ibiscart_entry.coordination.agent import AgentError
+from ibiscart_platform import agent
 from ibiscart_platform.agent import PlatformAgent
 
 HUGE = 10**399
@@ -105,6 +108,45 @@
         rows = [[f"{number:016x}.0.0.0", 1, "", 100] for number in range(50_000)]
         self.assertEqual(50_000, len(poll(answer(rows)).running))
 
+    def test_answer_of_millions_of_short_values_is_not_parsed(self):
+        """Guards against a leader that takes 30 times the bytes of a worker's answer in memory."""
+        for item in (b"[]", b"{}", b"1e9", b'""'):
+            body = (
+                b'{"clockMs":5,"endedRuns":[],"running":[' + b",".join([item] * 4_000_000) + b"]}"
+            )
+            tracemalloc.start()
+            try:
+                with self.subTest(item=item), self.assertRaises(AgentError) as caught:
+                    poll(body)
+                self.assertEqual("malformed", caught.exception.reason)
+                self.assertLess(tracemalloc.get_traced_memory()[1], len(body))
+            finally:
+                tracemalloc.stop()
+
+    def test_answer_of_too_many_bytes_is_not_read(self):
+        async def serve(stream):
+            await stream.receive_some(65536)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 3000\r\n\r\n" + b" " * 3000)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                (listener,) = await nursery.start(
+                    lambda task_status: trio.serve_tcp(
+                        serve, 0, host="127.0.0.1", task_status=task_status
+                    )
+                )
+                address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+                with mock.patch.object(agent, "MAX_ANSWER_BYTES", 1000):
+                    worker = PlatformAgent.from_address(address, "w0")
+                for call_worker in (worker.read_status(1), worker.poll(1, 0, None, 0.0)):
+                    with self.assertRaises(AgentError) as caught:
+                        await call_worker
+                    self.assertEqual("too_large", caught.exception.reason)
+                await worker.aclose()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     def test_run_with_an_odd_checkpoint_stays_listed(self):
         """A run that is missing from the list counts as ended and would run a second time."""
         for checkpoint in ([], {}, None, 5, HUGE, "\ud800", "x" * 1_500_000):
