A new leader loads large records in parts

Suspected cause, one of several steps without a checkpoint: a record of 10,000 tasks took 150 ms of processor time in one go (48 ms more to decode it, 37 ms to add it), on a machine whose cores are shared by three or more processes longer than the 0.75 s after which another entry takes over. Class of fault: a step whose length grows with the size of a job.

Change: the record is loaded block by block with a checkpoint after each; the job changes with the last part only.

Tests: test_next_leader_loads_a_large_record_in_parts failed before (2,000 units in one step of a task, fewer than 500 are allowed).

--- a/packages/core/src/ibiscart_core/workflow/job.py
+++ b/packages/core/src/ibiscart_core/workflow/job.py
@@ -21,7 +21,7 @@
 )
 from ibiscart_core.workflow.catalog import QueueEntry
 from ibiscart_core.workflow.spec import MAX_TIME_MS, JobSpec
-from ibiscart_core.workflow.step_units import StepUnits
+from ibiscart_core.workflow.step_units import BLOCK_UNITS, StepUnits
 from ibiscart_core.workflow.unit import MAX_UNIT_FIELDS, UnitState
 
 __all__ = ["OUTCOMES", "Job", "Outcome"]
@@ -239,6 +239,14 @@
 
         Raises ``InvalidValueError``, and changes nothing, if ``record`` cannot be read.
         """
+        for _ in self.load_record_in_parts(record):
+            pass
+
+    def load_record_in_parts(self, record):
+        """Does what ``load_record`` does; yields after each part so that other work can go on.
+
+        The job changes only with the last part.
+        """
         require_object(record, "record")
         started = require_bool(record.get("started", False), "started")
         outcome = None
@@ -259,6 +267,8 @@
                     raise InvalidValueError(name, index, "the first task of a unit, only once")
                 loaded_indexes.add(index)
                 unit.load_record(row)
+                if len(loaded_indexes) % BLOCK_UNITS == 0:
+                    yield
         self.started, self.outcome = started, outcome
         for step_units in loaded.values():
             self._add_step_units(step_units)
--- a/packages/entry/src/ibiscart_entry/coordination/job_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_feed.py
@@ -255,7 +255,7 @@
                 if job_id in self._engine.jobs or job_id in self._set_aside_ids:
                     continue
                 try:
-                    self._add_job(job, (progress_values or {}).get(job_id), now)
+                    await self._add_job(job, (progress_values or {}).get(job_id), now)
                 except Exception as error:
                     self._set_aside(job_id, error)
             for job_id in marked | (cancelled & jobs.keys()):
@@ -265,10 +265,14 @@
                 except Exception as error:
                     self._on_job_error(job_id, error)
 
-    def _add_job(self, job, progress_values, now):
-        """Adds a job to the engine, in the state of its progress record unless it has none."""
+    async def _add_job(self, job, progress_values, now):
+        """Adds a job to the engine, in the state of its progress record unless it has none.
+
+        Records are loaded at the begin of a term only, when nothing else adds jobs.
+        """
         if progress_values is not None:
-            job.load_record(decode_progress(*progress_values))
+            for _ in job.load_record_in_parts(decode_progress(*progress_values)):
+                await trio.lowlevel.checkpoint()
             self._on_loaded(job)
         if job.ended:
             self._ended_at[job.id] = now
--- a/tests/platform/test_large_jobs.py
+++ b/tests/platform/test_large_jobs.py
@@ -44,6 +44,28 @@
         entry.direct_table.max_value_bytes = max_value_bytes * 3 // 4
 
 
+class _CallsPerStep(trio.abc.Instrument):
+    """Counts the calls of a method, in total and the most between two checkpoints of a task."""
+
+    def __init__(self, method):
+        self._method = method
+        self._calls = 0
+        self.most = 0
+        self.total = 0
+
+    def call(self, *args):
+        """Calls the method."""
+        self._calls += 1
+        self.total += 1
+        return self._method(*args)
+
+    def before_task_step(self, task):
+        self._calls = 0
+
+    def after_task_step(self, task):
+        self.most = max(self.most, self._calls)
+
+
 class LargeJobTest(unittest.TestCase):
     def test_job_whose_record_outgrows_a_row_completes_beside_others(self):
         """Guards against one accepted job that stops all jobs: two steps with 800 small tasks."""
@@ -79,6 +101,24 @@
 
         run_virtual(main)
 
+    def test_next_leader_loads_a_large_record_in_parts(self):
+        """Guards against a new leader that is too busy to renew its leadership, and so loses it."""
+        loaded = _CallsPerStep(Unit.load_record)
+
+        async def main():
+            async with Deployment(workers=8) as deployment:
+                await deployment.submit(JOB_ID, job(small_tasks(2000), ms=8000))
+                await deployment.wait_until(lambda: len(deployment.fleet.starts) == 2000)
+                deployment.kill_entry(deployment.leader().name)
+                trio.lowlevel.add_instrument(loaded)
+                with mock.patch.object(Unit, "load_record", lambda *args: loaded.call(*args)):
+                    await deployment.wait_for_state(JOB_ID, "completed", 30)
+                self.assertEqual({1}, set(deployment.fleet.starts.values()))
+
+        run_virtual(main)
+        self.assertEqual(2000, loaded.total)
+        self.assertLess(loaded.most, 500)
+
     def test_record_that_the_store_refuses_costs_no_other_job(self):
         async def main():
             async with Deployment() as deployment:
