Reports of a worker: an unexpected error about one job costs that job alone

An error while a worker's status was applied ended the session with this worker: it counted as unreachable, and the runs of all jobs on it ended with their leases.

Cause: errors were confined to one job in planning and recording, but to one worker where its reports are applied.

Change: a report that cannot be applied is left to a later status, and so are further ones about the same job for a growing time. Ends from it on are not acknowledged, as an acknowledged end that is not on record would make its task run again. If a worker lists as many ends as it can, nothing behind them would be seen: then its session begins again, as before. A run whose start result cannot be applied is stopped, and its job suspended.

Tests: test_job_whose_start_cannot_be_confirmed, test_job_whose_ends_cannot_be_applied and test_end_that_cannot_be_applied_is_not_acknowledged_before_it_is_recorded; the checks of other jobs now allow no error of a worker's session.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -84,8 +84,8 @@
     ``log_event`` is called with (event, fields) for each change an operator may ask about.
 
     An unexpected error in the planning of one job suspends the planning of this job for a growing
-    time; its runs go on, and their ends are applied. ``on_job_error`` is called with the id of the
-    job and the error.
+    time; its runs go on, and their ends are applied. One in the reports about a job leaves these
+    to a later status. ``on_job_error`` is called with the id of the job and the error.
     """
 
     def __init__(
@@ -104,6 +104,7 @@
         self._log_event = log_event
         self._on_job_error = on_job_error
         self._suspensions = Suspensions()
+        self._report_suspensions = Suspensions()
         self._start_window = StartWindow()
 
     def add_job(self, job, now=0.0):
@@ -148,6 +149,7 @@
         """Removes an ended job without allocations."""
         self.jobs.pop(job_id, None)
         self._suspensions.discard(job_id)
+        self._report_suspensions.discard(job_id)
 
     def discard_job(self, job_id):
         """Removes a job that could not be added, with the allocations that it has so far.
@@ -199,52 +201,58 @@
                 self._end_run(worker, unit, task_key, run, cause, "", reason, now)
 
     def apply_worker_status(self, worker_id, status, asked_at, now):
-        """Applies a worker's status.
+        """Applies a worker's status; returns the sequence number of the last end applied.
 
-        ``asked_at`` is when the status was requested, in seconds of the monotonic clock.
+        The ends up to this number may be acknowledged once they are recorded. Unexpected errors in
+        the reports about one job leave them, and the ends after them, to a later status. Raises
+        ``RuntimeError`` if further ends will not be listed before. ``asked_at`` is when the status
+        was requested, in seconds of the monotonic clock.
         """
         worker = self.fleet.get(worker_id)
         if worker is None:
-            return
+            return 0
         worker.reachable = worker.answered = True
         if status.incarnation is not None:
             self._resolve_vanished_runs(worker, status.incarnation)
         listed = {}
         for run in status.running:
             listed[(run.task_key, run.run)] = run
-            self._apply_running(worker, run, now)
+            self._apply_report(run.task_key, now, self._apply_running, worker, run, now)
         counted_jobs = set()
+        left = []
         for end in status.ended:
-            self._apply_end(worker, end, now, counted_jobs)
+            apply = self._apply_end
+            if not self._apply_report(end.task_key, now, apply, worker, end, now, counted_jobs):
+                left.append(end.sequence)
+                listed[(end.task_key, end.run)] = end
+        if left and not status.complete:
+            raise RuntimeError("ends that cannot be applied hold up those of other jobs")
+        last_applied = max(
+            (end.sequence for end in status.ended if not left or end.sequence < min(left)),
+            default=0,
+        )
         if not status.complete:
             # a run that is not listed may have ended
-            return
+            return last_applied
         for key, unit in list(worker.units_by_run.items()):
             if key not in listed:
-                self._apply_missing_run(worker, key, unit, status.incarnation, asked_at, now)
+                args = (worker, key, unit, status.incarnation, asked_at, now)
+                self._apply_report(key[0], now, self._apply_missing_run, *args)
+        return last_applied
 
     def apply_start_result(self, order, result, now):
-        """Applies a ``StartResult``, unless the run no longer waits for an answer to the order."""
+        """Applies a ``StartResult``, unless the run no longer waits for an answer to the order.
+
+        After an unexpected error, the run is stopped and its job suspended.
+        """
         if not order.awaits_answer:
             return
-        allocation, unit = order.allocation, order.unit
-        worker = self.fleet.get(allocation.worker_id)
-        if result is StartResult.STARTED:
-            self._start_window.record_answer(order, now)
-            self._confirm_start(unit, allocation, now)
-            return
-        if result in (StartResult.UNKNOWN, StartResult.FENCED):
-            # the worker may still carry out the order; an acknowledged stop prevents that
-            self._request_stop(unit, order.index, "start_unanswered")
-            return
-        if worker is not None:
-            if result in (StartResult.UNHEALTHY, StartResult.NOT_SENT):
-                worker.suspend(now, UNHEALTHY_SUSPEND_SECONDS)
-            elif result is StartResult.INSUFFICIENT_CAPACITY:
-                worker.suspend(now, INSUFFICIENT_CAPACITY_SUSPEND_SECONDS)
-        unit.retry_at = now + START_RETRY_SECONDS
-        cause = EndCause.LOST
-        self._end_run(worker, unit, order.task_key, order.run, cause, "", result.value, now)
+        try:
+            self._apply_start_result(order, result, now)
+        except Exception as error:
+            self.suspend_job(order.unit.job.id, error, now)
+            if order.awaits_answer:
+                self._request_stop(order.unit, order.index, "error")
 
     def confirm_stop(self, stop, now):
         """Records that a worker acknowledged a stop: the run can no longer start on that worker."""
@@ -395,6 +403,43 @@
         )
         return orders
 
+    def _apply_start_result(self, order, result, now):
+        """Applies a ``StartResult`` to a run that waits for it."""
+        allocation, unit = order.allocation, order.unit
+        worker = self.fleet.get(allocation.worker_id)
+        if result is StartResult.STARTED:
+            self._start_window.record_answer(order, now)
+            self._confirm_start(unit, allocation, now)
+            return
+        if result in (StartResult.UNKNOWN, StartResult.FENCED):
+            # the worker may still carry out the order; an acknowledged stop prevents that
+            self._request_stop(unit, order.index, "start_unanswered")
+            return
+        if worker is not None:
+            if result in (StartResult.UNHEALTHY, StartResult.NOT_SENT):
+                worker.suspend(now, UNHEALTHY_SUSPEND_SECONDS)
+            elif result is StartResult.INSUFFICIENT_CAPACITY:
+                worker.suspend(now, INSUFFICIENT_CAPACITY_SUSPEND_SECONDS)
+        unit.retry_at = now + START_RETRY_SECONDS
+        cause = EndCause.LOST
+        self._end_run(worker, unit, order.task_key, order.run, cause, "", result.value, now)
+
+    def _apply_report(self, task_key, now, apply, *args):
+        """Applies a report about a task; returns False if an unexpected error prevents it for now.
+
+        Further reports about the same job are left out for a growing time.
+        """
+        job_id = task_key[0]
+        if self._report_suspensions.suspended(job_id, now):
+            return False
+        try:
+            apply(*args)
+        except Exception as error:
+            self._report_suspensions.suspend(job_id, now)
+            self._on_job_error(job_id, error)
+            return False
+        return True
+
     def _apply_running(self, worker, report, now):
         """Applies the checkpoint and the confirmed start of a ``RunReport``.
 
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -503,11 +503,17 @@
         self._metrics.count("lists", "answered")
         if not self._worker.reachable:
             LOG.info("A worker answers.", extra={"worker": self._worker.id})
-        self._apply_status(status, sent_at, acknowledged_end)
+        all_applied = self._apply_status(status, sent_at, acknowledged_end)
         self._on_change()
+        if not all_applied:
+            # the worker responds at once as long as it lists these ends
+            await trio.sleep(RETRY_SECONDS)
 
     def _apply_status(self, status, sent_at, acknowledged_end):
-        """Applies the ``WorkerStatus`` that responds to a poll sent at ``sent_at``."""
+        """Applies the ``WorkerStatus`` that responds to a poll sent at ``sent_at``.
+
+        Returns False if some of its ends are left to a later status.
+        """
         if status.incarnation is not None and status.incarnation != self._incarnation:
             # a restarted worker numbers the ends of its runs from 1 again, so the sequence numbers
             # of its previous incarnation are dropped
@@ -525,9 +531,9 @@
         self._unanswered_starts.clear()
         now = trio.current_time()
         self._answered_at = now
-        self._engine.apply_worker_status(self._worker.id, status, sent_at, now)
-        for end in status.ended:
-            self._applied_sequence = max(self._applied_sequence, end.sequence)
+        sequence = self._engine.apply_worker_status(self._worker.id, status, sent_at, now)
+        self._applied_sequence = max(self._applied_sequence, sequence)
+        return sequence == max((end.sequence for end in status.ended), default=0)
 
     def _mark_unreachable(self, reason, replaced):
         """Records that a poll failed; ends the worker's runs once they cannot go on.
--- a/tests/platform/test_job_isolation.py
+++ b/tests/platform/test_job_isolation.py
@@ -73,6 +73,7 @@
                     self.assertGreaterEqual(errors, 1)
                     # there are at least 40 passes in this time
                     self.assertLess(errors, 10)
+                    self.assertEqual(0, task_errors(deployment, "worker"))
                     return await deployment.state(JOB_ID)
 
         with self.assertLogs("ibiscart.isolation", "ERROR") as logs:
@@ -95,6 +96,45 @@
     def test_unit_that_cannot_start(self):
         self.check_other_jobs(Unit, "begin_run", 0)
 
+    def test_job_whose_start_cannot_be_confirmed(self):
+        self.check_other_jobs(Engine, "_confirm_start")
+
+    def test_job_whose_ends_cannot_be_applied(self):
+        self.check_other_jobs(Engine, "_end_run", 2)
+
+    def test_end_that_cannot_be_applied_is_not_acknowledged_before_it_is_recorded(self):
+        """Guards against a task that runs again because an error lost the report of its end."""
+
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                replacement = failing_for(JOB_ID, Engine._end_run, 2)
+                with mock.patch.object(Engine, "_end_run", replacement):
+                    await deployment.submit(JOB_ID, job(step(2), ms=500))
+                    await deployment.wait_until(lambda: task_errors(deployment, "job"))
+                    for number in range(20):
+                        job_id = f"{number % 16:x}{number:015x}"
+                        await deployment.submit(job_id, job(step(2), ms=500))
+                        await deployment.wait_for_state(job_id, "completed", 3)
+                    self.assertEqual("running", await deployment.state(JOB_ID))
+                await deployment.wait_for_state(JOB_ID, "completed", 70)
+                self.assertEqual({1}, set(deployment.fleet.starts.values()))
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
+    def test_worker_with_more_ends_than_it_lists_is_given_up_while_none_can_be_applied(self):
+        async def main():
+            async with Deployment(workers=2) as deployment:
+                replacement = failing_for(JOB_ID, Engine._end_run, 2)
+                small = step(600, 0, cpu=10, memMb=1)
+                with mock.patch.object(Engine, "_end_run", replacement):
+                    await deployment.submit(JOB_ID, job(small, ms=500))
+                    await deployment.wait_until(lambda: task_errors(deployment, "worker"), 20)
+                    await deployment.submit(OTHER_JOB_ID, job(step(2), ms=500))
+                    await deployment.wait_for_state(OTHER_JOB_ID, "completed", 10)
+
+        run_virtual(main)
+
     def test_job_whose_record_cannot_be_built(self):
         self.assertEqual("queued", self.check_other_jobs(job_feed, "progress_writes", 0))
 
