Scheduled jobs: occurrences that wait are tried once a step, not one by one

With all occurrences of scheduled jobs due, a pass of the leader takes seconds, longer than the 0.75 s after which another entry takes over.

Cause: units of different occurrences counted as different, so that each of up to 1,000 was offered to all workers in each pass although the first had found none.

Change: units of one step in all occurrences are interchangeable within a pass, unless their tasks must be spread over workers (the bound is per occurrence) or they have failed. Nothing changes for jobs without a schedule.

Test: test_occurrences_that_wait_are_not_tried_one_by_one.

--- a/packages/core/src/ibiscart_core/workflow/step_units.py
+++ b/packages/core/src/ibiscart_core/workflow/step_units.py
@@ -7,7 +7,7 @@
 
 import json
 
-from ibiscart_core.workflow.unit import Unit, UnitState
+from ibiscart_core.workflow.unit import Unit, UnitState, group_key
 
 __all__ = ["BLOCK_UNITS", "StepUnits"]
 
@@ -23,11 +23,21 @@
     encoded rows, and the rows of a block are encoded again only after a change in it.
 
     ``active`` has the active units by the index of their first task, ``undone`` is the number of
-    units that are not done. Units count as waiting from ``ready_at``, in seconds of the monotonic
-    clock.
+    units that are not done, ``unit_size`` that of the tasks of each unit. Units count as waiting
+    from ``ready_at``, in seconds of the monotonic clock.
     """
 
-    __slots__ = ("_blocks", "_count", "_job", "active", "occurrence", "ready_at", "step", "undone")
+    __slots__ = (
+        "_blocks",
+        "_count",
+        "_job",
+        "active",
+        "occurrence",
+        "ready_at",
+        "step",
+        "undone",
+        "unit_size",
+    )
 
     def __init__(self, job, occurrence, step, ready_at=0.0):
         """Builds the units of the step with index ``step`` of ``job``; none is created yet."""
@@ -37,7 +47,8 @@
         self.ready_at = ready_at
         self.active = {}
         self._blocks = []
-        self._count = 1 if self._spec.gang else self._spec.tasks
+        spec = job.spec.steps[step]
+        self._count, self.unit_size = (1, spec.tasks) if spec.gang else (spec.tasks, 1)
         self.undone = self._count
 
     @property
@@ -45,25 +56,11 @@
         """Name of the step and occurrence in the job's record."""
         return f"{self.occurrence}.{self.step}"
 
-    @property
-    def unit_size(self):
-        """Number of tasks of each unit."""
-        return self._spec.tasks if self._spec.gang else 1
-
     @property
     def waiting(self):
         """Number of units that wait for workers."""
         return self.undone - len(self.active)
 
-    @property
-    def equivalence_key(self):
-        """The ``equivalence_key`` of the units that are no crash suspects."""
-        return (self._job.id, self.occurrence, self.step, self.unit_size, False, False)
-
-    @property
-    def _spec(self):
-        return self._job.spec.steps[self.step]
-
     @property
     def _created(self):
         """Number of units created so far; they are the first ones."""
@@ -90,7 +87,7 @@
 
     def unit_of(self, index):
         """Returns the unit of the task with ``index``, None if it is not created or was done."""
-        if self._spec.gang:
+        if self.unit_size > 1:
             index = 0
         block, offset = divmod(index, BLOCK_UNITS)
         if not 0 <= block < len(self._blocks) or offset >= len(self._blocks[block].units):
@@ -116,7 +113,7 @@
         number = 0
         while number < len(self._blocks) or self._created < self._count:
             if number == len(self._blocks):
-                if self.equivalence_key in blocked_keys:
+                if group_key(self._job, self.step, self.occurrence) in blocked_keys:
                     return
                 self.create_block()
             block = self._blocks[number]
--- a/packages/core/src/ibiscart_core/workflow/unit.py
+++ b/packages/core/src/ibiscart_core/workflow/unit.py
@@ -25,6 +25,7 @@
     "EndCause",
     "Unit",
     "UnitState",
+    "group_key",
 ]
 
 # fields of a unit in the job's record: the last two are for tasks under which workers were lost
@@ -112,6 +113,17 @@
         return (unreachable_at if unreachable_at >= started_at else now) - started_at
 
 
+def group_key(job, step, occurrence, failed=False):
+    """Returns the ``equivalence_key`` of units without crash evidence.
+
+    Units of all occurrences are interchangeable, of which up to a thousand may be due, unless the
+    tasks of one occurrence must be spread over workers.
+    """
+    if job.spec.scheduled and not job.spec.steps[step].max_per_worker:
+        return (job.id, step, failed)
+    return (job.id, step, occurrence)
+
+
 class Unit:
     """Tasks that start together: all tasks of a gang step, else a single task.
 
@@ -205,9 +217,8 @@
     @property
     def equivalence_key(self):
         """The same for units that are interchangeable within a pass of planning."""
-        # most units have no evidence
-        suspicion = (self.crash_suspect, self.isolated) if self.crash_evidence else (False, False)
-        return (self.job.id, self.occurrence, self.step, self.size, *suspicion)
+        key = group_key(self.job, self.step, self.occurrence, self.failures > 0)
+        return (*key, self.isolated) if self.crash_suspect else key
 
     @property
     def running(self):
--- a/tests/core/workflow/test_window.py
+++ b/tests/core/workflow/test_window.py
@@ -5,10 +5,11 @@
 
 from ibiscart_core.resource import Resources
 from ibiscart_core.workflow.engine import MAX_NEW_UNITS
+from ibiscart_core.workflow.placement import PoolCapacity
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_core.workflow.spec import StepSpec
 from ibiscart_core.workflow.step_units import BLOCK_UNITS
-from ibiscart_core.workflow.unit import Unit
+from ibiscart_core.workflow.unit import EndCause, Unit
 from ibiscart_core.workflow.window import (
     ANSWER_SECONDS,
     MIN_STARTS,
@@ -155,6 +156,22 @@
             self.harness.run_pass(0.1)
         self.assertEqual([], [job.id for job in self.jobs if not _count_runs(job)])
 
+    def test_occurrences_that_wait_are_not_tried_one_by_one(self):
+        """Guards against a pass of seconds where all occurrences of a scheduled job are due."""
+        harness = EngineHarness(workers=8)
+        tasks = StepSpec(1, Resources(0, 2, 1))
+        job = harness.submit("a1", tasks, first_due_ms=1, interval_ms=1, occurrences=1000)
+        harness.plan()
+        find_workers = PoolCapacity.find_workers
+        with mock.patch.object(
+            PoolCapacity, "find_workers", autospec=True, side_effect=find_workers
+        ) as tried:
+            self.assertEqual([], harness.plan(0.1)[0])
+        self.assertLess(tried.call_count, 10)
+        for unit in list(job.active_units()):
+            unit.end_task(0, EndCause.FAILED)
+        self.assertTrue(harness.plan(1.0)[0])
+
     def test_full_workers_go_to_the_jobs_in_their_order(self):
         harness = EngineHarness(workers=2)
         first = harness.submit("first", step(100, 1), priority=0)
