Start: a signal that the parent process ignored is held as well

Cause: the system drops a blocked signal whose inherited disposition is to ignore it. The program blocked the signals at its first line and handled them later, and what came between was lost. Evidence: the test from a script that nohup had put into the background: 182 s, TooSlowError, its processes alive and serving, no signal pending, SIGINT ignored by their parent. From a foreground shell 2 of 2 passed at a load of 19. Class of fault: process-wide state that is inherited is taken for the default.

Change: the default disposition is restored right after the signals are blocked.

Test: test_stop_in_the_start_ends_it_also_if_the_parent_ignored_the_signal failed before (the processes served on after 20 s).

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -2,8 +2,12 @@
 
 import signal
 
+SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 # before the other imports: a signal ends a process that has not arranged for it
-signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGINT, signal.SIGTERM))
+signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+for number in SIGNALS:
+    # a signal that the parent process ignored would be lost instead of held
+    signal.signal(number, signal.SIG_DFL)
 
 import json  # noqa: E402
 import sys  # noqa: E402
--- a/tests/platform/process.py
+++ b/tests/platform/process.py
@@ -79,14 +79,15 @@
 
     @classmethod
     @asynccontextmanager
-    async def running(cls, document, *interpreter_options, closed=""):
+    async def running(cls, document, *interpreter_options, closed="", ignored=""):
         """Starts a process, and kills it in the end if it has not exited.
 
-        ``closed`` has the digits of the standard streams that the process starts without.
+        ``closed`` has the digits of the standard streams that the process starts without,
+        ``ignored`` the names of the signals that its parent process ignores.
         """
         with tempfile.TemporaryDirectory() as directory:
             process = cls(directory, document)
-            process.start(interpreter_options, closed)
+            process.start(interpreter_options, closed, ignored)
             try:
                 yield process
             finally:
@@ -105,13 +106,15 @@
         new_path.write_bytes(document)
         new_path.replace(self.settings_path)
 
-    def start(self, interpreter_options=(), closed=""):
+    def start(self, interpreter_options=(), closed="", ignored=""):
         """Starts the process."""
         environment = {**os.environ, "IBISCART_CONFIG": str(self.settings_path)}
         command = [sys.executable, *interpreter_options, str(PROGRAM)]
         if closed:
             redirections = " ".join(f"{descriptor}>&-" for descriptor in closed)
             command = ["sh", "-c", f'exec "$@" {redirections}', "sh", *command]
+        if ignored:
+            command = ["sh", "-c", f"trap '' {ignored}; exec \"$@\"", "sh", *command]
         with open(self._log_path, "wb") as log, open(self._error_path, "wb") as errors:
             self._process = subprocess.Popen(
                 command,
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -235,6 +235,24 @@
 
         run_with_store(case)
 
+    def test_stop_in_the_start_ends_it_also_if_the_parent_ignored_the_signal(self):
+        """Guards against a stop that is lost where a shell starts processes in its background."""
+
+        async def case(store_port):
+            async def stop(number, module):
+                async with RealProcess.running(
+                    settings_document(store_port), *self.IMPORT_TIMES, ignored="HUP INT TERM"
+                ) as process:
+                    await process.wait_until(lambda: module in process.imports)
+                    process.send(number)
+                    with trio.move_on_after(20):
+                        await process.wait_exit()
+                    self.assert_ended(process, 0, cause=number.name)
+
+            await run_each(stop, [(n, module) for n in STOPS for module in self.MOMENTS[:2]])
+
+        run_with_store(case)
+
 
 class SignalInShutdownTest(ProcessCase):
     def test_further_signals_up_to_the_exit_change_nothing(self):
