--- a/packages/core/src/ibiscart_core/workflow/scheduler.py
+++ b/packages/core/src/ibiscart_core/workflow/scheduler.py
@@ -58,7 +58,7 @@
 
 
 class _PoolPass:
-    """State of one planning pass over one pool.
+    """State of one planning pass over one pool, with its decisions in ``starts`` and ``stops``.
 
     ``ranks`` maps job ids to (priority of the queue, ``JobRank``). ``blocked`` has the
     ``equivalence_key`` of units that cannot be placed in this pass, ``started_early`` the keys of
@@ -176,7 +176,6 @@
             PromiseBudget(workers),
             start_window,
         )
-        pool_pass.starts, pool_pass.stops = starts, stops
         jobs = [job for *_, job in sorted(waiting, key=lambda item: item[:3])]
         startable_share = _startable_share(jobs, start_window, total_capacity)
         if pool_pass.free_share - startable_share >= SPREAD_FREE_SHARE:
@@ -187,6 +186,8 @@
                     self._place_units(pool_pass, job, 1, on_job_error)
         for job in jobs:
             self._place_units(pool_pass, job, None, on_job_error)
+        starts.extend(pool_pass.starts)
+        stops.extend(pool_pass.stops)
 
     def _place_units(self, pool_pass, job, limit, on_job_error):
         """Adds the decisions for the waiting units of a job to a ``_PoolPass``.
--- a/packages/core/src/ibiscart_core/workflow/step_units.py
+++ b/packages/core/src/ibiscart_core/workflow/step_units.py
@@ -131,11 +131,6 @@
         while self._created < min(count, self._count):
             self.create_block()
 
-    def compact(self):
-        """Keeps only the encoded rows of each complete block of done units."""
-        for block in self._blocks:
-            block.compact()
-
     def record_state(self, unit, earlier):
         """Counts a unit whose state was ``earlier``; tells the job when the last one is done."""
         if unit.state is UnitState.ACTIVE:
@@ -188,15 +183,7 @@
         """Makes the rows be encoded again."""
         if self.units:
             self._encoded = None
-            self.compact()
-
-    def compact(self):
-        """Keeps only the encoded rows if the block is complete and nothing of it can change."""
-        if self._undone or len(self.units) < BLOCK_UNITS:
-            return
-        if not any(unit.allocations for unit in self.units):
-            self.encode_rows()
-            self.units = ()
+            self._compact()
 
     def encode_rows(self):
         """Returns the JSON bytes of the units that have begun a run, without brackets."""
@@ -204,3 +191,11 @@
             rows = [unit.to_record() for unit in self.units if unit.run]
             self._encoded = json.dumps(rows, separators=(",", ":"))[1:-1].encode()
         return self._encoded
+
+    def _compact(self):
+        """Keeps only the encoded rows if the block is complete and nothing of it can change."""
+        if self._undone or len(self.units) < BLOCK_UNITS:
+            return
+        if not any(unit.allocations for unit in self.units):
+            self.encode_rows()
+            self.units = ()
