--- a/tools/operator_docs.py
+++ b/tools/operator_docs.py
@@ -177,7 +177,7 @@
         "it. Only that worker, job, request or component is affected.",
         {
             "worker": "The session with one worker; it begins again after a pause.",
-            "job": "The planning, the record or a report of one job; it is left out for a growing time.",
+            "job": "The planning, record or reports of one job; it is left out for a growing time.",
             "term": "The term of a leader; the leadership is released.",
             "campaign": "An election; the entry tries again after a pause.",
             "component": "A component of the process, which starts again after a pause.",
