--- a/tests/standins/loopback.py
+++ b/tests/standins/loopback.py
@@ -4,6 +4,7 @@
 call reaches the next process that gets the same port, which may belong to another test.
 """
 
+import collections
 import os
 import random
 import socket
@@ -12,6 +13,8 @@
 
 # ports below the ephemeral ports of the system; the second number is excluded
 PORT_RANGE = (20000, 32000)
+# ports that were returned last; their users may not listen yet
+_RECENT_PORTS = collections.deque(maxlen=4000)
 
 
 def loopback_address(process_id):
@@ -24,7 +27,7 @@
 
 
 def free_ports(count, host=LOOPBACK):
-    """Returns different port numbers on which no socket listens at present."""
+    """Returns different ports on which no socket listens, none of which was returned lately."""
     ports = []
     rng = random.SystemRandom()
     while len(ports) < count:
@@ -34,6 +37,7 @@
                 probe.bind((host, port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in _RECENT_PORTS:
+            _RECENT_PORTS.append(port)
             ports.append(port)
     return ports
--- a/tests/standins/test_loopback.py
+++ b/tests/standins/test_loopback.py
@@ -34,6 +34,11 @@
 
         trio.run(main)
 
+    def test_no_port_is_returned_for_two_servers(self):
+        """Guards against large soaks in which two entries are given one port."""
+        ports = [free_ports(3) for _ in range(600)]
+        self.assertEqual(1800, len({port for three in ports for port in three}))
+
     def test_free_ports_are_never_ephemeral_ports(self):
         with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as file:
             first = int(file.read().split()[0])
