--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -58,7 +58,7 @@
         self.entries, self.runners = {}, {}
         self._entry_names = [f"front-{number}" for number in range(1, entries + 1)]
         self._runner_names = [f"runner-{number}" for number in range(1, runners + 1)]
-        self._labels = labels or {}
+        self.labels = labels or {}
         self._capacity = capacity or {"cpu": 32000, "memMb": 65536, "gpu": 8}
         self._max_attempts = max_attempts
         self._ports = set()
@@ -207,7 +207,7 @@
     async def start_runner(self, name):
         number = int(name.rpartition("-")[2])
         port, store = self._runner_ports[name]
-        labels = self._labels.get(name, ["a", f"r{number % 2}"])
+        labels = self.labels.get(name, ["a", f"r{number % 2}"])
         arguments = (
             name,
             f"{HOST}:{port}",
--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -60,7 +60,7 @@
     async def main(self):
         host, _, port = self.address.rpartition(":")
         server = await http_json.serve(host, int(port), self.handle)
-        self.note("up", born=self.entry["born"])
+        self.note("up", born=self.entry["born"], labels=self.entry["labels"])
         asyncio.create_task(self.expire())
         asyncio.create_task(self.heartbeat())
         async with server:
