--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -17,7 +17,8 @@
 from store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
-HOST = "127.0.0.1"
+# a loopback address of its own, so that cases can run at the same time
+HOST = "127.{}.{}.{}".format(1 + os.getpid() // 65536 % 200, *divmod(os.getpid() % 65536, 256))
 KEY = "key-a"
 QUEUE = "/q1/"
 BOUNDS = {
@@ -308,6 +309,8 @@
 def main(case, folder, **options):
     """Runs ``case(deployment, trouble)``, which returns whether the rule held; exits with 0 to 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # ends the processes that were started, as an interrupt does
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def run():
         async with asyncio.timeout(115):
