--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,81 +1,54 @@
-"""A runner loses its way to the store while the leading entry is restarted; a job is cancelled."""
+"""Runners crash and come back as runners of another kind, under their ids, while jobs wait."""
 
 import asyncio
-import signal
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 
-from deployment import BOUNDS, main  # noqa: E402
+from deployment import main  # noqa: E402
 
 FOLDER = Path(__file__).resolve().parent
-JOB = "00000000000000a1"
-CUT_S = 5.0
-# time from the end of the last disruption until the rule has no excuse left
-CALM_S = (BOUNDS["contactMs"] + BOUNDS["cancel_ms"] + BOUNDS["stopMs"]) / 1000
-WATCH_S = 25.0
+RUNNERS = 20
+CRASHED = ("runner-1", "runner-2", "runner-3")
+DOWN_S = 3.0
+ROUNDS = 2
 
 
-async def disturb(deployment, runner):
-    """Cuts a runner off from the store for ``CUT_S``; restarts the leader once its entry lapsed."""
-    beat = deployment.store.heartbeats[runner]
-    await deployment.wait_for(
-        lambda: deployment.store.heartbeats[runner] != beat, 5, "the runner reports itself"
-    )
-    # shortly before the next report, so that the entry lapses within the cut
-    await asyncio.sleep(1.35)
-    deployment.store.cut.add(runner)
-    deployment.record("cut", id=runner)
-    cut_at = time.monotonic()
-    await deployment.wait_for(
-        lambda: deployment.find("directory", id=runner, entry="removed"), 6, "the entry lapses"
-    )
-    leader = deployment.leader()
-    await deployment.signal_entry(leader, signal.SIGTERM)
-    await deployment.wait_for(
-        lambda: deployment.leader() not in (leader, None), 5, "another entry leads"
-    )
-    deployment.record("leads", id=deployment.leader())
-    # the new leader reads its state
-    await asyncio.sleep(0.4)
-    return leader, cut_at
+def labels(kind):
+    """Labels of the runners that crash: kind, rack, and one that they keep."""
+    return [kind, "r1", "kept"]
 
 
 async def case(deployment, trouble):
-    step = {"count": 1, "cpu": 1000, "memMb": 1000, "gpu": 1, "estimateMs": 1000}
-    await deployment.submit(JOB, {**step, "longRunning": True}, lasts=True)
-    await deployment.wait_for(lambda: deployment.running(JOB), 10, "the task runs")
-    ((runner, *_),) = deployment.running(JOB)
-    if trouble:
-        leader, cut_at = await disturb(deployment, runner)
-        entry = next(name for name in deployment.entries if name != leader)
-    else:
-        entry = "front-1"
-    status, _ = await deployment.call("DELETE", f"/q1/{JOB}", entry=entry)
-    cancelled_at = deployment.now()
-    if trouble:
-        await asyncio.sleep(cut_at + CUT_S - time.monotonic())
-        deployment.store.cut.discard(runner)
-        deployment.record("healed", id=runner)
-        await deployment.wait_for(
-            lambda: deployment.store.value("servers", runner), 5, "the entry is back"
-        )
-        await asyncio.wait_for(deployment.entries[leader].wait(), 10)
-        await deployment.start_entry(leader)
-    calm_at = deployment.now() + CALM_S
-    await asyncio.sleep(CALM_S + WATCH_S)
-    late = [
-        item
-        for item in deployment.find("run-ended")
-        if item["task"].startswith(JOB) and item["at"] > calm_at
-    ]
-    still = deployment.running(JOB)
-    state = await deployment.state(JOB)
-    text = f"cancel answered {status} at {cancelled_at:.1f} s, state {state}; at {deployment.now():.1f} s"
-    text += f" at work: {sorted(still) or 'nothing'}, ended after {calm_at:.1f} s: {len(late)}"
-    return not still and not late, text
-
-
-main(case, FOLDER)
+    step = {"count": 3, "cpu": 1000, "memMb": 1000, "gpu": 2, "estimateMs": 2000}
+    kind, other = "b", "c"
+    for number in range(ROUNDS):
+        working, waiting = f"{number}0000000000000a1", f"{number}0000000000000b2"
+        await deployment.submit(working, {**step, "requires": "kept", "antiAffinity": 1}, ms=2000)
+        await deployment.wait_for(lambda: len(deployment.running(working)) == 3, 20, "tasks run")
+        if trouble:
+            for name in CRASHED:
+                await deployment.kill_runner(name)
+            await asyncio.sleep(DOWN_S)
+        await deployment.submit(waiting, {**step, "requires": kind}, ms=500)
+        if trouble:
+            kind, other = other, kind
+            deployment.labels.update(dict.fromkeys(CRASHED, labels(kind)))
+            await asyncio.gather(*(deployment.start_runner(name) for name in CRASHED))
+        await asyncio.sleep(4.0)
+    required = {
+        f"{number}0000000000000b2": "bc"[number % 2 if trouble else 0] for number in range(ROUNDS)
+    }
+    wrong, present = [], {}
+    for item in deployment.events:
+        if item["event"] == "up":
+            present[item["id"]] = item["labels"]
+        elif item["event"] == "run-started":
+            label = required.get(item["task"].partition(".")[0])
+            if label and label not in present[item["id"]]:
+                wrong.append((item["task"], item["id"], f"not {label}"))
+    return not wrong, f"starts on runners without the required label: {wrong or 'none'}"
+
+
+main(case, FOLDER, runners=RUNNERS, labels={name: labels("b") for name in CRASHED})
