--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,7 +12,7 @@
 RUNNERS = 20
 CRASHED = ("runner-1", "runner-2", "runner-3")
 DOWN_S = 3.0
-ROUNDS = 2
+ROUNDS = 4
 
 
 def labels(kind):
