Log and count stops that take no effect

Change: a run that has not ended 5 s after its stop was planned is logged once (Stop overdue.) with whether the worker has acknowledged the stop, answers and is registered; the gauge overdue_stops counts such runs. A stop for a worker without a session is counted under stops{reason=no_session}.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -32,6 +32,8 @@
 CHECKPOINT_LEAD_SECONDS = 1.2
 # time after which an account that was above its share in a pool counts as within it
 OVER_SHARE_END_SECONDS = 5.0
+# time after which a stop is logged whose run has not ended; a worker takes up to 0.9 s for a stop
+STOP_OVERDUE_SECONDS = 5.0
 # names of the events in the log by the new ``SpeedClass`` of a worker
 SPEED_EVENTS = {
     SpeedClass.SLOW: "worker_slow",
@@ -73,17 +75,38 @@
 class StopOrder:
     """An order to stop a run on a worker, whether or not the worker is known to have the run.
 
-    ``allocation`` is None for a run that is on no job's record.
+    ``unit`` and ``allocation`` are None for a run that is on no job's record. ``planned_at`` is
+    when the stop was planned, in seconds of the monotonic clock, None before the first pass after
+    the request. ``overdue`` is True once it was logged that the run has not ended in time.
     """
 
-    __slots__ = ("allocation", "reason", "run", "task_key", "worker_id")
-
-    def __init__(self, worker_id, task_key, run, reason, allocation=None):
+    __slots__ = (
+        "allocation",
+        "overdue",
+        "planned_at",
+        "reason",
+        "run",
+        "task_key",
+        "unit",
+        "worker_id",
+    )
+
+    def __init__(self, worker_id, task_key, run, reason, unit=None, allocation=None):
         self.worker_id = worker_id
         self.task_key = task_key
         self.run = run
         self.reason = reason
+        self.unit = unit
         self.allocation = allocation
+        self.planned_at = None
+        self.overdue = False
+
+    @property
+    def awaits_end(self):
+        """True while the run has not ended and keeps its resources."""
+        return self.unit is not None and (
+            self.unit.allocations.get(self.task_key[3]) is self.allocation
+        )
 
 
 class Engine:
@@ -112,6 +135,8 @@
         self._losses = WorkerLosses()
         self._speeds = SpeedModel()
         self._stops = []
+        # the stop orders of runs on record that have not ended
+        self._open_stops = []
         self._log_event = log_event
         self._on_job_error = on_job_error
         self._suspensions = Suspensions()
@@ -187,6 +212,7 @@
         """
         self.remove_job(job_id)
         self.unsaved_job_ids.pop(job_id, None)
+        self._open_stops = [stop for stop in self._open_stops if stop.task_key[0] != job_id]
         for worker in self.fleet.workers.values():
             for task_key, run in list(worker.units_by_run):
                 if task_key[0] == job_id:
@@ -370,8 +396,36 @@
             self._log_accounts_over_share(now)
         self._start_window.add(orders)
         stop_orders, self._stops = self._stops, []
+        for stop in stop_orders:
+            if stop.planned_at is None:
+                stop.planned_at = now
+        self._log_overdue_stops(now)
         return orders, stop_orders
 
+    def count_overdue_stops(self):
+        """Returns the number of runs whose stop was planned long ago and that have not ended."""
+        return sum(stop.awaits_end and stop.overdue for stop in self._open_stops)
+
+    def _log_overdue_stops(self, now):
+        """Logs each stop whose run has not ended in time, once, and forgets those that have."""
+        self._open_stops = [stop for stop in self._open_stops if stop.awaits_end]
+        for stop in self._open_stops:
+            if stop.overdue or now - stop.planned_at < STOP_OVERDUE_SECONDS:
+                continue
+            stop.overdue = True
+            worker = self.fleet.get(stop.worker_id)
+            self._log_event(
+                "stop_overdue",
+                job=stop.task_key[0],
+                task=".".join(map(str, stop.task_key[1:])),
+                run=stop.run,
+                worker=stop.worker_id,
+                reason=stop.reason,
+                acknowledged=stop.allocation.stop_acknowledged_at is not None,
+                reachable=worker is not None and worker.reachable,
+                registered=worker is not None and worker.registered,
+            )
+
     def _update_speeds(self, now):
         """Estimates the speeds of the workers anew and logs those that turn slow or fast."""
         for worker in self._speeds.refit(self.fleet.workers.values(), now):
@@ -795,8 +849,10 @@
             return
         allocation.state = AllocationState.STOPPING
         allocation.stop_reason = preempted_for or reason
-        stop = StopOrder(allocation.worker_id, unit.task_key(index), unit.run, reason, allocation)
+        task_key = unit.task_key(index)
+        stop = StopOrder(allocation.worker_id, task_key, unit.run, reason, unit, allocation)
         self._stops.append(stop)
+        self._open_stops.append(stop)
 
 
 def _lost_core_seconds(unit, allocation, cause, now):
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -174,6 +174,10 @@
         """Returns the number of workers that are slow by their runs, or still cold."""
         return self._engine.fleet.count_slow(trio.current_time())
 
+    def count_overdue_stops(self):
+        """Returns the number of runs that have not ended long after a stop was planned."""
+        return self._engine.count_overdue_stops()
+
     def count_evacuated_runs(self):
         """Returns the number of runs in data centres that are being emptied."""
         evacuated = self._engine.fleet.evacuated_workers()
--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -161,6 +161,11 @@
             self._count_slow_workers,
             "Workers that are slow or cold, as the leader knows them; else 0.",
         )
+        metrics.gauge(
+            "overdue_stops",
+            self._count_overdue_stops,
+            "Runs that go on long after the leader has planned a stop; 0 on other entries.",
+        )
         if settings.evacuation_seconds is not None:
             self._register_evacuation_gauges()
 
@@ -188,6 +193,11 @@
         coordinator = self._leader.coordinator
         return coordinator.count_slow_workers() if coordinator is not None else 0
 
+    def _count_overdue_stops(self):
+        """Returns the number of runs whose stop is overdue, 0 unless this entry leads."""
+        coordinator = self._leader.coordinator
+        return coordinator.count_overdue_stops() if coordinator is not None else 0
+
     async def run(self):
         """Serves until SIGTERM or SIGINT, then shuts down gracefully; SIGHUP reloads settings.
 
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -174,8 +174,10 @@
     def send_stop(self, stop_order):
         """Sends a ``StopOrder`` to its worker, in the background."""
         session = self._sessions.get(stop_order.worker_id)
-        if session is not None:
-            self._nursery.start_soon(session.send_stop, stop_order)
+        if session is None:
+            self._metrics.count("stops", "no_session")
+            return
+        self._nursery.start_soon(session.send_stop, stop_order)
 
     def last_applied_ends(self):
         """Returns, by worker id, (incarnation, number of the last end applied to the engine)."""
--- a/tools/operator_docs.py
+++ b/tools/operator_docs.py
@@ -177,7 +177,10 @@
     ),
     "stops": (
         "Errors on one worker: it is cut off, and its runs end with their leases.",
-        {"*": "Why the run was stopped, or the error of the call."},
+        {
+            "no_session": "The worker is not in the directory, so nothing was sent.",
+            "*": "Why the run was stopped, or the error of the call.",
+        },
     ),
     "lists": (
         "Errors on one worker: it is cut off or gone.",
