Operator docs: the counter of stops has a literal reason

The list now has it, so that the test also requires the meaning of this reason in counters.md. Measured: tests.cli.test_operator_docs passes.

--- a/tests/cli/test_operator_docs.py
+++ b/tests/cli/test_operator_docs.py
@@ -22,7 +22,7 @@
 SOURCES = operator_docs.DIRECTORY.parents[1] / "packages" / "entry" / "src"
 COUNTED = re.compile(r'\.count\(\s*"(\w+)",\s*(f?)"([^"]+)"')
 LITERAL_COUNTERS = set(
-    "append_conflicts claims dropped lists peer_errors peer_messages retries share_loans "
+    "append_conflicts claims dropped lists peer_errors peer_messages retries share_loans stops "
     "target_calls target_errors".split()
 )
 FENCE = re.compile(r"```yaml\n(.*?)```", re.DOTALL)
