--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -32,7 +32,10 @@
 CHECKPOINT_LEAD_SECONDS = 1.2
 # time after which an account that was above its share in a pool counts as within it
 OVER_SHARE_END_SECONDS = 5.0
-# time after which a stop is logged whose run has not ended; a worker takes up to 0.9 s for a stop
+# time after which an acknowledged stop is ordered again if the worker still lists the run; a worker
+# takes up to 0.9 s for a stop
+STOP_EFFECT_SECONDS = 2.0
+# time after which a stop is logged whose run has not ended
 STOP_OVERDUE_SECONDS = 5.0
 # names of the events in the log by the new ``SpeedClass`` of a worker
 SPEED_EVENTS = {
@@ -78,10 +81,12 @@
     ``unit`` and ``allocation`` are None for a run that is on no job's record. ``planned_at`` is
     when the stop was planned, in seconds of the monotonic clock, None before the first pass after
     the request. ``overdue`` is True once it was logged that the run has not ended in time.
+    ``in_delivery`` is True while the order waits to be sent or is being sent.
     """
 
     __slots__ = (
         "allocation",
+        "in_delivery",
         "overdue",
         "planned_at",
         "reason",
@@ -100,6 +105,7 @@
         self.allocation = allocation
         self.planned_at = None
         self.overdue = False
+        self.in_delivery = True
 
     @property
     def awaits_end(self):
@@ -272,7 +278,7 @@
         listed = {}
         for run in status.running:
             listed[(run.task_key, run.run)] = run
-            self._apply_report(run.task_key, now, self._apply_running, worker, run, now)
+            self._apply_report(run.task_key, now, self._apply_running, worker, run, asked_at, now)
         counted_jobs = set()
         left = []
         for end in status.ended:
@@ -314,6 +320,13 @@
         if stop.allocation is not None:
             stop.allocation.stop_acknowledged_at = now
 
+    def end_delivery(self, stop):
+        """Records that a stop order is no longer being sent, whether or not it was acknowledged.
+
+        If the next status of the worker shows that it had no effect, the order is issued again.
+        """
+        stop.in_delivery = False
+
     def create_due_units(self, now, now_ms):
         """Creates the units of the steps that are due and whose dependencies are done.
 
@@ -593,10 +606,11 @@
             return False
         return True
 
-    def _apply_running(self, worker, report, now):
+    def _apply_running(self, worker, report, asked_at, now):
         """Applies the checkpoint and the confirmed start of a ``RunReport``.
 
-        A run that is on no job's record is stopped.
+        A run that is on no job's record is stopped, and one that is being stopped gets the order
+        again if that had no effect.
         """
         unit = worker.units_by_run.get((report.task_key, report.run))
         if unit is None:
@@ -608,6 +622,8 @@
             unit.checkpoint = report.checkpoint
         if allocation is not None and allocation.state is AllocationState.ORDERED:
             self._confirm_start(unit, allocation, now)
+        elif allocation is not None and allocation.state is AllocationState.STOPPING:
+            self._repeat_stop(allocation, asked_at - STOP_EFFECT_SECONDS)
         self._speeds.record_progress(worker, unit, report.task_key, report.percent, now)
 
     def _confirm_start(self, unit, allocation, now):
@@ -709,6 +725,8 @@
             ):
                 cause = EndCause.WORKER_CRASHED if restarted else EndCause.LOST
                 self._end_run(worker, unit, task_key, run, cause, "", "absent_after_stop", now)
+            else:
+                self._repeat_stop(allocation, asked_at)
             return
         recovered = allocation.ordered_at is None
         confirmed = allocation.confirmed_at is not None and allocation.confirmed_at < asked_at
@@ -851,9 +869,24 @@
         allocation.stop_reason = preempted_for or reason
         task_key = unit.task_key(index)
         stop = StopOrder(allocation.worker_id, task_key, unit.run, reason, unit, allocation)
+        allocation.stop = stop
         self._stops.append(stop)
         self._open_stops.append(stop)
 
+    def _repeat_stop(self, allocation, acknowledged_since):
+        """Issues a stop order again that nobody is sending.
+
+        It has to be acknowledged later than ``acknowledged_since``, in seconds of the monotonic
+        clock: an acknowledgement of an earlier incarnation of the worker bars nothing.
+        """
+        stop, acknowledged_at = allocation.stop, allocation.stop_acknowledged_at
+        if stop.in_delivery or (
+            acknowledged_at is not None and acknowledged_at >= acknowledged_since
+        ):
+            return
+        stop.in_delivery = True
+        self._stops.append(stop)
+
 
 def _lost_core_seconds(unit, allocation, cause, now):
     """Returns the work in core-seconds that a run's end loses, 0 if it is done or has checkpoints.
--- a/packages/core/src/ibiscart_core/workflow/unit.py
+++ b/packages/core/src/ibiscart_core/workflow/unit.py
@@ -78,8 +78,9 @@
     the worker has confirmed the start; it is recorded for crash suspects only. ``ordered_at``,
     ``confirmed_at`` (the worker confirmed the start) and ``stop_acknowledged_at`` (the worker
     acknowledged a stop, after which the run cannot start on it) are in seconds of the monotonic
-    clock, None before the event and in an allocation loaded from a record. ``stop_reason`` is why
-    the leader requested a stop, or the reason of the preemption, empty before. ``speed`` is the
+    clock, None before the event and in an allocation loaded from a record. ``stop`` is the
+    ``StopOrder`` of a run that is being stopped, else None; ``stop_reason`` is why the leader
+    requested it, or the reason of the preemption, empty before. ``speed`` is the
     expected relative speed of the run, that of the slowest worker of a gang, ``progress`` its last
     ``RunProgress`` or None.
     """
@@ -92,6 +93,7 @@
         "speed",
         "started",
         "state",
+        "stop",
         "stop_acknowledged_at",
         "stop_reason",
         "worker_id",
@@ -104,6 +106,7 @@
         self.started = False
         self.ordered_at = None
         self.confirmed_at = None
+        self.stop = None
         self.stop_acknowledged_at = None
         self.speed = speed
         self.progress = None
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -240,11 +240,14 @@
 
     async def send_stop(self, stop_order):
         """Sends a ``StopOrder`` until the worker has confirmed it or the allocation is released."""
-        while not await self._run_isolated(self._send_stop, stop_order):
-            self._disconnect()
-            if stop_order.allocation is None:
-                return
-            await self._connected.wait()
+        try:
+            while not await self._run_isolated(self._send_stop, stop_order):
+                self._disconnect()
+                if stop_order.allocation is None:
+                    return
+                await self._connected.wait()
+        finally:
+            self._engine.end_delivery(stop_order)
 
     async def _run_isolated(self, function, *args):
         """Awaits a function; returns False if it ended with an unexpected error."""
--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -172,10 +172,14 @@
             self._nursery.start_soon(session.send_start, order)
 
     def send_stop(self, stop_order):
-        """Sends a ``StopOrder`` to its worker, in the background."""
+        """Sends a ``StopOrder`` to its worker, in the background.
+
+        Without a session, the order is issued again once the worker answers.
+        """
         session = self._sessions.get(stop_order.worker_id)
         if session is None:
             self._metrics.count("stops", "no_session")
+            self._engine.end_delivery(stop_order)
             return
         self._nursery.start_soon(session.send_stop, stop_order)
 
