A new leader stops the rest of a gang of which a member has ended

Callers would see: a gang that lost a member just before its leader ended goes on without it, and starts again only once the remaining members have ended by themselves. Cause: the stops of the other members are decided when the member ends, and were not derived again from the record, in which only the remaining runs stand. Change: when a job is added, the runs of its active gangs with fewer runs than tasks are stopped. Measured: test_rest_of_a_gang_of_which_a_member_has_ended_is_stopped_by_the_next_leader failed before (no stop planned) and passes.

--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -169,6 +169,7 @@
         if job.ended:
             self._stop_runs(job, "job_ended")
         else:
+            self._stop_incomplete_gangs(job)
             self._update_outcome(job)
 
     def apply_catalog(self, catalog):
@@ -857,6 +858,16 @@
             for index in list(unit.allocations):
                 self._request_stop(unit, index, reason)
 
+    def _stop_incomplete_gangs(self, job):
+        """Requests a stop of the runs of gangs on the job's record of which a member has ended.
+
+        An earlier leader may have ended before it got the stops through.
+        """
+        for unit in list(job.active_units()):
+            if len(unit.allocations) < unit.size:
+                for index in list(unit.allocations):
+                    self._request_stop(unit, index, "member_ended")
+
     def _request_stop(self, unit, index, reason, preempted_for=""):
         """Adds a stop order for the task with ``index`` unless its run is already being stopped.
 
--- a/tests/core/workflow/test_stop.py
+++ b/tests/core/workflow/test_stop.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from ibiscart_core.workflow.job import Job
 from ibiscart_core.workflow.report import StartResult
 from ibiscart_core.workflow.unit import EndCause
 from tests.core.workflow.harness import EngineHarness, step
@@ -105,3 +106,18 @@
         harness.engine.end_delivery(stop)
         harness.report()
         self.assertEqual([stop], harness.plan()[1])
+
+    def test_rest_of_a_gang_of_which_a_member_has_ended_is_stopped_by_the_next_leader(self):
+        """Guards against a gang that works on, or waits, without its lost member for good."""
+        harness = EngineHarness(workers=2)
+        job = harness.submit("a", step(2, 8, gang=True))
+        harness.run_pass()
+        harness.report()
+        unit = next(job.units())
+        harness.engine.end_lost_runs("w0", EndCause.WORKER_VANISHED, harness.now, "lease_expired")
+        successor = EngineHarness(workers=2)
+        loaded = Job("a", "a", "q1", job.spec, job.accepted_ms)
+        loaded.load_record(job.to_record())
+        successor.engine.add_job(loaded, successor.now)
+        _, (stop,) = successor.plan()
+        self.assertEqual(("w1", unit.run, "member_ended"), (stop.worker_id, stop.run, stop.reason))
