A start order without a session counts as not sent

Cause: WorkerFeed.send_start dropped an order for a worker without a session, as send_stop did. The run would keep its worker and wait for an answer to an order that nobody sent. No way to it is known: orders go to registered workers, which have a session, and a worker with allocations keeps it.

--- a/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
+++ b/packages/entry/src/ibiscart_entry/coordination/worker_feed.py
@@ -11,6 +11,7 @@
 
 from ibiscart_core.resource import Resources
 from ibiscart_core.workflow.fleet import WorkerInfo
+from ibiscart_core.workflow.report import StartResult
 from ibiscart_core.workflow.unit import EndCause
 from ibiscart_entry.coordination.hedge import CallHedge
 from ibiscart_entry.coordination.leadership import LeadershipLost
@@ -166,10 +167,18 @@
                     self._assumed_lease_expiry[allocation.worker_id] = expires_at
 
     def send_start(self, order):
-        """Sends a ``StartOrder`` to its worker, in the background."""
+        """Sends a ``StartOrder`` to its worker, in the background.
+
+        Without a session, the order counts as not sent.
+        """
         session = self._sessions.get(order.allocation.worker_id)
-        if session is not None:
-            self._nursery.start_soon(session.send_start, order)
+        if session is None:
+            result = StartResult.NOT_SENT
+            self._metrics.count("orders", result.value)
+            self._engine.apply_start_result(order, result, trio.current_time())
+            self._on_change()
+            return
+        self._nursery.start_soon(session.send_start, order)
 
     def send_stop(self, stop_order):
         """Sends a ``StopOrder`` to its worker, in the background.
--- a/tests/core/workflow/test_stop.py
+++ b/tests/core/workflow/test_stop.py
@@ -121,3 +121,7 @@
         successor.engine.add_job(loaded, successor.now)
         _, (stop,) = successor.plan()
         self.assertEqual(("w1", unit.run, "member_ended"), (stop.worker_id, stop.run, stop.reason))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_stop_orders.py
+++ b/tests/platform/test_stop_orders.py
@@ -127,3 +127,7 @@
         await deployment.submit(OTHER_JOB_ID, gang)
         await deployment.wait_for_state(OTHER_JOB_ID, "completed", 4)
         self.assertEqual([], deployment.fleet.violations)
+
+
+if __name__ == "__main__":
+    unittest.main()
