--- a/packages/core/src/ibiscart_core/workflow/crash.py
+++ b/packages/core/src/ibiscart_core/workflow/crash.py
@@ -32,9 +32,12 @@
 MIN_CRASHED_WORKERS = 2
 # time from the start of a task to the loss of its worker that counts as soon
 PROMPT_SECONDS = 2.0
-# number of lost workers from which a task shares no worker with any other suspect task, so that a
-# crash tells which of them is the cause
+# number of lost workers from which a task shares no worker with any other suspect task, soon after
+# the start of either, so that a crash tells which of them is the cause
 ISOLATION_LOST_WORKERS = 2
+# longest time for which isolation delays a task that lost a worker; the platform asks for a task
+# that lasts to be at work 6 s after its last run
+ISOLATION_SECONDS = 4.0
 # delay of the next run of a task with UNCERTAIN_LOST_WORKERS lost workers, few of which crashed for
 # certain; most of them answer again or are replaced meanwhile. It doubles with each further one
 HOLD_SECONDS = 15.0
@@ -84,7 +87,7 @@
 
     @property
     def isolated(self):
-        """True if the task is to share no worker with another suspect task."""
+        """True if the task is to share no worker with another suspect task at its start."""
         return self.lost_workers >= ISOLATION_LOST_WORKERS
 
     @property
--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -255,7 +255,7 @@
         if worker.info.draining:
             cause = EndCause.LOST
         if cause is EndCause.WORKER_CRASHED:
-            self._resolve_vanished_runs(worker, None)
+            self._resolve_vanished_runs(worker, None, now)
         if cause is not EndCause.LOST:
             self._record_losses(now)
         for (task_key, run), unit in list(worker.units_by_run.items()):
@@ -275,7 +275,7 @@
             return 0
         worker.reachable = worker.answered = True
         if status.incarnation is not None:
-            self._resolve_vanished_runs(worker, status.incarnation)
+            self._resolve_vanished_runs(worker, status.incarnation, now)
         listed = {}
         for run in status.running:
             listed[(run.task_key, run.run)] = run
@@ -625,6 +625,9 @@
             self._confirm_start(unit, allocation, now)
         elif allocation is not None and allocation.state is AllocationState.STOPPING:
             self._repeat_stop(allocation, asked_at - STOP_EFFECT_SECONDS)
+        if unit.crash_evidence and unit.drop_outlived_evidence(report.task_key[3], now):
+            self.unsaved_job_ids[unit.job.id] = True
+            self._log_crash_evidence(unit, report.task_key[3], worker.id)
         self._speeds.record_progress(worker, unit, report.task_key, report.percent, now)
 
     def _confirm_start(self, unit, allocation, now):
@@ -782,8 +785,7 @@
         )
         if cause is EndCause.WORKER_VANISHED:
             worker.record_vanished_run(unit, index, now)
-        if unit.hold_seconds:
-            unit.retry_at = now + unit.hold_seconds
+        unit.retry_at = now + unit.hold_seconds
         self._log_crash_evidence(unit, index, worker.id)
 
     def _record_losses(self, now):
@@ -801,7 +803,7 @@
                 ),
             )
 
-    def _resolve_vanished_runs(self, worker, incarnation):
+    def _resolve_vanished_runs(self, worker, incarnation, now):
         """Decides whether a worker that had vanished has crashed.
 
         ``incarnation`` is that in which it answers, None if another process has taken its place.
@@ -810,7 +812,7 @@
         for unit, index in resolved:
             if unit.job.ended or not unit.resolve_lost_worker(index, worker.id, incarnation):
                 continue
-            unit.retry_at = 0.0
+            unit.retry_at = now
             self.unsaved_job_ids[unit.job.id] = True
             self._log_crash_evidence(unit, index, worker.id)
             self._update_outcome(unit.job, [unit])
@@ -833,6 +835,7 @@
             worker=worker_id,
             crashed=evidence.crashed if evidence is not None else 0,
             lost=evidence.lost_workers if evidence is not None else 0,
+            isolated=unit.isolated,
             given_up=unit.given_up,
         )
 
--- a/packages/core/src/ibiscart_core/workflow/placement.py
+++ b/packages/core/src/ibiscart_core/workflow/placement.py
@@ -79,16 +79,6 @@
         self.cpu_millis -= demand.cpu_millis * tasks
         self.memory_mb -= demand.memory_mb * tasks
 
-    def may_share(self, unit):
-        """Returns True if a crash of the worker would still tell its cause if the unit joined.
-
-        Of two units that are crash suspects, none may be isolated.
-        """
-        suspects = [other for other in self.units if other is not unit and other.crash_suspect]
-        if unit.isolated:
-            return not suspects
-        return not any(other.isolated for other in suspects)
-
     def max_tasks(self, demand):
         """Returns the number of tasks, each with ``demand``, that fit in the free resources."""
         count = UNBOUNDED
@@ -155,7 +145,7 @@
                 continue
             if label and label not in capacity.labels:
                 continue
-            if crash_suspect and not capacity.may_share(unit):
+            if crash_suspect and not unit.may_start_beside(capacity.units, self._now):
                 continue
             if not reserved or reserved.get(capacity.worker.info.id, key) == key:
                 yield capacity
--- a/packages/core/src/ibiscart_core/workflow/unit.py
+++ b/packages/core/src/ibiscart_core/workflow/unit.py
@@ -16,7 +16,12 @@
     require_list,
     require_text,
 )
-from ibiscart_core.workflow.crash import PROMPT_SECONDS, STABLE_RUN_SECONDS, CrashEvidence
+from ibiscart_core.workflow.crash import (
+    ISOLATION_SECONDS,
+    PROMPT_SECONDS,
+    STABLE_RUN_SECONDS,
+    CrashEvidence,
+)
 
 __all__ = [
     "MAX_UNIT_FIELDS",
@@ -144,10 +149,10 @@
     before the first run; ``failures`` is the number of failed runs. ``allocations`` maps task
     indexes to their ``Allocation``. ``failure_counted`` is True once a failure of the current run
     is counted, so that a gang with several failed tasks counts once. The unit waits for workers
-    from ``ready_at`` and is not placed before ``retry_at``, both in seconds of the monotonic
-    clock. ``crash_evidence`` maps indexes of tasks under which workers were lost to their
-    ``CrashEvidence``. ``block``, None for a unit by itself, counts the states of its units and is
-    told of each change of what ``to_record`` returns.
+    from ``ready_at`` and is not placed before ``retry_at``, which counts from the last loss of a
+    worker, both in seconds of the monotonic clock. ``crash_evidence`` maps indexes of tasks under
+    which workers were lost to their ``CrashEvidence``. ``block``, None for a unit by itself, counts
+    the states of its units and is told of each change of what ``to_record`` returns.
     """
 
     __slots__ = (
@@ -260,9 +265,34 @@
 
     @property
     def isolated(self):
-        """True if the unit is to share no worker with another unit that is a crash suspect."""
+        """True if the unit is kept apart from other crash suspects, see ``may_start_beside``."""
         return any(evidence.isolated for evidence in self.crash_evidence.values())
 
+    def settled(self, now):
+        """Returns True if all tasks at work have run for so long that a crash would not be prompt.
+
+        ``now`` is in seconds of the monotonic clock.
+        """
+        return bool(self.allocations) and all(
+            allocation.confirmed_at is not None and now - allocation.confirmed_at > PROMPT_SECONDS
+            for allocation in self.allocations.values()
+        )
+
+    def may_start_beside(self, others, now):
+        """Returns True if a crash of a worker soon after the start would still tell its cause.
+
+        ``others`` are the units on the worker. Of two crash suspects none may be isolated, unless
+        the other one has settled, so that only a crash of this one would be prompt, or this one has
+        waited for ``ISOLATION_SECONDS``. ``now`` is in seconds of the monotonic clock.
+        """
+        if now - self.retry_at > ISOLATION_SECONDS:
+            return True
+        return not any(
+            (self.isolated or other.isolated) and not other.settled(now)
+            for other in others
+            if other is not self and other.crash_suspect
+        )
+
     @property
     def given_up(self):
         """True if one of the tasks crashes the workers that run it."""
@@ -295,6 +325,20 @@
             correlated=correlated,
         )
 
+    def drop_outlived_evidence(self, index, now):
+        """Drops the evidence against a task whose run has lasted; returns True if there was any.
+
+        ``now`` is in seconds of the monotonic clock.
+        """
+        allocation = self.allocations.get(index)
+        if index not in self.crash_evidence or allocation is None:
+            return False
+        if allocation.confirmed_at is None or now - allocation.confirmed_at < STABLE_RUN_SECONDS:
+            return False
+        del self.crash_evidence[index]
+        self._record_change()
+        return True
+
     def resolve_lost_worker(self, index, worker_id, incarnation):
         """Decides on a worker that was lost under a task; returns True if the evidence changes.
 
--- a/tests/core/workflow/test_crash.py
+++ b/tests/core/workflow/test_crash.py
@@ -3,7 +3,13 @@
 import json
 import unittest
 
-from ibiscart_core.workflow.crash import HOLD_SECONDS, STABLE_RUN_SECONDS, CrashEvidence
+from ibiscart_core.workflow.crash import (
+    HOLD_SECONDS,
+    ISOLATION_SECONDS,
+    PROMPT_SECONDS,
+    STABLE_RUN_SECONDS,
+    CrashEvidence,
+)
 from ibiscart_core.workflow.job import Job, Outcome
 from ibiscart_core.workflow.unit import EndCause
 from tests.core.workflow.harness import EngineHarness, step
@@ -194,6 +200,79 @@
         states = sorted(len(next(job.units()).allocations) for job in (first, second))
         self.assertEqual([0, 1], states)
 
+    def lose_shared_worker(self, harness, jobs, times):
+        """Lets the jobs' tasks lose the only worker, which returns, ``times`` times together."""
+        for _ in range(times):
+            harness.run_pass(ISOLATION_SECONDS)
+            self.assertTrue(all(next(job.units()).allocations for job in jobs), "a task waits")
+            harness.running["w0"].clear()
+            harness.engine.end_lost_runs("w0", EndCause.WORKER_CRASHED, harness.now, "test")
+
+    def test_suspect_joins_an_isolated_task_that_works_on(self):
+        # a lasting task that had lost two workers kept all other suspects off its worker for good
+        # (review/7)
+        harness = EngineHarness(workers=1)
+        lasting = step(long_running=True)
+        first = harness.submit("a", lasting, priority=0)
+        self.lose_shared_worker(harness, [first], 1)
+        second = harness.submit("b", lasting)
+        self.lose_shared_worker(harness, [first, second], 1)
+        self.assertEqual(1, len(harness.run_pass(0.3)))
+        self.assertEqual([], harness.run_pass(0.3))
+        self.assertEqual(1, len(harness.run_pass(PROMPT_SECONDS)))
+
+    def test_isolated_task_joins_a_suspect_that_works_on(self):
+        harness = EngineHarness(workers=1)
+        first = harness.submit("a", step(long_running=True))
+        self.lose_shared_worker(harness, [first], 1)
+        second = harness.submit("b", step(long_running=True), priority=0)
+        self.lose_shared_worker(harness, [first, second], 1)
+        self.assertEqual(["b"], [order.unit.job.id for order in harness.run_pass(0.3)])
+        self.assertEqual([], harness.run_pass(0.3))
+        self.assertEqual(["a"], [o.unit.job.id for o in harness.run_pass(PROMPT_SECONDS)])
+
+    def test_isolation_delays_no_task_for_long(self):
+        """Guards against tasks that wait one after the other for a worker of their own."""
+        harness = EngineHarness(workers=1)
+        jobs = [harness.submit(f"j{number}", step(long_running=True)) for number in range(6)]
+        self.lose_shared_worker(harness, jobs, 2)
+        lost_at = harness.now
+        while harness.now <= lost_at + ISOLATION_SECONDS:
+            harness.run_pass(0.25)
+        self.assertTrue(all(next(job.units()).allocations for job in jobs))
+
+    def test_isolation_under_a_new_leader_ends_with_a_run_that_goes_on(self):
+        harness = EngineHarness(workers=1)
+        first = harness.submit("a", step(long_running=True), priority=0)
+        self.lose_shared_worker(harness, [first], 1)
+        second = harness.submit("b", step(long_running=True))
+        self.lose_shared_worker(harness, [first, second], 1)
+        harness.run_pass()
+        harness.report()
+        self.assertFalse(next(second.units()).allocations)
+        loaded = Job("a", first.account, first.queue, first.spec, first.accepted_ms)
+        loaded.load_record(json.loads(json.dumps(first.to_record())))
+        harness.engine.remove_job("a")
+        harness.engine.add_job(loaded, harness.now)
+        harness.report()
+        harness.run_pass(PROMPT_SECONDS + 0.1)
+        self.assertTrue(next(second.units()).allocations)
+
+    def test_evidence_ends_with_a_run_that_lasts(self):
+        """Guards against evidence that stays for as long as a task works on."""
+        harness = EngineHarness()
+        job = harness.submit("a", step(long_running=True))
+        self.lose_worker(harness, job)
+        harness.run_pass(1.0)
+        harness.report()
+        harness.engine.unsaved_job_ids.clear()
+        unit = next(job.units())
+        self.assertTrue(unit.crash_suspect)
+        harness.now += STABLE_RUN_SECONDS
+        harness.report()
+        self.assertFalse(unit.crash_suspect)
+        self.assertIn("a", harness.engine.unsaved_job_ids)
+
     def lose_two_workers(self, harness, job, seconds_between=0.0, other_run_seconds=5.0):
         """Lets the worker of the job's only task and that of another job vanish.
 
--- a/tests/platform/test_worker_crashes.py
+++ b/tests/platform/test_worker_crashes.py
@@ -6,7 +6,7 @@
 import trio
 
 from ibiscart_entry.server import Request
-from tests.platform.deployment import JOB_ID, Deployment, job, run_virtual, step
+from tests.platform.deployment import JOB_ID, OTHER_JOB_ID, Deployment, job, run_virtual, step
 from tests.standins.platform.worker import WorkerFleet, WorkerStandIn
 
 TASK = f"{JOB_ID}.0.0.0"
@@ -185,6 +185,38 @@
 
         run_virtual(main)
 
+    def test_lasting_tasks_that_lost_their_workers_run_again_on_the_only_one_left(self):
+        # a task that had lost two workers kept one that had lost one off the last worker with their
+        # label for good (review/7)
+        async def main():
+            async with Deployment(workers=4) as deployment:
+                lasting = job(step(longRunning=True, requires="r1"), ms=600_000)
+
+                def worker_of(job_id):
+                    runs = deployment.fleet.active_runs(f"{job_id}.0.0.0")
+                    return runs[0][0] if runs else None
+
+                await deployment.submit(JOB_ID, lasting)
+                await deployment.wait_until(lambda: worker_of(JOB_ID))
+                worker = deployment.fleet.workers[worker_of(JOB_ID)]
+                await trio.sleep(5)
+                worker.restart()
+                deployment.register(worker.id)
+                await deployment.wait_until(lambda: worker_of(JOB_ID))
+                await trio.sleep(5)
+                await deployment.submit(OTHER_JOB_ID, lasting)
+                await deployment.wait_until(lambda: worker_of(OTHER_JOB_ID))
+                self.assertEqual(worker_of(JOB_ID), worker_of(OTHER_JOB_ID))
+                await trio.sleep(5)
+                deployment.crash_worker(worker_of(JOB_ID), back_after_seconds=1000)
+                # the leases, and the time after its last run at which a lasting task has to run
+                await trio.sleep(6.6 + 6)
+                self.assertTrue(worker_of(JOB_ID))
+                self.assertTrue(worker_of(OTHER_JOB_ID))
+                self.assertEqual([], deployment.fleet.violations)
+
+        run_virtual(main)
+
     def test_a_draining_worker_that_is_replaced_counts_as_no_crash(self):
         async def main():
             async with Deployment(workers=6) as deployment:
