--- a/packages/core/src/ibiscart_core/workflow/engine.py
+++ b/packages/core/src/ibiscart_core/workflow/engine.py
@@ -275,6 +275,7 @@
             return 0
         worker.reachable = worker.answered = True
         if status.incarnation is not None:
+            worker.incarnation = status.incarnation
             self._resolve_vanished_runs(worker, status.incarnation, now)
         listed = {}
         for run in status.running:
--- a/packages/core/src/ibiscart_core/workflow/fleet.py
+++ b/packages/core/src/ibiscart_core/workflow/fleet.py
@@ -21,12 +21,12 @@
 
 
 class WorkerInfo:
-    """Properties that a worker reports.
+    """Properties that a worker reports in its registration; they hold for one incarnation.
 
-    ``incarnation`` increases when the worker restarts under the same id. ``pool`` is the name of
-    its pool. ``remaining_ms`` is the time in milliseconds that a draining worker stays at least,
-    None if the worker does not report it. ``cold_seconds`` is how much longer it is slow after its
-    start.
+    ``incarnation`` changes when the worker restarts under the same id, maybe as another machine.
+    ``pool`` is the name of its pool. ``remaining_ms`` is the time in milliseconds that a draining
+    worker stays at least, None if the worker does not report it. ``cold_seconds`` is how much
+    longer it is slow after its start.
     """
 
     __slots__ = (
@@ -75,7 +75,8 @@
     """One worker with the resources allocated on it.
 
     ``registered`` is True while the directory has an entry of the worker. ``reachable`` is False
-    until its list of runs has been read, and while it does not answer. ``units_by_run`` maps
+    until its list of runs has been read, and while it does not answer. ``incarnation`` is that of
+    its last answer, None before. ``units_by_run`` maps
     (task key, run) to the unit of the run, ``tasks_by_step`` (job id, occurrence, step) to the
     number of these runs. ``vanished_runs`` has (unit, index of the task) of the runs that were lost
     while it did not answer, until it is known whether it crashed.
@@ -88,6 +89,7 @@
     __slots__ = (
         "answered",
         "cold_until",
+        "incarnation",
         "info",
         "leaves_at",
         "reachable",
@@ -106,6 +108,7 @@
 
     def __init__(self, info):
         self.info = info
+        self.incarnation = None
         self.units_by_run = {}
         self.tasks_by_step = {}
         self.used = Resources()
@@ -127,6 +130,15 @@
         """Id of the worker, unique in the fleet."""
         return self.info.id
 
+    @property
+    def described(self):
+        """True if the registration is that of the incarnation that answers.
+
+        One of the two is read first after a restart, and what an earlier incarnation registered
+        says nothing about the present one.
+        """
+        return self.incarnation in (None, self.info.incarnation)
+
     @property
     def free(self):
         """Resources that are not allocated."""
@@ -152,11 +164,16 @@
         return (
             self.registered
             and self.reachable
+            and self.described
             and not self.info.draining
             and self.suspended_until <= now
             and not self.reliability.is_ejected(now)
         )
 
+    def accepts_orders_of(self, incarnation):
+        """Returns True if an order that was planned for ``incarnation`` may still be sent."""
+        return self.described and self.info.incarnation == incarnation
+
     def is_cold(self, now):
         """Returns True if the worker is still slow after its start."""
         return now < self.cold_until
@@ -242,12 +259,12 @@
         if worker is None:
             worker = self.workers[info.id] = FleetWorker(info)
             return worker
-        if info.incarnation > worker.info.incarnation:
+        if info.incarnation != worker.info.incarnation:
             # a restarted worker gets no new work until its clock and its list of runs are read
-            worker.reachable = False
+            worker.reachable = worker.reachable and worker.incarnation == info.incarnation
             # it may be another machine
             worker.speed = WorkerSpeed()
-        info.incarnation = max(info.incarnation, worker.info.incarnation)
+            worker.leaves_at = None
         worker.info = info
         worker.registered = True
         return worker
--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -446,6 +446,8 @@
         refusal = self._refusal(self._worker)
         if refusal is not None:
             return refusal, None
+        if not self._worker.accepts_orders_of(order.allocation.incarnation):
+            return StartResult.WRONG_INCARNATION, None
         deadline_ms = self._extend_deadline(trio.current_time())
         result, clock_ms = StartResult.UNKNOWN, None
         try:
@@ -507,11 +509,15 @@
             await self._poll_worker(self._poll_wait_seconds())
 
     def _poll_needed(self):
-        """Returns True if the worker has runs or unacknowledged ends, or does not respond."""
+        """Returns True if the worker has runs or unacknowledged ends, or does not respond.
+
+        Also if it last responded in another incarnation than that of its registration.
+        """
         return (
             bool(self._worker.units_by_run)
             or self._applied_sequence > self._acknowledged_sequence
             or not self._worker.reachable
+            or not self._worker.described
         )
 
     def _poll_wait_seconds(self):
@@ -520,7 +526,9 @@
         A worker that did not respond is polled without a delay: its leases are extended only once
         it has responded, and may expire soon.
         """
-        if not self._worker.units_by_run or not self._worker.reachable:
+        if not self._worker.reachable:
+            return 0.0
+        if not self._worker.units_by_run and self._worker.described:
             return 0.0
         return STOPPING_POLL_SECONDS if self._worker.stopping else LONG_POLL_SECONDS
 
@@ -568,7 +576,6 @@
             fields = {"worker": self._worker.id, "incarnation": status.incarnation}
             LOG.info("A worker has started again.", extra=fields)
             self._incarnation = status.incarnation
-            self._worker.info.incarnation = status.incarnation
             self._applied_sequence = self._recorded_sequence = self._acknowledged_sequence = 0
             self._worker_clock_ms = None
             self._expires_at = max(self._expires_at, self._longest_lease_expiry())
--- a/tests/platform/test_worker_failures.py
+++ b/tests/platform/test_worker_failures.py
@@ -238,18 +238,58 @@
             with self.subTest(workers=workers):
                 run_virtual(functools.partial(main, workers, starts))
 
+    @staticmethod
+    async def restart_during_an_order(deployment, **faults):
+        """Restarts all workers, with ``faults`` set, while a start order is on its way to one.
+
+        The order and the poll beside it reach the next incarnation, which has not registered yet.
+        The poll shows the run, and its response comes before that to the order.
+        """
+        sent = trio.Event()
+
+        def delay(sender, address, request):
+            if request.path == "/run-start":
+                sent.set()
+                return 0.1
+            return 0.12 if b"deadlineMs" in request.body else 0.0
+
+        async def answer_starts_late(handle, request):
+            response = await handle(request)
+            if request.path == "/run-start":
+                await trio.sleep(0.04)
+            return response
+
+        deployment.network.request_delay = delay
+        for worker in deployment.fleet.workers.values():
+            handler = functools.partial(answer_starts_late, worker.handle)
+            deployment.network.handlers[f"{worker.id}:80"] = handler
+        with trio.fail_after(20):
+            await sent.wait()
+        for worker in deployment.fleet.workers.values():
+            worker.restart()
+            for name, value in faults.items():
+                setattr(worker, name, value)
+        await trio.sleep(0.2)
+        deployment.network.request_delay = lambda sender, address, request: 0.0
+
+    @staticmethod
+    def register_all(deployment):
+        """Registers all workers in their present incarnations."""
+        for name in deployment.fleet.workers:
+            deployment.register(name)
+
     def test_run_on_a_worker_that_restarted_while_idle_does_not_start_again_during_its_lease(self):
         # the order's deadline counted from the clock of the worker's earlier incarnation, so its
         # lease lasted longer than the leader assumed when the worker stopped answering
         async def main():
             async with Deployment(workers=2, lease_limit_seconds=10.0) as deployment:
                 await trio.sleep(20)
-                for worker in deployment.fleet.workers.values():
-                    worker.restart()
                 await deployment.submit(JOB_ID, job(step(1, 8), ms=9500))
+                await self.restart_during_an_order(deployment)
                 await deployment.wait_for_state(JOB_ID, "running")
                 worker = next(w for w in deployment.fleet.workers.values() if w.running)
                 worker.unresponsive = True
+                self.register_all(deployment)
                 await deployment.wait_for_state(JOB_ID, "completed", 60)
                 self.assertEqual([], deployment.fleet.violations)
 
@@ -266,11 +306,10 @@
                 await deployment.submit(OTHER_JOB_ID, job(step(2, 8), ms=9000))
                 await deployment.wait_for_state(OTHER_JOB_ID, "completed")
                 await trio.sleep(1)
-                for worker in workers.values():
-                    worker.restart()
-                    worker.lose_start_answers = not answered
-                    worker.unanswered_path = hold_back
                 await deployment.submit(JOB_ID, job(step(1, 8), ms=9900))
+                await self.restart_during_an_order(
+                    deployment, lose_start_answers=not answered, unanswered_path=hold_back
+                )
                 await deployment.wait_until(lambda: any(w.running for w in workers.values()))
                 await trio.sleep(0.1)
                 worker = next(w for w in workers.values() if w.running)
@@ -278,6 +317,7 @@
                 deployment.network.partition(entries, [f"{worker.id}:80"])
                 for other in workers.values():
                     other.lose_start_answers, other.unanswered_path = False, ""
+                self.register_all(deployment)
                 await deployment.wait_for_state(JOB_ID, "completed", 60)
                 self.assertEqual([], deployment.fleet.violations)
 
@@ -338,14 +378,12 @@
             async with Deployment(workers=1) as deployment:
                 await deployment.submit(OTHER_JOB_ID, job(step(4), ms=100))
                 await deployment.wait_for_state(OTHER_JOB_ID, "completed")
-                await trio.sleep(1)
-                await trio.sleep(1)
-                worker = deployment.fleet.workers["w0"]
-                worker.restart()
-                worker.unanswered_path = "/hold"
+                await trio.sleep(2)
                 await deployment.submit(JOB_ID, job(step(2), ms=300))
+                await self.restart_during_an_order(deployment, unanswered_path="/hold")
                 await trio.sleep(1)
-                worker.unanswered_path = ""
+                deployment.fleet.workers["w0"].unanswered_path = ""
+                self.register_all(deployment)
                 await deployment.wait_for_state(JOB_ID, "completed", 12)
                 self.assertEqual([], deployment.fleet.violations)
                 self.assertEqual([1] * 6, list(deployment.fleet.starts.values()))
