An order to a worker that is not polled reads its status first

Callers would see: a task that starts on a worker which has just come back without the required label, although nothing was ordered by its new answer. Cause: an idle worker is not polled, and an order trusted an answer of the last 2.5 s. Change: the status is read before an order unless the last answer is at most 0.1 s old or a poll is open, which ends with the process. Measured: test_order_is_not_sent_to_an_idle_worker_that_has_just_come_back failed before and passes.

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -30,12 +30,13 @@
 # longest delay of a poll's response while a run is being stopped: a run that the worker does not
 # have ends with the first list that was read after its stop, and the worker reports no event for it
 STOPPING_POLL_SECONDS = 0.2
-# age of the worker's clock, as last read, above which the worker is taken to be idle: a worker with
-# runs answers a poll at least this often
-MAX_CLOCK_AGE_SECONDS = LONG_POLL_SECONDS + 0.5
-# the same for a unit that has lost a worker: workers are often lost several at a time, and another
-# one that has gone unnoticed would hold the unit for the longest lease again
-MAX_CLOCK_AGE_AFTER_LOSS_SECONDS = 0.1
+# age of the worker's clock, as last read, above which the worker's status is read before an order,
+# since it may have gone or have started again unnoticed
+MAX_CLOCK_AGE_SECONDS = 0.1
+# the same while a poll is open, whose connection ends with the process, unless the unit has
+# lost a worker: workers are often lost several at a time, and another one that has gone unnoticed
+# would hold the unit for the longest lease again
+MAX_CLOCK_AGE_WHILE_POLLED_SECONDS = LONG_POLL_SECONDS + 0.5
 # interval at which leases are extended while the leader loads the jobs
 LOADING_POLL_SECONDS = 1.0
 # pause after a failed poll; a start that gets no response or misses its deadline has no pause after
@@ -101,6 +102,7 @@
         "_on_change",
         "_on_fenced",
         "_pause",
+        "_polling",
         "_recorded_sequence",
         "_refusal",
         "_scope",
@@ -137,6 +139,8 @@
         self._on_change = on_change
         self._on_fenced = on_fenced
         self._metrics = metrics
+        # True while a poll waits for its response
+        self._polling = False
         self._worker_clock_ms = None
         self._worker_clock_read_at = 0.0
         # latest deadline that was sent on the clock of the present incarnation or, until the
@@ -345,11 +349,13 @@
     async def _check_idle_worker(self, order):
         """Reads the status of a worker that has not answered lately, before it gets an order.
 
-        An idle worker is not polled, and an order to one that is gone would hold its run for the
-        longest lease. Returns the ``StartResult`` of an order that must not be sent, else None.
+        An idle worker is not polled. An order to one that is gone would hold its run for the
+        longest lease, and one that has started again may not be as it was. Returns the
+        ``StartResult`` of an order that must not be sent, else None.
         """
-        lost_worker = order.unit.crash_suspect
-        max_age = MAX_CLOCK_AGE_AFTER_LOSS_SECONDS if lost_worker else MAX_CLOCK_AGE_SECONDS
+        max_age = MAX_CLOCK_AGE_SECONDS
+        if self._polling and not order.unit.crash_suspect:
+            max_age = MAX_CLOCK_AGE_WHILE_POLLED_SECONDS
         if trio.current_time() - self._worker_clock_read_at <= max_age:
             return None
         (status, error), _ = await self._hedge.call(
@@ -545,9 +551,7 @@
         # the leases of a worker that does not respond are not extended, so that they expire
         deadline_ms = self._next_deadline_ms(sent_at) if self._worker.reachable else None
         try:
-            status = await self._agent.poll(
-                self._leadership.epoch, acknowledged_end, deadline_ms, wait_seconds
-            )
+            status = await self._call_poll(acknowledged_end, deadline_ms, wait_seconds)
         except AgentError as error:
             self._metrics.count("lists", error.reason)
             if error.fenced:
@@ -565,6 +569,16 @@
             # the worker responds at once as long as it lists these ends
             await trio.sleep(RETRY_SECONDS)
 
+    async def _call_poll(self, acknowledged_end, deadline_ms, wait_seconds):
+        """Polls the worker; returns the ``WorkerStatus``, raises ``AgentError``."""
+        self._polling = True
+        try:
+            return await self._agent.poll(
+                self._leadership.epoch, acknowledged_end, deadline_ms, wait_seconds
+            )
+        finally:
+            self._polling = False
+
     def _apply_status(self, status, sent_at, acknowledged_end):
         """Applies the ``WorkerStatus`` that responds to a poll sent at ``sent_at``.
 
--- a/tests/platform/test_worker_incarnations.py
+++ b/tests/platform/test_worker_incarnations.py
@@ -75,6 +75,21 @@
                 with self.subTest(size=size, idle_seconds=idle_seconds):
                     run_virtual(functools.partial(main, size, idle_seconds))
 
+    def test_order_is_not_sent_to_an_idle_worker_that_has_just_come_back(self):
+        # an idle worker is not polled; it had answered a moment ago, and its restart was not known
+        async def main():
+            async with Deployment(workers=1) as deployment:
+                worker = deployment.fleet.workers["w0"]
+                await deployment.submit(OTHER_JOB_ID, job(step(), ms=500))
+                await deployment.wait_for_state(OTHER_JOB_ID, "completed")
+                await trio.sleep(0.5)
+                worker.restart()
+                await deployment.submit(JOB_ID, job(step(requires="r0"), ms=500))
+                await trio.sleep(2)
+                self.assertNotIn(f"{JOB_ID}.0.0.0", deployment.fleet.starts)
+
+        run_virtual(main)
+
 
 if __name__ == "__main__":
     unittest.main()
