The records of start and end are not dropped by the log's bound

Cause: the bound of 500 lines a second counted the last record like the others. Change: the four records of a process's start and end have no rate, and room of their own behind a reader that has stalled.

--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -238,7 +238,8 @@
             nursery.start_soon(run_supervised, self._metrics, name, run)
         if self._state == "starting":
             self._state = "serving"
-            LOG.info("The process has started.", extra={"address": self._settings.ip})
+            fields = {"address": self._settings.ip, "essential": True}
+            LOG.info("The process has started.", extra=fields)
 
     def _reload(self):
         """Reads the settings and applies those that can change while the process runs."""
@@ -258,7 +259,7 @@
     async def _drain(self):
         """Shuts down within ``drain_seconds``: resigns, and answers the requests under way."""
         fields = {"leads": self._leader.leads, "requests": self._server.requests}
-        LOG.info("The shutdown begins.", extra=fields)
+        LOG.info("The shutdown begins.", extra={**fields, "essential": True})
         with trio.move_on_after(max(0.0, self._settings.drain_seconds - EXIT_MARGIN_SECONDS)):
             async with trio.open_nursery() as nursery:
                 # the store may not answer
--- a/packages/entry/src/ibiscart_entry/drain.py
+++ b/packages/entry/src/ibiscart_entry/drain.py
@@ -61,7 +61,7 @@
             name = log_signal(number, "serving")
             if number in STOP_SIGNALS:
                 break
-        LOG.info("The shutdown begins.")
+        LOG.info("The shutdown begins.", extra={"essential": True})
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ignore_signals, signals, "draining")
             await self.drain()
--- a/packages/entry/src/ibiscart_entry/lifetime.py
+++ b/packages/entry/src/ibiscart_entry/lifetime.py
@@ -36,8 +36,8 @@
 
     def log_start(self, **fields):
         """Logs that the process starts."""
-        version = sys.version.partition(" ")[0]
-        LOG.info("The process starts.", extra={"pid": os.getpid(), "python": version, **fields})
+        fields.update(pid=os.getpid(), python=sys.version.partition(" ")[0])
+        LOG.info("The process starts.", extra={**fields, "essential": True})
 
     def run(self, function, *args):
         """Runs an async function that returns the cause of the end; returns the exit code.
@@ -66,7 +66,8 @@
         if error is not None:
             fields["error"] = describe_error(error)
         level = logging.CRITICAL if exit_code else logging.INFO
-        LOG.log(level, "The process ends.", exc_info=error, extra=fields)
+        extra = {**fields, "essential": True}
+        LOG.log(level, "The process ends.", exc_info=error, extra=extra)
 
 
 def _find_address_error(error):
--- a/packages/entry/src/ibiscart_entry/log.py
+++ b/packages/entry/src/ibiscart_entry/log.py
@@ -22,6 +22,8 @@
 # lines a second over a longer time, and at once; a pass of the scheduler writes up to 100
 LINES_PER_SECOND = 500
 LINES_AT_ONCE = 2000
+# room for the records of start and end beyond ``MAX_WAITING_BYTES``; a traceback takes some of it
+ESSENTIAL_BYTES = 32 * 1024
 # a pipe that is writable takes this much without blocking
 WRITE_BYTES = select.PIPE_BUF
 # longest wait for a reader at the end of the process
@@ -35,6 +37,7 @@
     def process_log_record(self, log_data):
         name = log_data.get("logger", "")
         message = log_data.get("message", "")
+        log_data.pop("essential", None)
         prefix = name.rsplit(".", 1)[-1] + ": "
         if name.startswith(ROOT_NAME + ".") and not message.startswith(prefix):
             log_data["message"] = prefix + message
@@ -45,7 +48,8 @@
     """Writes lines to a file descriptor without ever blocking.
 
     Lines beyond the rate, and lines for which a stalled reader leaves no room, are dropped;
-    the next line that is written says how many.
+    the next line that is written says how many. Records with a true attribute ``essential``, the
+    few of the start and the end of a process, have no rate and room of their own.
     """
 
     def __init__(self, descriptor, clock=time.monotonic):
@@ -63,7 +67,9 @@
 
     def emit(self, record):
         """Queues a line and writes what the reader takes."""
-        if self._take_token():
+        essential = getattr(record, "essential", False)
+        room = MAX_WAITING_BYTES + (ESSENTIAL_BYTES if essential else 0)
+        if essential or self._take_token():
             if self._dropped_unsaid:
                 record.dropped_lines = self._dropped_unsaid
             try:
@@ -71,7 +77,7 @@
             except Exception:
                 self.handleError(record)
                 return
-            if self._waiting_bytes + len(line) <= MAX_WAITING_BYTES:
+            if self._waiting_bytes + len(line) <= room:
                 self._waiting.append(line)
                 self._waiting_bytes += len(line)
                 self._dropped_unsaid = 0
--- a/tests/entry/test_log.py
+++ b/tests/entry/test_log.py
@@ -20,8 +20,9 @@
         os.close(self.reader)
         os.close(self.writer)
 
-    def emit(self, text):
+    def emit(self, text, **attributes):
         record = logging.LogRecord("ibiscart.x", logging.INFO, "", 0, text, (), None)
+        record.__dict__.update(attributes)
         self.handler.emit(record)
 
     def read(self):
@@ -71,6 +72,26 @@
         self.emit("after")
         self.assertEqual(7, json.loads(self.read()[-1])["dropped"])
 
+    def test_records_of_start_and_end_are_written_beyond_the_rate(self):
+        # a process that got thousands of signals in its shutdown ended without its last record
+        for _ in range(LINES_AT_ONCE + 7):
+            self.emit("x")
+        self.read()
+        self.emit("the end", essential=True)
+        self.assertEqual([{"text": "the end", "dropped": 7}], list(map(json.loads, self.read())))
+
+    def test_records_of_start_and_end_have_room_behind_a_reader_that_has_stalled(self):
+        for _ in range(LINES_AT_ONCE):
+            self.emit("x" * 1000)
+        self.assertGreater(self.handler.dropped, 0)
+        self.emit("the end" + "x" * 4000, essential=True)
+        self.assertIn("the end", self.read()[-1])
+
+    def test_room_for_records_of_start_and_end_is_bounded(self):
+        for _ in range(LINES_AT_ONCE):
+            self.emit("x" * 1000, essential=True)
+        self.assertGreater(self.handler.dropped, 0)
+
     def test_closed_output_does_not_raise(self):
         reader, writer = os.pipe()
         handler = BoundedHandler(writer)
