A lasting task that has failed may use suspect workers

Cause: a unit with a failed run may use no suspect worker, since it has few attempts left; tasks that last have no limit of attempts. Change: the precaution is for tasks that end. Suspect workers stay the last choice. Measured: test_lasting_task_that_failed_starts_again_on_the_only_worker_with_its_label failed before (no start) and passes.

--- a/packages/core/src/ibiscart_core/workflow/placement.py
+++ b/packages/core/src/ibiscart_core/workflow/placement.py
@@ -135,11 +135,13 @@
 
         Such a worker has the required label and is reserved for no other unit. A unit that has
         failed may not use suspect workers: it has few attempts left, and the evidence against a
-        worker fades within seconds. Units that may crash their workers are kept apart.
+        worker fades within seconds. Tasks that last have no limit of attempts. Units that may crash
+        their workers are kept apart.
         """
         label = unit.spec.required_label
         crash_suspect = unit.crash_suspect
-        key, failed, reserved = unit.key, unit.failures > 0, self._reserved
+        key, reserved = unit.key, self._reserved
+        failed = unit.failures > 0 and not unit.spec.long_running
         for capacity in self.workers:
             if failed and capacity.suspect:
                 continue
--- a/tests/core/workflow/test_reliability.py
+++ b/tests/core/workflow/test_reliability.py
@@ -81,6 +81,16 @@
         harness.submit("large", step(4, 8))
         self.assertEqual(4, len(harness.run_pass()))
 
+    def test_lasting_task_that_failed_starts_again_on_the_only_worker_with_its_label(self):
+        # it waited until the evidence against the worker had faded, although the worker had room
+        harness = EngineHarness(workers=4)
+        harness.engine.fleet.get("w2").info.labels = ("b", "r1")
+        job = harness.submit("a", step(long_running=True, required_label="b"))
+        harness.run_pass()
+        harness.end_unit(next(job.units()), EndCause.FAILED)
+        self.assertEqual(1, len(harness.run_pass(0.25)))
+        self.assertEqual({"w2"}, workers_of(job))
+
     def test_job_that_fails_on_all_workers_ejects_no_worker(self):
         # a job that always fails ejected all workers, so that other jobs found no worker
         harness = EngineHarness(workers=4)
