A poll counts for an order only if it was open since the last answer

Callers would see: a task that starts on a worker which has come back as another kind, on the second order after its restart. Cause: took an open poll for a sign that the process is the same. The poll that an order itself begins is opened after the restart; the next order within 2.5 s of the last answer was sent without a look at the status. A status of another incarnation that an order had read did not stop further orders either. Change: the poll must have been sent within 0.1 s of the last answer. A status of another incarnation ends orders to the worker until a poll has shown its incarnation. Measured: test_order_is_not_sent_to_an_idle_worker_that_has_just_come_back with a slow poll failed before and passes. tests.core.workflow, tests.entry.coordination, tests.platform: 490 passed.

--- a/packages/entry/src/ibiscart_entry/coordination/session.py
+++ b/packages/entry/src/ibiscart_entry/coordination/session.py
@@ -33,9 +33,9 @@
 # age of the worker's clock, as last read, above which the worker's status is read before an order,
 # since it may have gone or have started again unnoticed
 MAX_CLOCK_AGE_SECONDS = 0.1
-# the same while a poll is open, whose connection ends with the process, unless the unit has
-# lost a worker: workers are often lost several at a time, and another one that has gone unnoticed
-# would hold the unit for the longest lease again
+# the same while a poll has been open since that answer, as its connection ends with the process,
+# unless the unit has lost a worker: workers are often lost several at a time, and another one that
+# has gone unnoticed would hold the unit for the longest lease again
 MAX_CLOCK_AGE_WHILE_POLLED_SECONDS = LONG_POLL_SECONDS + 0.5
 # interval at which leases are extended while the leader loads the jobs
 LOADING_POLL_SECONDS = 1.0
@@ -102,7 +102,7 @@
         "_on_change",
         "_on_fenced",
         "_pause",
-        "_polling",
+        "_poll_sent_at",
         "_recorded_sequence",
         "_refusal",
         "_scope",
@@ -139,8 +139,8 @@
         self._on_change = on_change
         self._on_fenced = on_fenced
         self._metrics = metrics
-        # True while a poll waits for its response
-        self._polling = False
+        # when the poll was sent that waits for its response, None without one
+        self._poll_sent_at = None
         self._worker_clock_ms = None
         self._worker_clock_read_at = 0.0
         # latest deadline that was sent on the clock of the present incarnation or, until the
@@ -188,6 +188,13 @@
         """Returns True if the engine knows of runs on the worker."""
         return bool(self._worker.units_by_run)
 
+    @property
+    def _polled_since_answer(self):
+        """True if a poll has been open since the worker's last answer."""
+        if self._poll_sent_at is None:
+            return False
+        return self._poll_sent_at - self._worker_clock_read_at <= MAX_CLOCK_AGE_SECONDS
+
     def assume_lease(self, expires_at):
         """Records that an earlier leader may have extended leases up to ``expires_at``."""
         self._expires_at = max(self._expires_at, expires_at)
@@ -354,7 +361,7 @@
         ``StartResult`` of an order that must not be sent, else None.
         """
         max_age = MAX_CLOCK_AGE_SECONDS
-        if self._polling and not order.unit.crash_suspect:
+        if self._polled_since_answer and not order.unit.crash_suspect:
             max_age = MAX_CLOCK_AGE_WHILE_POLLED_SECONDS
         if trio.current_time() - self._worker_clock_read_at <= max_age:
             return None
@@ -365,11 +372,22 @@
             if error.fenced:
                 self._on_fenced()
             return StartResult.FENCED if error.fenced else StartResult.NOT_SENT
-        if status.incarnation not in (None, order.allocation.incarnation):
+        if self._has_restarted(status, order):
             return StartResult.WRONG_INCARNATION
         self._record_clock(status.clock_ms)
         return None
 
+    def _has_restarted(self, status, order):
+        """Returns True if a ``WorkerStatus`` is not of the incarnation of a ``StartOrder``.
+
+        The worker then gets no more orders until a poll has shown its incarnation.
+        """
+        if status.incarnation in (None, order.allocation.incarnation):
+            return False
+        self._worker.incarnation = status.incarnation
+        self.wake()
+        return True
+
     async def _read_status(self):
         """Returns (``WorkerStatus``, None), or (None, the ``AgentError``)."""
         try:
@@ -478,7 +496,7 @@
         status, error = await self._read_status()
         if error is not None:
             return (StartResult.FENCED if error.fenced else StartResult.UNKNOWN), None
-        if status.incarnation not in (None, order.allocation.incarnation):
+        if self._has_restarted(status, order):
             return StartResult.WRONG_INCARNATION, None
         if status.has_run(order.task_key, order.run):
             return StartResult.STARTED, status.clock_ms
@@ -571,13 +589,13 @@
 
     async def _call_poll(self, acknowledged_end, deadline_ms, wait_seconds):
         """Polls the worker; returns the ``WorkerStatus``, raises ``AgentError``."""
-        self._polling = True
+        self._poll_sent_at = trio.current_time()
         try:
             return await self._agent.poll(
                 self._leadership.epoch, acknowledged_end, deadline_ms, wait_seconds
             )
         finally:
-            self._polling = False
+            self._poll_sent_at = None
 
     def _apply_status(self, status, sent_at, acknowledged_end):
         """Applies the ``WorkerStatus`` that responds to a poll sent at ``sent_at``.
--- a/tests/platform/test_worker_incarnations.py
+++ b/tests/platform/test_worker_incarnations.py
@@ -76,19 +76,28 @@
                     run_virtual(functools.partial(main, size, idle_seconds))
 
     def test_order_is_not_sent_to_an_idle_worker_that_has_just_come_back(self):
-        # an idle worker is not polled; it had answered a moment ago, and its restart was not known
-        async def main():
+        # an idle worker is not polled; it had answered a moment ago, and its restart was not known,
+        # also not by the poll that the first order began
+        async def main(poll_seconds):
             async with Deployment(workers=1) as deployment:
                 worker = deployment.fleet.workers["w0"]
                 await deployment.submit(OTHER_JOB_ID, job(step(), ms=500))
                 await deployment.wait_for_state(OTHER_JOB_ID, "completed")
                 await trio.sleep(0.5)
                 worker.restart()
+
+                def delay(sender, address, request):
+                    is_poll = request.path == "/hold" and b"deadlineMs" in request.body
+                    return poll_seconds if is_poll else 0.0
+
+                deployment.network.request_delay = delay
                 await deployment.submit(JOB_ID, job(step(requires="r0"), ms=500))
                 await trio.sleep(2)
                 self.assertNotIn(f"{JOB_ID}.0.0.0", deployment.fleet.starts)
 
-        run_virtual(main)
+        for poll_seconds in (0.0, 1.0):
+            with self.subTest(poll_seconds=poll_seconds):
+                run_virtual(functools.partial(main, poll_seconds))
 
 
 if __name__ == "__main__":
