--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -37,8 +37,8 @@
     """All workers; collects violations of the guarantees that hold across workers.
 
     The spec of a task is JSON with ``ms`` (run time in milliseconds), ``fail`` (runs up to this
-    number fail), ``gang`` (number of members), ``crash`` (the task crashes its worker) and ``gpu``
-    (its accelerators, for the check of the worker's capacity).
+    number fail), ``gang`` (number of members), ``crash`` (the task crashes its worker), ``gpu``
+    (its accelerators, for the check of the worker's capacity) and ``kind`` (that of the worker).
     ``evacuated_at`` has the virtual time at which the evacuation of a data centre was acknowledged,
     by its name; starts there later than ``EVACUATION_SECONDS`` after it are violations.
     ``starts`` counts the started runs by task, ``starts_by_data_centre`` those in each data centre,
@@ -133,13 +133,14 @@
     with one of the bodies ``odd_answers``.
     Requests that arrive while ``unresponsive`` is set, and requests to
     the path ``unanswered_path``, get no response within 30 s. With ``fail_all_runs`` every run
-    fails.
+    fails. ``kind`` is the first label of the worker.
     """
 
     def __init__(self, fleet, worker_id, nursery, *, accelerators=8, seed=0, wall_clock=lambda: 0):
         self.id = worker_id
         self.fleet = fleet
         self.accelerators = accelerators
+        self.kind = "a"
         self.data_centre = "z0"
         self._shrunk_at = -CAPACITY_GRACE_SECONDS
         self.late_rate = 0.0
@@ -201,7 +202,7 @@
             "zone": self.data_centre,
             "state": state,
             "capacity": capacity,
-            "labels": ["a", rack],
+            "labels": [self.kind, rack],
             "born": self.incarnation,
         }
 
@@ -304,6 +305,8 @@
         spec = json.loads(call["spec"])
         self.running[task] = run = _ActiveRun(number, spec.get("gpu", 0))
         self.fleet.check_start(self, task, number, bool(spec.get("crash")))
+        if spec.get("kind", self.kind) != self.kind:
+            self.fleet.violations.append(f"{task} run {number} on {self.id} of another kind")
         self._nursery.start_soon(self._run_task, task, run, spec)
         return self._response("")
 
