Soak: a worker that a task has crashed registers again

On the platform a runner writes its entry when it starts and with each heartbeat. Change: the stand-in's worker registers after such a restart. No check, bound or seed is changed.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -1,5 +1,6 @@
 """Entry processes on loopback, connected by fault proxies to stand-ins of store and workers."""
 
+import functools
 import random
 import shutil
 import signal
@@ -186,12 +187,18 @@
     async def _add_worker(self, name):
         """Starts a worker behind a proxy and registers the proxy's address."""
         worker = WorkerStandIn(self.fleet, name, self.nursery, seed=self.seed)
+        worker.crash = functools.partial(self._restart_worker, worker)
         worker.data_centre = f"z{int(name[1:]) % 2}"
         worker.incarnation = int(time.time() * 1000)
         port = await self._start_server(worker.handle)
         self.worker_proxies[name] = await self._start_proxy(port)
         self.register(name)
 
+    def _restart_worker(self, worker):
+        """Restarts a worker after a crash; the next process registers at once."""
+        worker.restart()
+        self.register(worker.id)
+
     async def _connect_workers(self):
         """Opens connections to the store, as many as workers, and closes them after a moment."""
         connections = []
