--- a/tests/platform/fault_scenario.py
+++ b/tests/platform/fault_scenario.py
@@ -11,7 +11,7 @@
 
 from tests.platform.deployment import QUEUE_PATH, Deployment, job, run_virtual, step
 
-__all__ = ["run_scenario"]
+__all__ = ["FAULT_SECONDS", "FaultScenario", "run_scenario", "run_seeds"]
 
 FAULT_SECONDS = 25.0
 # maximum time from the last fault to the end of the last accepted job
@@ -29,7 +29,9 @@
         self.violations = []
         self.expected_states = {}
         self.refused_statuses = {}
+        # the jobs that were cancelled, and those of them whose cancellation was acknowledged
         self.cancelled_ids = set()
+        self.acknowledged_ids = set()
 
     async def run(self):
         async with Deployment(entries=3, workers=4, seed=self.seed) as deployment:
@@ -81,7 +83,9 @@
         if entry is not None:
             # a cancellation without a response may have taken effect
             self.cancelled_ids.add(job_id)
-            await entry.call("DELETE", QUEUE_PATH + job_id)
+            status, _ = await entry.call("DELETE", QUEUE_PATH + job_id)
+            if status == 200:
+                self.acknowledged_ids.add(job_id)
 
     def _random_job(self):
         """Returns (body of a submission, expected final state of the job)."""
@@ -311,12 +315,13 @@
     return scenario.violations
 
 
-def main():
+def run_seeds(run):
+    """Prints the violations that ``run`` returns for each of the seeds of the command line."""
     logging.disable(logging.CRITICAL)
     first, count = map(int, sys.argv[1:3])
     failed = 0
     for seed in range(first, first + count):
-        violations = run_scenario(seed)
+        violations = run(seed)
         if violations:
             failed += 1
             print(f"seed {seed}: {len(violations)}: {violations[:4]}", flush=True)
@@ -324,4 +329,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    run_seeds(run_scenario)
--- a/tests/platform/worker_return_scenario.py
+++ b/tests/platform/worker_return_scenario.py
@@ -3,13 +3,10 @@
 python -m tests.platform.worker_return_scenario FIRST COUNT
 """
 
-import logging
-import sys
-
 import trio
 
 from tests.platform.deployment import QUEUE_PATH, Deployment, job, run_virtual, step
-from tests.platform.fault_scenario import FAULT_SECONDS, FaultScenario
+from tests.platform.fault_scenario import FAULT_SECONDS, FaultScenario, run_seeds
 
 __all__ = ["run_scenario"]
 
@@ -27,7 +24,6 @@
 
     async def run(self):
         """Returns the violated guarantees."""
-        self._acknowledged_ids = set()
         async with Deployment(entries=3, workers=6, seed=self.seed) as deployment:
             self._deployment = deployment
             for number, worker in enumerate(deployment.fleet.workers.values()):
@@ -43,7 +39,7 @@
                 await self._restart(deployment.fleet.workers[name], kind)
             self._clear_faults()
             await trio.sleep(STOP_SECONDS)
-            self._check_stopped(self._acknowledged_ids)
+            self._check_stopped(self.acknowledged_ids)
             lasting = {j for j, state in self.expected_states.items() if state == LASTING}
             for job_id in lasting:
                 del self.expected_states[job_id]
@@ -57,17 +53,6 @@
             self.violations.extend(deployment.fleet.violations)
         return self.violations
 
-    async def _cancel_job(self, job_id):
-        """Cancels a job within 2 s, through a random entry."""
-        await trio.sleep(self.random.uniform(0, 2))
-        entry = self._random_entry()
-        if entry is not None:
-            # a cancellation without a response may have taken effect
-            self.cancelled_ids.add(job_id)
-            status, _ = await entry.call("DELETE", QUEUE_PATH + job_id)
-            if status == 200:
-                self._acknowledged_ids.add(job_id)
-
     def _random_job(self):
         """Returns (body of a submission, expected final state of the job)."""
         rng = self.random
@@ -171,17 +156,5 @@
     return scenario.violations
 
 
-def main():
-    logging.disable(logging.CRITICAL)
-    first, count = map(int, sys.argv[1:3])
-    failed = 0
-    for seed in range(first, first + count):
-        violations = run_scenario(seed)
-        if violations:
-            failed += 1
-            print(f"seed {seed}: {len(violations)}: {violations[:4]}", flush=True)
-    print(f"{count} scenarios, {failed} with violations")
-
-
 if __name__ == "__main__":
-    main()
+    run_seeds(run_scenario)
