--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,52 +1,64 @@
-"""Three runners of a lasting task are lost in turn; the task is not started again for 15 s."""
+"""A client leaves a frozen machine and cancels its job elsewhere; the job runs nevertheless."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-3"))
 
-from platform_standin import CONTACT_MS, Deployment, Record, job, main, step  # noqa: E402
+from platform_standin import (  # noqa: E402
+    CANCEL_MS,
+    CONTACT_MS,
+    STOP_MS,
+    CannotRun,
+    Deployment,
+    Record,
+    job,
+    main,
+    step,
+)
 
 JOB_ID = "b0b0000000000013"
-RUNNERS = 24
-LOSSES = 3
-# the loss counts as a disruption for this long (its longest length in the site file)
-LOSS_SECONDS = 4.5
-# of the rule: 4 s and then 3 s that are calm; the loss is near for CONTACT_MS more
-CALM_SECONDS = 4.0 + 3.0
-# of the rule: from 6 s after the last run, for 3 s
-LIMIT_SECONDS = max(6.0 + 3.0, LOSS_SECONDS + CONTACT_MS / 1000 + CALM_SECONDS)
+FREEZE_SECONDS = 4.0
+WORK_MS = 40_000
+# after the end of the freeze: the span until all machines are in touch again, then the stretch
+# after which a task of a cancelled job has to be gone, and a second more
+GONE_SECONDS = (CONTACT_MS + CANCEL_MS + STOP_MS) / 1000 + 1.0
 
 
 async def play(record: Record, trouble):
-    async with Deployment(record, runners=RUNNERS, entries=3) as deployment:
+    async with Deployment(record, runners=4, entries=3) as deployment:
         await deployment.wait_serving()
-        entry = deployment.entries[0]
-        await deployment.submit(entry, JOB_ID, job(step(gpu=1, longRunning=True), ms=0))
-        await deployment.wait(lambda: deployment.runs_of(JOB_ID), 10, "the task does not start")
-        lost_at = record.now()
-        for _ in range(LOSSES if trouble else 0):
-            await deployment.wait(lambda: deployment.runs_of(JOB_ID), 30, "no further start")
-            runner, _ = deployment.runs_of(JOB_ID)[0]
-            await asyncio.sleep(1.0)
-            record.write(f"runner {runner.name} is lost for good")
-            await runner.crash()
-            lost_at = record.now()
-        if not trouble:
-            await asyncio.sleep(30.0)
-        while not deployment.runs_of(JOB_ID) and record.now() - lost_at < 60.0:
-            await asyncio.sleep(0.05)
-        away = record.now() - lost_at if trouble else 0.0
-        _, answer = await deployment.get(entry, JOB_ID)
-        idle = sum(runner.up and not runner.running for runner in deployment.runners)
+        others = [entry for entry in deployment.entries if entry is not deployment.leader]
+        if len(others) != 2:
+            raise CannotRun("no leader")
+        frozen, sound = others
+        await asyncio.sleep(4.0)
+        if trouble:
+            frozen.signal(signal.SIGSTOP)
+        froze_at = record.now()
+        # the client waits for its deadline of 3 s
+        await deployment.submit(frozen, JOB_ID, job(step(gpu=1), ms=WORK_MS))
+        await asyncio.sleep(max(0.0, froze_at + 3.0 - record.now()))
+        status, _ = await deployment.cancel(sound, JOB_ID)
+        if status not in (200, 202, 204, 410):
+            raise CannotRun("the cancel was not acknowledged")
+        cancelled_at = record.now()
+        await asyncio.sleep(max(0.0, froze_at + FREEZE_SECONDS - record.now()))
+        if trouble:
+            frozen.signal(signal.SIGCONT)
+        await asyncio.sleep(GONE_SECONDS)
+        status, answer = await deployment.get(sound, JOB_ID, silent=False)
+        runs = deployment.runs_of(JOB_ID)
+        late = [at for at in deployment.starts_of(JOB_ID) if at > cancelled_at]
         record.write(
-            f"after the last loss, the last disruption, the task was on no runner for "
-            f"{away:.1f} s; allowed: {LIMIT_SECONDS} s; {idle} runners are idle; the job is shown "
-            f"as {answer.get('state')}"
+            f"cancel acknowledged at {cancelled_at:.3f} s; starts after it: "
+            f"{[round(at, 3) for at in late]}; {GONE_SECONDS} s after the freeze on a runner: "
+            f"{[(runner.name, run.task, run.number) for runner, run in runs]}"
         )
-        return away > LIMIT_SECONDS
+        return bool(runs)
 
 
 if __name__ == "__main__":
--- a/review/standins-3/platform_standin.py
+++ b/review/standins-3/platform_standin.py
@@ -584,8 +584,9 @@
 class Deployment:
     """Store, runners and entries of one script; ``async with`` starts and ends them."""
 
-    def __init__(self, record, runners, entries):
+    def __init__(self, record, runners, entries, configuration=None):
         self.record = record
+        self._configuration = configuration or CONFIGURATION
         self.store = Store()
         self._folder = tempfile.mkdtemp(prefix="review-")
         self.runners = [
@@ -600,7 +601,7 @@
     async def __aenter__(self):
         store = self.store
         await store.server.start()
-        store.put("op", "config", CONFIGURATION)
+        store.put("op", "config", self._configuration)
         for runner in self.runners:
             runner.on_start, runner.on_end = self._note_start, self._note_end
             await runner.start()
@@ -678,25 +679,27 @@
         row = self.store.document("leader", "leader") or {}
         return next((entry for entry in self.entries if entry.name == row.get("node")), None)
 
-    async def submit(self, entry, job_id, document, deadline_ms=3000):
+    async def submit(self, entry, job_id, document, *, prefix="/q/", key=API_KEY):
         """Hands a job in; returns (status, document)."""
-        return await self._call(entry, "POST", job_id, document, deadline_ms)
+        return await self._call(entry, "POST", job_id, document, prefix=prefix, key=key)
 
     async def cancel(self, entry, job_id):
         """Cancels a job; returns (status, document)."""
-        return await self._call(entry, "DELETE", job_id, None, 3000)
+        return await self._call(entry, "DELETE", job_id, None)
 
-    async def get(self, entry, job_id, *, silent=True):
+    async def get(self, entry, job_id, *, silent=True, prefix="/q/", key=API_KEY):
         """Asks for a job; returns (status, document)."""
-        status, document = await self._call(entry, "GET", job_id, None, 3000, silent)
+        status, document = await self._call(
+            entry, "GET", job_id, None, silent=silent, prefix=prefix, key=key
+        )
         return status, document or {}
 
-    async def _call(self, entry, method, job_id, document, deadline_ms, silent=False):
+    async def _call(
+        self, entry, method, job_id, document, *, silent=False, prefix="/q/", key=API_KEY
+    ):
         if not silent:
             self.record.write(f"client sends {method} {job_id} to {entry.name}")
-        result = await call(
-            entry.front_port, method, f"/q/{job_id}", document, deadline_ms=deadline_ms
-        )
+        result = await call(entry.front_port, method, prefix + job_id, document, key=key)
         if not silent:
             status, answer = result
             text = f"{status} {json.dumps(answer)}" if status else "no answer; the client leaves"
@@ -708,20 +711,23 @@
     """The case could not run; the text says why."""
 
 
+def route(name, priority):
+    """Returns a queue of the configuration, under the path of its name."""
+    return {
+        "name": name,
+        "host": QUEUE_HOST,
+        "pathPrefix": f"/{name}/",
+        "service": "pool",
+        "priority": priority,
+        "maxAttempts": 2,
+        "stretch": 3.0,
+        "targetLatencyMs": 1000,
+    }
+
+
 CONFIGURATION = {
     "version": 3,
-    "routes": [
-        {
-            "name": "q",
-            "host": QUEUE_HOST,
-            "pathPrefix": "/q/",
-            "service": "pool",
-            "priority": 1,
-            "maxAttempts": 2,
-            "stretch": 3.0,
-            "targetLatencyMs": 1000,
-        }
-    ],
+    "routes": [route("q", 1)],
     "services": [{"name": "pool", "admissionCheck": False}],
     "tenants": [{"name": "a", "apiKeys": [API_KEY]}],
     "limits": {},
