Logs: a request whose caller has left, and a process that was paused

Cause of this gap: the line of the request gave its processing time from the moment at which it was read. Neither that it had waited in the socket nor that its caller was gone could be read from the log of any entry. A monitor logs each time at which no task of the process ran, with its length, and keeps it in process_pause_seconds. One poll of the socket a request; two wake-ups a second.

--- a/packages/entry/src/ibiscart_entry/connection.py
+++ b/packages/entry/src/ibiscart_entry/connection.py
@@ -69,6 +69,15 @@
         if data:
             await trio.sleep_forever()
 
+    async def is_closed(self):
+        """Returns True if the caller has ended its side; bytes that came early hide that."""
+        if not self.readable:
+            return False
+        try:
+            return not await self._stream.socket.recv(1, trio.socket.MSG_PEEK)
+        except OSError:
+            return True
+
     async def next_event(self):
         """Returns the next h11 event."""
         while True:
--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -17,6 +17,7 @@
 from ibiscart_entry.coordination.catalog_exchange import CATALOG_PATH, CatalogServer
 from ibiscart_entry.coordination.leader import Leader
 from ibiscart_entry.coordination.leadership import Leadership
+from ibiscart_entry.coordination.pause_monitor import PauseMonitor
 from ibiscart_entry.coordination.pool_watch import PoolWatch
 from ibiscart_entry.isolation import record_error, run_isolated, run_supervised
 from ibiscart_entry.server import HttpServer, Response
@@ -234,6 +235,7 @@
             ("announcer", self._announcer.run),
             ("pools", self._pools.run),
             ("leader", self._leader.run),
+            ("pause_monitor", PauseMonitor(self._metrics, boot_time).run),
         ):
             nursery.start_soon(run_supervised, self._metrics, name, run)
         if self._state == "starting":
--- a/packages/entry/src/ibiscart_entry/metric.py
+++ b/packages/entry/src/ibiscart_entry/metric.py
@@ -56,6 +56,10 @@
     COUNTERS = {
         "requests": ("route", "Requests answered."),
         "refusals": ("kind", "Requests refused, by error kind."),
+        "answers_without_caller": (
+            "route",
+            "Requests that took effect or were refused after their caller had left.",
+        ),
         "rejections": ("reason", "Jobs rejected at submission, by reason."),
         "retries": ("reason", "Requests or calls sent again, by reason."),
         "decisions": ("reason", "Journal events appended, by kind."),
@@ -92,6 +96,7 @@
         ),
         "held_seconds": ("reason", "Time for which a request was held for the store."),
         "store_outage_seconds": ("cause", "Time for which the store was not reached."),
+        "process_pause_seconds": ("part", "Time for which no task of the process ran."),
         "start_seconds": ("kind", "Time from submission to release of a job."),
     }
 
--- a/packages/entry/src/ibiscart_entry/server.py
+++ b/packages/entry/src/ibiscart_entry/server.py
@@ -50,16 +50,31 @@
     """An address that can never be bound; the text names the setting, the value and the cause."""
 
 
+async def _never_closed():
+    """Returns False: a request without a connection has no caller that could leave."""
+    return False
+
+
 class Request:
     """One request; ``query`` maps names to values, header names are lower case.
 
-    ``wait_closed`` is an async function that returns when the caller has gone. Raises
-    ``ValueError`` for a target that cannot be read or repeats a name in its query.
+    ``wait_closed`` is an async function that returns when the caller has gone, ``is_closed`` one
+    that returns whether it has. Raises ``ValueError`` for a target that cannot be read or repeats a
+    name in its query.
     """
 
-    __slots__ = ("body", "headers", "method", "path", "query", "remote", "wait_closed")
+    __slots__ = ("body", "headers", "is_closed", "method", "path", "query", "remote", "wait_closed")
 
-    def __init__(self, method, target, headers, body, remote, wait_closed=trio.sleep_forever):
+    def __init__(
+        self,
+        method,
+        target,
+        headers,
+        body,
+        remote,
+        wait_closed=trio.sleep_forever,
+        is_closed=_never_closed,
+    ):
         parts = urlsplit(target)
         query = parse_qs(parts.query, keep_blank_values=True, max_num_fields=MAX_QUERY_FIELDS)
         for name, values in query.items():
@@ -72,6 +87,7 @@
         self.body = body
         self.remote = remote
         self.wait_closed = wait_closed
+        self.is_closed = is_closed
 
 
 class Response:
@@ -325,9 +341,16 @@
             headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
             target = head.target.decode("latin-1")
             method = head.method.decode("latin-1")
-            remote, wait_closed = connection.remote, connection.wait_closed
             try:
-                request = Request(method, target, headers, body.take(), remote, wait_closed)
+                request = Request(
+                    method,
+                    target,
+                    headers,
+                    body.take(),
+                    connection.remote,
+                    connection.wait_closed,
+                    connection.is_closed,
+                )
             except ValueError as error:
                 raise bad_target(target, error) from None
             return await self._answer(connection, request)
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from ibiscart_entry.server import Response
 from tests.entry.serving import (
     GET,
     ServerCase,
@@ -23,6 +24,27 @@
 
         self.run_case(case)
 
+    def test_request_of_a_caller_that_has_left_is_known_as_such(self):
+        """The log did not tell whether anybody had received an answer."""
+        left = []
+
+        async def handle(request):
+            if len(left) == 1:
+                await request.wait_closed()
+            left.append(await request.is_closed())
+            return Response(200)
+
+        async def case(rig):
+            stream = await rig.connect()
+            await stream.send_all(GET)
+            await read_some(stream)
+            await stream.send_all(GET)
+            await stream.send_eof()
+            await read_end(stream)
+            self.assertEqual([False, True], left[:2])
+
+        self.run_case(case, handle)
+
     def test_oversized_body_is_refused_with_a_readable_answer(self):
         """A reset by unread input must not hide the refusal."""
 
--- a/tools/operator_docs.py
+++ b/tools/operator_docs.py
@@ -121,6 +121,11 @@
         "Look the kind up in [errors](errors.md).",
         {"*": "Kind of error."},
     ),
+    "answers_without_caller": (
+        "Callers left before the answer: compare with `process_pause_seconds` of the same entry, "
+        "and with the callers' deadlines. What was accepted is stored.",
+        {"*": "Method and status of the answer."},
+    ),
     "rejections": (
         "The callers' jobs do not fit the pool: see the log line for the field and its bound. If "
         "they should fit, workers have been missing for minutes.",
