--- a/packages/core/src/ibiscart_core/error.py
+++ b/packages/core/src/ibiscart_core/error.py
@@ -40,6 +40,8 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     IN_PROGRESS = "in_progress"
     ALREADY_ENDED = "already_ended"
+    CANCELLED = "cancelled"
+    CANCEL_LIMIT = "cancel_limit"
     VERSION_CONFLICT = "version_conflict"
     CONTRACT_UNPACKABLE = "contract_unpackable"
     INTERNAL = "internal"
@@ -89,6 +91,8 @@
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, RAN_MAYBE, False, 0),
     ErrorKind.IN_PROGRESS: Answer(409, RAN_MAYBE, True, 1),
     ErrorKind.ALREADY_ENDED: Answer(409, RAN_YES, False, 0),
+    ErrorKind.CANCELLED: Answer(409, RAN_NO, False, 0),
+    ErrorKind.CANCEL_LIMIT: Answer(429, RAN_NO, True, 30),
     ErrorKind.VERSION_CONFLICT: Answer(409, RAN_NO, False, 0),
     ErrorKind.CONTRACT_UNPACKABLE: Answer(422, RAN_NO, False, 0),
     ErrorKind.INTERNAL: Answer(500, RAN_MAYBE, True, 1),
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -27,6 +27,7 @@
     encode_speeds,
     parse_speeds,
 )
+from ibiscart_entry.coordination.tombstone import TombstoneRemover
 from ibiscart_entry.coordination.worker_feed import WorkerFeed
 from ibiscart_entry.isolation import record_error, run_isolated
 from ibiscart_entry.table import StoreError
@@ -118,6 +119,7 @@
             log_event=self._log_event,
             on_job_error=on_job_error,
         )
+        self._tombstones = TombstoneRemover(table, self._read_with_retries, retention_seconds)
         self._nursery = None
         # stop orders that wait to be sent
         self._stops = deque()
@@ -153,6 +155,7 @@
                 nursery.start_soon(self._confirm_evacuations)
                 nursery.start_soon(self._verify_leadership)
                 nursery.start_soon(self._jobs.remove_expired)
+                nursery.start_soon(self._tombstones.run)
                 await self._run_passes()
         except* LeadershipLost as group:
             holder = str(_first_exception(group))
@@ -178,6 +181,10 @@
         """Returns the number of runs that have not ended long after a stop was planned."""
         return self._engine.count_overdue_stops()
 
+    def count_tombstones(self):
+        """Returns the number of jobs that are kept out, as last read."""
+        return self._tombstones.count
+
     def count_evacuated_runs(self):
         """Returns the number of runs in data centres that are being emptied."""
         evacuated = self._engine.fleet.evacuated_workers()
--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -167,6 +167,11 @@
             self._count_overdue_stops,
             "Runs that go on long after the leader has planned a stop; 0 on other entries.",
         )
+        metrics.gauge(
+            "tombstones",
+            self._count_tombstones,
+            "Jobs that were cancelled before they were stored; 0 on other entries.",
+        )
         if settings.evacuation_seconds is not None:
             self._register_evacuation_gauges()
 
@@ -199,6 +204,11 @@
         coordinator = self._leader.coordinator
         return coordinator.count_overdue_stops() if coordinator is not None else 0
 
+    def _count_tombstones(self):
+        """Returns the number of jobs that are kept out, 0 unless this entry leads."""
+        coordinator = self._leader.coordinator
+        return coordinator.count_tombstones() if coordinator is not None else 0
+
     async def run(self):
         """Serves until SIGTERM or SIGINT, then shuts down gracefully; SIGHUP reloads settings.
 
--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -22,9 +22,12 @@
     parse_owner,
     parse_pending_counts,
     parse_progress,
+    parse_tombstone,
     progress_key,
+    tombstone_key,
     visible_state,
 )
+from ibiscart_entry.coordination.tombstone import Tombstones
 from ibiscart_entry.table import StoreError, TableConflict, TransactionRejected
 from ibiscart_schema.generated.store_pb2 import TableWrite
 
@@ -51,13 +54,15 @@
     ``PoolWatch``, None to admit all jobs, and ``count_rejection`` is called with the reason of each
     rejection. The methods raise ``IbiscartError``: ``not_found`` for a job of another account,
     ``store_unavailable`` when nothing was read or stored, ``commit_unknown`` when a write may have
-    been stored, ``impossible_shape`` when a job cannot run.
+    been stored, ``impossible_shape`` when a job cannot run, ``cancelled`` when it was cancelled
+    before it is stored, ``cancel_limit`` when an account cancels too many unknown jobs.
     """
 
     def __init__(self, table, now_ms, gate, announce=lambda job_id: None):
         self._table = table
         self._now_ms = now_ms
         self._gate = gate
+        self._tombstones = Tombstones(table, gate, self._write, now_ms)
         self.announce = announce
         self.pools = None
         self.count_rejection = lambda reason: None
@@ -70,12 +75,15 @@
         self._check_size(value, spec)
         if await self._check_admission(queue, account, job_id, spec):
             return KNOWN
-        write = TableWrite(key=job_key(job_id), value=value, expected_version=0)
+        writes = [
+            TableWrite(key=job_key(job_id), value=value, expected_version=0),
+            # only a condition: the job is stored unless it was cancelled before
+            TableWrite(key=tombstone_key(account, job_id), delete=True, expected_version=0),
+        ]
         try:
-            await self._write(write, job_id, queue.priority)
+            await self._write(writes, job_id, queue.priority)
         except TableConflict as conflict:
-            owner = _parse_row(parse_owner, conflict.rows[0], job_id)
-            self._check_owner(owner, account)
+            self._check_conflict(conflict, account, job_id)
             return KNOWN
         self.announce(job_id)
         return ACCEPTED
@@ -94,16 +102,27 @@
         return state
 
     async def cancel(self, queue, account, job_id):
-        """Cancels a job; returns its state afterwards, or None when there is no such job."""
+        """Cancels a job; returns its state afterwards, or None when the account has no such job.
+
+        In either case, a submission that is still under way starts nothing afterwards.
+        """
+        state = await self._cancel_stored(queue, account, job_id)
+        if state is None:
+            await self._tombstones.add(queue, account, job_id)
+            # a submission that was stored before the tombstone has not met it
+            state = await self._cancel_stored(queue, account, job_id)
+        return state
+
+    async def _cancel_stored(self, queue, account, job_id):
+        """Cancels a job unless it has ended; returns its state, or None when it is not stored."""
         owner, cancelled, progress = await self._read(queue, job_id)
-        if owner is None:
+        if owner != account:
             return None
-        self._check_owner(owner, account)
         state = visible_state(progress, cancelled)
         if state in OUTCOMES:
             return state
         write = TableWrite(key=cancel_key(job_id), value=encode({"at_ms": self._now_ms()}))
-        await self._write(write, job_id, queue.priority)
+        await self._write([write], job_id, queue.priority)
         self.announce(job_id)
         return Outcome.CANCELLED.value
 
@@ -150,11 +169,13 @@
         )
         return _parse_row(parse_progress, row, job_id) if row is not None else None
 
-    async def _write(self, write, job_id, priority):
-        """Applies one write; after a lost response, repeating it reveals the outcome.
+    async def _write(self, writes, job_id, priority):
+        """Applies writes; after a lost response, repeating them reveals the outcome.
 
-        A write that was certainly not applied is sent, held or refused as the gate decides. One
-        that may have been applied is repeated when the store responds, up to ``MAX_ATTEMPTS``
+        The value that the first one stores tells whether they have been applied.
+
+        Writes that were certainly not applied are sent, held or refused as the gate decides. Those
+        that may have been applied are repeated when the store responds, up to ``MAX_ATTEMPTS``
         attempts.
         """
         may_be_applied = False
@@ -162,7 +183,7 @@
             if not may_be_applied:
                 await self._gate.admit(priority, job_id)
             try:
-                await self._table.transact([write])
+                await self._table.transact(writes)
                 return
             except StoreError as error:
                 may_be_applied = may_be_applied or error.sent
@@ -173,17 +194,18 @@
                 message = f"the store does not take the job: {rejection.reason}"
                 raise IbiscartError(ErrorKind.BAD_REQUEST, message) from None
             except TableConflict as conflict:
-                if may_be_applied and conflict.rows[0].value == write.value:
+                present = _present_rows(conflict).get(writes[0].key)
+                if may_be_applied and present is not None and present.value == writes[0].value:
                     return
                 raise
             await trio.sleep(RETRY_SECONDS * (attempt + 1))
             if may_be_applied:
                 await self._table.wait_answering()
         if not may_be_applied:
-            message = "the job is not stored; retry later"
+            message = "nothing was stored; retry later"
             raise IbiscartError(ErrorKind.STORE_UNAVAILABLE, message)
         raise IbiscartError(
-            ErrorKind.COMMIT_UNKNOWN, "the job may be stored; send the same request again"
+            ErrorKind.COMMIT_UNKNOWN, "the outcome is not known; send the same request again"
         )
 
     async def _check_admission(self, queue, account, job_id, spec):
@@ -223,6 +245,28 @@
             bound=rejection.bound,
         )
 
+    def _check_conflict(self, conflict, account, job_id):
+        """Returns if a submission was not applied since the account's job is stored already.
+
+        Otherwise raises ``IbiscartError``.
+        """
+        rows = _present_rows(conflict)
+        job, tombstone = rows.get(job_key(job_id)), rows.get(tombstone_key(account, job_id))
+        owner = _parse_row(parse_owner, job, job_id) if job is not None else None
+        if owner == account:
+            return
+        if tombstone is None:
+            raise IbiscartError(ErrorKind.NOT_FOUND, "no such job")
+        fields = {"job": job_id, "account": account}
+        try:
+            fields["cancelled_ms_ago"] = self._now_ms() - parse_tombstone(tombstone.value)
+        except InvalidValueError as error:
+            fields["cause"] = str(error)
+        LOG.warning("A submission of a cancelled job was refused.", extra=fields)
+        raise IbiscartError(
+            ErrorKind.CANCELLED, "the job was cancelled before it was stored; it never runs"
+        )
+
     def _check_size(self, value, spec):
         """Raises ``IbiscartError`` if the store takes no row with ``value``, that of a job."""
         bound = self._table.max_value_bytes
@@ -246,6 +290,11 @@
             raise IbiscartError(ErrorKind.NOT_FOUND, "no such job")
 
 
+def _present_rows(conflict):
+    """Returns the rows of a ``TableConflict`` that exist, by key."""
+    return {row.key: row for row in conflict.rows if row.version}
+
+
 def _parse_row(parse, row, job_id):
     """Returns ``parse`` of the value of a ``Row``; raises ``IbiscartError`` if it is damaged."""
     try:
--- a/packages/entry/src/ibiscart_entry/coordination/record.py
+++ b/packages/entry/src/ibiscart_entry/coordination/record.py
@@ -5,6 +5,7 @@
 Keys and values of the rows that hold jobs, their progress and the leader.
 """
 
+import hashlib
 import json
 import logging
 import re
@@ -38,6 +39,7 @@
     "PROGRESS_TABLE",
     "RUNNING",
     "SPEEDS_KEY",
+    "TOMBSTONES_TABLE",
     "LeaderRow",
     "PoolsRow",
     "cancel_key",
@@ -51,17 +53,21 @@
     "parse_pending_counts",
     "parse_progress",
     "parse_speeds",
+    "parse_tombstone",
     "progress_deletes",
     "progress_key",
     "progress_writes",
     "require_job_id",
     "split_progress_key",
+    "tombstone_key",
+    "tombstone_prefix",
     "visible_state",
 ]
 
 LOG = logging.getLogger("ibiscart.record")
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
+TOMBSTONES_TABLE = "tombstones"
 # partition with the registrations of the entries; it is not the leader's, because one partition
 # applies its transactions one after another
 NODES_PARTITION = "nodes.entries"
@@ -78,6 +84,8 @@
 QUEUED = "queued"
 CANCEL_SUFFIX = "~cancel"
 JOB_ID = re.compile(r"[0-9A-Za-z]{1,64}")
+# hexadecimal digits of the hash that stands for an account in the key of a tombstone
+ACCOUNT_HASH_DIGITS = 32
 # precedes the number in the key of a further row of a progress record
 PART_SEPARATOR = "~"
 # compression level of a record that needs several rows: the fastest, as records are written often
@@ -124,6 +132,20 @@
     return job_key(job_id) + CANCEL_SUFFIX
 
 
+def tombstone_key(account, job_id):
+    """Returns the key of the row that keeps out a job of an account.
+
+    It is in the partition of the job's row, so that one transaction can depend on both.
+    """
+    return tombstone_prefix(account, job_id) + job_id
+
+
+def tombstone_prefix(account, job_id):
+    """Returns the begin of the keys of the account's tombstones in the partition of a job."""
+    digits = hashlib.sha256(account.encode()).hexdigest()[:ACCOUNT_HASH_DIGITS]
+    return f"{TOMBSTONES_TABLE}.{job_id[0]}/{digits}~"
+
+
 def progress_key(job_id):
     """Returns the key of the row with the state of a job's runs."""
     return f"{PROGRESS_TABLE}/{job_id}"
@@ -241,6 +263,12 @@
     return progress
 
 
+def parse_tombstone(data):
+    """Returns the Unix milliseconds of a cancellation; raises ``InvalidValueError``."""
+    document = require_object(decode(data), "tombstone")
+    return require_int(document.get("at_ms"), 0, MAX_INT, "at_ms")
+
+
 def parse_pending_counts(data):
     """Returns the number of pending jobs by queue in JSON bytes; raises ``InvalidValueError``."""
     counts = require_object(decode(data), "pending")
--- a/packages/entry/src/ibiscart_entry/table.py
+++ b/packages/entry/src/ibiscart_entry/table.py
@@ -79,6 +79,8 @@
     async def transact(self, writes, *, low_priority=False):
         """Applies all ``TableWrite`` messages or none; returns the rows with new versions.
 
+        The deletion of a row that is expected to be absent is only a condition.
+
         Raises ``TableConflict`` when a row has another version than expected,
         ``TransactionRejected`` when the writes are never accepted, and ``StoreError`` when there is
         no valid answer.
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -140,6 +140,9 @@
             MAX_CALL_ENTRIES
         ):
             return 400
+        rows = [row for name in ("expected", "puts", "remove") for row in call.get(name, ())]
+        if len({row["part"] for row in rows}) > 1:
+            return 400
         for row in (*call.get("puts", ()), *call.get("remove", ())):
             if (row["table"], row["key"]) in self.refused_rows:
                 return 400
--- a/tools/operator_docs.py
+++ b/tools/operator_docs.py
@@ -102,6 +102,11 @@
     "out from its effects.",
     "in_progress": "The same id is being worked on. Ask again later with the same id.",
     "already_ended": "The job has ended; read it with `ibiscart job show`.",
+    "cancelled": "The job was cancelled before this submission of it was stored. It never runs; "
+    "use a new id for new work.",
+    "cancel_limit": "The account has cancelled 100 unknown jobs whose ids begin alike, which are "
+    "kept out for the time of `status_s`. Send the cancellation again later; look for a caller "
+    "that cancels ids that it never submitted.",
     "version_conflict": "Another operator changed the contract. Read it, apply the change again; "
     "`details` lists the differences.",
     "contract_unpackable": "The guarantees of all contracts do not fit at once. Lower a count, "
