A submission that is later than its tombstone can last is not accepted

Cause: a cancellation keeps a job out for two minutes at least, but nothing bounded how late its submission may be stored: an entry that was stopped or suspended for minutes reads what waits in its sockets, and a caller may state a deadline of hours, for which its submission waits unsent. Change: for 5 s after a pause of 30 s or more, submissions are refused with 503, Retry-After 1 (nothing is stored, so 'never runs' is true).

--- a/packages/entry/src/ibiscart_entry/coordination/entry_process.py
+++ b/packages/entry/src/ibiscart_entry/coordination/entry_process.py
@@ -130,6 +130,7 @@
         job_service.announce = self._announcer.announce
         job_service.count_rejection = functools.partial(metrics.count, "rejections")
         self._pools = job_service.pools = PoolWatch(table, boot_time)
+        self._pause_monitor = job_service.pause_monitor = PauseMonitor(metrics, boot_time)
         leadership.on_change = self._pools.record_leader
         self._server = HttpServer(
             handler,
@@ -245,7 +246,7 @@
             ("announcer", self._announcer.run),
             ("pools", self._pools.run),
             ("leader", self._leader.run),
-            ("pause_monitor", PauseMonitor(self._metrics, boot_time).run),
+            ("pause_monitor", self._pause_monitor.run),
         ):
             nursery.start_soon(run_supervised, self._metrics, name, run)
         if self._state == "starting":
--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -51,11 +51,13 @@
 
     ``now_ms`` returns Unix milliseconds. ``announce`` is called with the id of each job that
     was accepted or cancelled. ``gate`` is the ``StoreGate`` that each request passes, ``pools`` the
-    ``PoolWatch``, None to admit all jobs, and ``count_rejection`` is called with the reason of each
-    rejection. The methods raise ``IbiscartError``: ``not_found`` for a job of another account,
-    ``store_unavailable`` when nothing was read or stored, ``commit_unknown`` when a write may have
-    been stored, ``impossible_shape`` when a job cannot run, ``cancelled`` when it was cancelled
-    before it is stored, ``cancel_limit`` when an account cancels too many unknown jobs.
+    ``PoolWatch``, None to admit all jobs, ``pause_monitor`` the ``PauseMonitor`` of the process or
+    None, and ``count_rejection`` is called with the reason of each rejection. The methods raise
+    ``IbiscartError``: ``not_found`` for a job of another account, ``store_unavailable`` when
+    nothing was read or stored, ``commit_unknown`` when a write may have been stored,
+    ``impossible_shape`` when a job cannot run, ``not_ready`` after a long pause of the process,
+    ``cancelled`` when a job was cancelled before it is stored, ``cancel_limit`` when an account
+    cancels too many unknown jobs.
     """
 
     def __init__(self, table, now_ms, gate, announce=lambda job_id: None):
@@ -65,10 +67,12 @@
         self._tombstones = Tombstones(table, gate, self._write, now_ms)
         self.announce = announce
         self.pools = None
+        self.pause_monitor = None
         self.count_rejection = lambda reason: None
 
     async def submit(self, queue, account, job_id, spec):
         """Stores a job; returns ``accepted``, or ``known`` when it was stored before."""
+        self._check_backlog()
         spec.check()
         job = Job(job_id, account, queue.name, spec, self._now_ms(), queue)
         value = encode(job.to_document())
@@ -245,6 +249,16 @@
             bound=rejection.bound,
         )
 
+    def _check_backlog(self):
+        """Raises ``IbiscartError`` if a submission may have arrived before a long pause."""
+        if self.pause_monitor is not None and self.pause_monitor.reads_backlog:
+            raise IbiscartError(
+                ErrorKind.NOT_READY,
+                "this entry was paused, and the job may have been cancelled since; nothing was "
+                "stored, send the request again",
+                retry_after=1,
+            )
+
     def _check_conflict(self, conflict, account, job_id):
         """Returns if a submission was not applied since the account's job is stored already.
 
--- a/packages/entry/src/ibiscart_entry/coordination/pause_monitor.py
+++ b/packages/entry/src/ibiscart_entry/coordination/pause_monitor.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 
 import trio
 
@@ -15,6 +16,11 @@
 # interval at which the clock is read, and shortest pause that is reported; callers wait for 3 s
 INTERVAL_SECONDS = 0.5
 MIN_PAUSE_SECONDS = 0.5
+# after a pause of this length, requests that have waited in the sockets are too old to be accepted;
+# a quarter of the time for which a cancellation keeps out a job that is not stored yet
+LONG_PAUSE_SECONDS = 30.0
+# time after such a pause in which they are read
+BACKLOG_SECONDS = 5.0
 
 
 class PauseMonitor:
@@ -27,13 +33,30 @@
     def __init__(self, metrics, clock):
         self._metrics = metrics
         self._clock = clock
+        self._slept_at = clock()
+        self._backlog_until = -math.inf
+
+    @property
+    def reads_backlog(self):
+        """Whether the requests that are read may have arrived before a long pause."""
+        # the pause may have ended just now, before ``run`` goes on
+        self._measure_pause()
+        return self._clock() < self._backlog_until
+
+    def _measure_pause(self):
+        """Returns the seconds for which ``run`` has been overdue."""
+        now = self._clock()
+        pause_seconds = now - self._slept_at - INTERVAL_SECONDS
+        if pause_seconds >= LONG_PAUSE_SECONDS:
+            self._backlog_until = now + BACKLOG_SECONDS
+        return pause_seconds
 
     async def run(self):
         """Reports pauses until cancelled."""
         while True:
-            slept_at = self._clock()
+            self._slept_at = self._clock()
             await trio.sleep(INTERVAL_SECONDS)
-            pause_seconds = self._clock() - slept_at - INTERVAL_SECONDS
+            pause_seconds = self._measure_pause()
             if pause_seconds >= MIN_PAUSE_SECONDS:
                 self._metrics.observe("process_pause_seconds", "", pause_seconds)
                 LOG.warning("The process was paused.", extra={"seconds": round(pause_seconds, 3)})
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -21,6 +21,7 @@
 from ibiscart_entry.coordination.job_service import JobService
 from ibiscart_entry.coordination.leader import Leader
 from ibiscart_entry.coordination.leadership import Leadership
+from ibiscart_entry.coordination.pause_monitor import PauseMonitor
 from ibiscart_entry.coordination.peer_directory import PeerDirectory
 from ibiscart_entry.coordination.pool_watch import PoolWatch
 from ibiscart_entry.coordination.relay import RelayTable
@@ -162,6 +163,8 @@
         self.job_service.announce = self.announcer.announce
         self.pools = self.job_service.pools = PoolWatch(self.table, self.boot_time)
         self.leadership.on_change = self.pools.record_leader
+        self.pause_monitor = PauseMonitor(self.metrics, self.boot_time)
+        self.job_service.pause_monitor = self.pause_monitor
         self.relay_server = RelayServer(self.direct_table)
         self.cancel_scope = trio.CancelScope()
         deployment.network.handlers[name] = self.handle_peer
@@ -180,6 +183,7 @@
                 nursery.start_soon(self.announcer.run)
                 nursery.start_soon(self.pools.run)
                 nursery.start_soon(self.leader.run)
+                nursery.start_soon(self.pause_monitor.run)
 
     async def handle_peer(self, request):
         """Handles a request of another entry."""
--- a/tests/platform/test_early_cancellation.py
+++ b/tests/platform/test_early_cancellation.py
@@ -230,6 +230,41 @@
 
         run_virtual(main)
 
+    def test_submission_from_before_a_long_pause_is_refused(self):
+        """Guards against one that outlasts the tombstone in the socket of a suspended machine."""
+
+        async def main():
+            async with Deployment() as deployment:
+                entry = deployment.first_entry()
+                for pause_seconds, status in ((4.0, 200), (600.0, 503)):
+                    entry.suspended_seconds += pause_seconds
+                    response = await entry.request("POST", PATH, job(step()))
+                    self.assertEqual(status, response.status)
+                    if status == 503:
+                        self.assertEqual("1", dict(response.headers)["retry-after"])
+                # what is read later has arrived after the pause
+                await trio.sleep(SETTLE_SECONDS)
+                self.assertEqual(200, await deployment.submit(OTHER_JOB_ID, job(step())))
+
+        run_virtual(main)
+
+    def test_submission_is_given_up_after_a_bounded_time(self):
+        """Guards against one that is stored after its tombstone since its caller waits for long."""
+
+        async def main():
+            async with Deployment() as deployment:
+                entry = deployment.first_entry()
+                writes = _HeldWrites(entry.table)
+                started_at = trio.current_time()
+                response = await entry.request("POST", PATH, job(step()), deadline_ms=10**7)
+                self.assertEqual(504, response.status)
+                self.assertLess(trio.current_time() - started_at, MIN_RETENTION_SECONDS)
+                writes.release()
+                await trio.sleep(SETTLE_SECONDS)
+                self.assertEqual({}, deployment.fleet.starts)
+
+        run_virtual(main)
+
     def test_damaged_tombstone_keeps_out_its_job(self):
         async def main():
             async with Deployment() as deployment:
