A start is not sent to a worker that has begun to drain since it was planned

A task that is sent to a draining worker is lost when the worker leaves, and breaks DRAIN if that is later than drainMs. Cause: the last check before a start, which may be seconds after its plan while the record is written or the order is repeated, looked at evacuations only. Change: the check also refuses a draining worker, before the first order and before each copy. The unit is planned anew, a gang as a whole.

--- a/packages/core/src/ibiscart_core/workflow/report.py
+++ b/packages/core/src/ibiscart_core/workflow/report.py
@@ -62,7 +62,8 @@
 
     ``NOT_SENT`` and ``UNKNOWN`` stand for an order that did not reach the worker and for one
     without an answer. ``EVACUATED`` and ``EVACUATIONS_UNCONFIRMED`` stand for an order that was not
-    sent since the worker's data centre is, or may be, evacuated.
+    sent since the worker's data centre is, or may be, evacuated, ``DRAINING`` for one that was not
+    sent since the worker is draining by now.
     """
 
     STARTED = "started"
@@ -74,6 +75,7 @@
     UNHEALTHY = "unhealthy"
     WRONG_INCARNATION = "wrong_incarnation"
     NOT_SENT = "not_sent"
+    DRAINING = "draining"
     EVACUATED = "evacuated"
     EVACUATIONS_UNCONFIRMED = "evacuations_unconfirmed"
     UNKNOWN = "unknown"
--- a/packages/entry/src/ibiscart_entry/coordination/coordinator.py
+++ b/packages/entry/src/ibiscart_entry/coordination/coordinator.py
@@ -16,6 +16,7 @@
 from ibiscart_core.workflow.admission import CapacityHistory
 from ibiscart_core.workflow.engine import Engine
 from ibiscart_core.workflow.evacuation import EvacuationPolicy
+from ibiscart_core.workflow.report import StartResult
 from ibiscart_entry.coordination.job_feed import JobFeed
 from ibiscart_entry.coordination.leadership import LeadershipLost, WriteGroup
 from ibiscart_entry.coordination.record import (
@@ -325,6 +326,8 @@
 
     def _refusal(self, worker):
         """Returns the ``StartResult`` of an order that must not be sent to a worker, else None."""
+        if worker.info.draining:
+            return StartResult.DRAINING
         catalogs = self._catalogs
         return self._evacuation_policy.refusal(
             worker.info, catalogs.evacuations, catalogs.evacuations_age_seconds
--- a/tools/operator_docs.py
+++ b/tools/operator_docs.py
@@ -178,6 +178,7 @@
         "`unknown` or `not_sent` on one worker: look for it in the logs. `fenced`: this entry no "
         "longer leads.",
         {
+            "draining": "Not sent: the worker has begun to drain since the start was planned.",
             "evacuated": "Not sent: the worker's data centre is being emptied; see "
             "[evacuation](evacuation.md).",
             "evacuations_unconfirmed": "Not sent: the store has not confirmed for too long which "
