Random faults: callers who leave without an answer and cancel what they sent

Checked are the answers against each other and against what ran: a cancel that got 410 leaves no start and no accepted submission, one that got 200 no refused one, and the state shown afterwards agrees.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,7 @@
 import trio
 
 from tests.platform.fault_scenario import FaultScenario
+from tests.platform.impatient_callers import ImpatientCallers
 from tests.soak.caller import Caller
 from tests.soak.cluster import Cluster
 from tests.soak.odd import STORE_ANSWERS, WORKER_ANSWERS, odd_registrations
@@ -33,7 +34,7 @@
 # names of the groups of faults; "none" starts and stops the deployment only
 FAULTS = (
     *("all", "basic", "signals", "ports", "rows", "store", "workers", "evacuations", "restarts"),
-    "none",
+    *("cancellations", "none"),
 )
 # longer than the time after which the workers' stand-ins accept no start
 EVACUATION_SECONDS = 9.0
@@ -41,6 +42,8 @@
 # connections, since the load balancer has noticed by then that the entry is not ready
 CALLERS = 40
 BALANCER_SECONDS = 2.2
+# time after the faults in which the store performs late writes and the last runs are stopped
+SETTLE_SECONDS = 6.0
 
 
 class SoakScenario(FaultScenario):
@@ -51,6 +54,7 @@
         self._fault_seconds = fault_seconds
         self._faults = faults
         self._options = options
+        self._callers = ImpatientCallers(self.random, self._random_entry)
 
     async def run(self):
         cluster = self._deployment = Cluster(seed=self.seed, **self._options)
@@ -60,6 +64,9 @@
                 await self._reset_faults()
                 await self._wait_for_jobs()
                 self._check_refused_jobs()
+                if self._faults == "cancellations":
+                    await trio.sleep(SETTLE_SECONDS)
+                    self.violations += await self._callers.find_violations(cluster.fleet)
                 self.violations.extend(cluster.fleet.violations)
                 # the log of a process is gone with the deployment
                 cluster.keep_logs = bool(self.violations or cluster.violations)
@@ -94,6 +101,13 @@
                 number += 1
                 nursery.start_soon(self._submit_job, job_id)
 
+    async def _submit_job(self, job_id):
+        """Submits a job; in the group of cancellations, its caller cancels it soon."""
+        if self._faults == "cancellations":
+            await self._callers.submit_and_cancel(job_id, self._random_job()[0])
+        else:
+            await super()._submit_job(job_id)
+
     async def _inject_faults(self, nursery):
         """Starts random faults, each with a duration in seconds; instantaneous faults ignore it."""
         faults = self._fault_functions()
@@ -131,9 +145,10 @@
                 self._disturb_store_connections,
             ],
         }
+        groups["cancellations"] = groups["basic"]
         if self._faults == "all":
             # a worker that carries out an order late may start it after the bound on evacuations
-            del groups["evacuations"]
+            del groups["evacuations"], groups["cancellations"]
             return [function for group in groups.values() for function in group]
         return groups[self._faults]
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -41,6 +41,9 @@
     def test_no_run_starts_in_a_data_centre_that_is_emptied(self):
         self.check("evacuations", seconds=EVACUATION_SECONDS + 3)
 
+    def test_acknowledged_cancellation_keeps_late_submissions_out(self):
+        self.check("cancellations")
+
     def test_planned_restart_cuts_no_request(self):
         self.check("restarts")
 
