A submission that waited is checked again before it is sent to the store

A submission that waits for the store, up to half of its caller's time, was stored although its key had been revoked, its account removed or its queue dropped meanwhile; where keys are strict, possibly later than the bound on revocation. Cause: access was checked when the request was read. Evidence: tests.platform.test_access_changes holds a submission at the gate while the configuration changes; on the commit before, 4 of 5 tests fail: key, account and queue removed, and key moved to another account. Change: the check of queue, key and, where keys are strict, of the configuration's age is one function, called when the request is read and each time before the job is sent. Nothing is sent when it refuses, so the answer is true. A write whose answer was lost is still repeated, since it may be stored. PauseMonitor.reads_backlog has no side effect any more. Result: the 5 tests pass; tests.platform, tests.entry.coordination and tests.deploy: 374 passed.

--- a/packages/entry/src/ibiscart_entry/coordination/job_service.py
+++ b/packages/entry/src/ibiscart_entry/coordination/job_service.py
@@ -70,8 +70,12 @@
         self.pause_monitor = None
         self.count_rejection = lambda reason: None
 
-    async def submit(self, queue, account, job_id, spec):
-        """Stores a job; returns ``accepted``, or ``known`` when it was stored before."""
+    async def submit(self, queue, account, job_id, spec, check_access=None):
+        """Stores a job; returns ``accepted``, or ``known`` when it was stored before.
+
+        ``check_access`` is an async function that is called each time before the job is sent to the
+        store, which may be long after the request was read. What it raises ends the submission.
+        """
         self._check_backlog()
         spec.check()
         job = Job(job_id, account, queue.name, spec, self._now_ms(), queue)
@@ -85,7 +89,7 @@
             TableWrite(key=tombstone_key(account, job_id), delete=True, expected_version=0),
         ]
         try:
-            await self._write(writes, job_id, queue.priority)
+            await self._write(writes, job_id, queue.priority, check_access)
         except TableConflict as conflict:
             self._check_conflict(conflict, account, job_id)
             return KNOWN
@@ -173,7 +177,7 @@
         )
         return _parse_row(parse_progress, row, job_id) if row is not None else None
 
-    async def _write(self, writes, job_id, priority):
+    async def _write(self, writes, job_id, priority, check_access=None):
         """Applies writes; after a lost response, repeating them reveals the outcome.
 
         The value that the first one stores tells whether they have been applied.
@@ -186,6 +190,8 @@
         for attempt in range(MAX_ATTEMPTS):
             if not may_be_applied:
                 await self._gate.admit(priority, job_id)
+                if check_access is not None:
+                    await check_access()
             try:
                 await self._table.transact(writes)
                 return
--- a/packages/entry/src/ibiscart_entry/coordination/pause_monitor.py
+++ b/packages/entry/src/ibiscart_entry/coordination/pause_monitor.py
@@ -39,24 +39,22 @@
     @property
     def reads_backlog(self):
         """Whether the requests that are read may have arrived before a long pause."""
-        # the pause may have ended just now, before ``run`` goes on
-        self._measure_pause()
-        return self._clock() < self._backlog_until
-
-    def _measure_pause(self):
-        """Returns the seconds for which ``run`` has been overdue."""
-        now = self._clock()
-        pause_seconds = now - self._slept_at - INTERVAL_SECONDS
-        if pause_seconds >= LONG_PAUSE_SECONDS:
-            self._backlog_until = now + BACKLOG_SECONDS
-        return pause_seconds
+        # a pause that has ended just now is not recorded before ``run`` goes on
+        return self._clock() < self._backlog_until or self._overdue_seconds >= LONG_PAUSE_SECONDS
+
+    @property
+    def _overdue_seconds(self):
+        """Time for which ``run`` should have gone on."""
+        return self._clock() - self._slept_at - INTERVAL_SECONDS
 
     async def run(self):
         """Reports pauses until cancelled."""
         while True:
             self._slept_at = self._clock()
             await trio.sleep(INTERVAL_SECONDS)
-            pause_seconds = self._measure_pause()
+            pause_seconds = self._overdue_seconds
+            if pause_seconds >= LONG_PAUSE_SECONDS:
+                self._backlog_until = self._clock() + BACKLOG_SECONDS
             if pause_seconds >= MIN_PAUSE_SECONDS:
                 self._metrics.observe("process_pause_seconds", "", pause_seconds)
                 LOG.warning("The process was paused.", extra={"seconds": round(pause_seconds, 3)})
