--- a/packages/cli/src/ibiscart_cli/history.py
+++ b/packages/cli/src/ibiscart_cli/history.py
@@ -93,6 +93,12 @@
 
     def _cause_of_refusal(self, answer):
         outcome, status = answer.get("outcome"), answer.get("status")
+        cancelled = self._own("A submission of a cancelled job was refused.")
+        if outcome == "cancelled" and cancelled:
+            return (
+                f"Not accepted by {answer.get('node')}: the job had been cancelled "
+                f"{cancelled[-1].get('cancelled_ms_ago')} ms before, so it never runs."
+            )
         messages = (
             "A write was refused.",
             "A write has no answer.",
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -76,6 +76,15 @@
         )
         self.assertIn("so nothing was stored; causes: store_lost", output)
 
+    def test_late_submission_names_the_cancellation_before_it(self):
+        """Guards against a refusal that looks like a fault of the store."""
+        message = "jobs: A submission of a cancelled job was refused."
+        output = self.call(
+            [line(2, "e0", message, job=ID, cancelled_ms_ago=1008)],
+            [self.answer(2.1, "e0", 429, "cancelled")],
+        )
+        self.assertIn("Not accepted by e0: the job had been cancelled 1008 ms before", output)
+
     def test_unknown_outcome_is_not_called_a_refusal(self):
         output = self.call(
             [
